--- /dev/null
+++ b/chicorystep/control/mailbox.h
@@ -0,0 +1,36 @@
+#ifndef CHICORYSTEP_CONTROL_MAILBOX_H_
+#define CHICORYSTEP_CONTROL_MAILBOX_H_
+
+#include <mutex>
+#include <utility>
+
+#include "chicorystep/control/world.h"
+
+namespace chicorystep {
+
+// Collects what the traffic threads post for the next tick.
+struct Mailbox {
+  std::mutex mutex;
+  Inbox inbox;
+  // Whether a tick has been asked for since the inbox was last taken.
+  bool tick_requested = false;
+};
+
+// Lets `fill` add to the inbox; true when a tick must now be requested.
+template <typename Fill>
+[[nodiscard]] bool Post(Mailbox& mailbox, Fill fill) {
+  const std::scoped_lock lock(mailbox.mutex);
+  fill(mailbox.inbox);
+  return !std::exchange(mailbox.tick_requested, true);
+}
+
+// Takes everything posted so far.
+[[nodiscard]] inline Inbox TakeInbox(Mailbox& mailbox) {
+  const std::scoped_lock lock(mailbox.mutex);
+  mailbox.tick_requested = false;
+  return std::exchange(mailbox.inbox, Inbox{});
+}
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_CONTROL_MAILBOX_H_
--- /dev/null
+++ b/chicorystep/control/tick.cc
@@ -0,0 +1,45 @@
+#include "chicorystep/control/tick.h"
+
+#include <algorithm>
+
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/gangs.h"
+#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/routing.h"
+#include "chicorystep/systems/stopping.h"
+
+namespace chicorystep {
+
+Outbox Tick(World& world, const Inbox& inbox, TimePoint now) {
+  Outbox outbox;
+  BeginStopping(world, inbox, now);
+
+  ApplyConfigBatches(world, inbox);
+  ApplyInstanceLists(world, inbox);
+  ExchangeHeartbeats(world, inbox, now, outbox);
+
+  EndAttempts(world, inbox, now, outbox);
+  AdmitRequests(world, inbox, now, outbox);
+  ExpireRequests(world, now, outbox);
+  RouteRequests(world, now, outbox);
+
+  AssignCells(world, now, outbox);
+  ApplyCellBatches(world, inbox, now, outbox);
+  ApplyAppendsEnded(world, inbox, outbox);
+  HandleJobOperations(world, inbox, now, outbox);
+  ApplyWorkerAnswers(world, inbox, now);
+  RecoverGangs(world, now);
+  AdvanceGangs(world, now, outbox);
+  PlaceGangs(world, now);
+  PollWorkers(world, now, outbox);
+  return outbox;
+}
+
+TimePoint NextDue(const World& world, TimePoint now) {
+  return std::min({world.members.next_heartbeat, NextRequestDue(world),
+                   NextPollDue(world), NextStopDue(world, now)});
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/core/logging.cc
@@ -0,0 +1,96 @@
+#include "chicorystep/core/logging.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <utility>
+
+namespace chicorystep {
+namespace {
+
+struct LogSink {
+  std::mutex mutex;
+  LogLevel lowest = LogLevel::kInfo;
+  std::string process_name;
+};
+
+LogSink& Sink() {
+  static LogSink sink;
+  return sink;
+}
+
+std::string_view ToString(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarn:
+      return "warn";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+bool IsPlain(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("._:/+-,%").find(c) != std::string_view::npos;
+}
+
+}  // namespace
+
+void ConfigureLogging(LogLevel lowest, std::string process_name) {
+  LogSink& sink = Sink();
+  const std::scoped_lock lock(sink.mutex);
+  sink.lowest = lowest;
+  sink.process_name = std::move(process_name);
+}
+
+std::string QuoteLogValue(std::string_view value) {
+  if (!value.empty() && std::all_of(value.begin(), value.end(), IsPlain)) {
+    return std::string(value);
+  }
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+    } else if (std::iscntrl(static_cast<unsigned char>(c)) != 0) {
+      quoted += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+    } else {
+      quoted += c;
+    }
+  }
+  quoted += '"';
+  return quoted;
+}
+
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields) {
+  LogSink& sink = Sink();
+  const std::scoped_lock lock(sink.mutex);
+  if (level < sink.lowest) {
+    return;
+  }
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  const auto millis = now.time_since_epoch().count() % 1000;
+  std::string line = fmt::format(
+      "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} process={} event={}",
+      fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
+      ToString(level), QuoteLogValue(sink.process_name), event);
+  for (const LogField& field : fields) {
+    line += fmt::format(" {}={}", field.key, QuoteLogValue(field.value));
+  }
+  line += '\n';
+  fmt::print(stderr, "{}", line);
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/core/logging.h
@@ -0,0 +1,47 @@
+#ifndef CHICORYSTEP_CORE_LOGGING_H_
+#define CHICORYSTEP_CORE_LOGGING_H_
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace chicorystep {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
+
+// One key=value pair of a log line. The value is quoted when it holds anything
+// but letters, digits and plain punctuation.
+struct LogField {
+  std::string_view key;
+  std::string value;
+
+  LogField(std::string_view field_key, std::string_view field_value)
+      : key(field_key), value(field_value) {}
+  LogField(std::string_view field_key, const char* field_value)
+      : key(field_key), value(field_value) {}
+  template <typename Number>
+  LogField(std::string_view field_key,
+           Number number) requires std::is_arithmetic_v<Number>
+      : key(field_key), value(fmt::format("{}", number)) {}
+};
+
+// Sets the lowest level that is written, and the name that every line carries.
+// Call once, before other threads log.
+void ConfigureLogging(LogLevel lowest, std::string process_name);
+
+// Writes one line to standard error: time=... level=... process=... event=...
+// and the fields. Safe from any thread; never writes payloads or keys, which
+// is up to the caller.
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields = {});
+
+// `value` as it stands in a key=value line, quoted and escaped where needed.
+[[nodiscard]] std::string QuoteLogValue(std::string_view value);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_CORE_LOGGING_H_
--- /dev/null
+++ b/chicorystep/core/units.h
@@ -0,0 +1,40 @@
+#ifndef CHICORYSTEP_CORE_UNITS_H_
+#define CHICORYSTEP_CORE_UNITS_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "chicorystep/core/strong.h"
+
+namespace chicorystep {
+
+using Accelerators = Quantity<struct AcceleratorsTag, std::int64_t>;
+// Thousandths of a processor core.
+using Millicores = Quantity<struct MillicoresTag, std::int64_t>;
+using Mebibytes = Quantity<struct MebibytesTag, std::int64_t>;
+using Bytes = Quantity<struct BytesTag, std::int64_t>;
+// Requests that an executor runs at the same time.
+using Slots = Quantity<struct SlotsTag, std::int64_t>;
+using Connections = Quantity<struct ConnectionsTag, std::int64_t>;
+// Relative share of capacity beyond the guarantees.
+using Weight = Quantity<struct WeightTag, std::int64_t>;
+
+// Microseconds, so that fast requests can be told apart.
+using Duration = std::chrono::microseconds;
+// Time since the start of the process, from a monotonic clock. Systems get it
+// passed in and never read a clock.
+struct ProcessClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<ProcessClock>;
+  static constexpr bool is_steady = true;
+};
+using TimePoint = ProcessClock::time_point;
+
+// A due time that never comes.
+inline constexpr TimePoint kNever = TimePoint::max();
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_CORE_UNITS_H_
--- /dev/null
+++ b/chicorystep/encoding/caller_messages.h
@@ -0,0 +1,30 @@
+#ifndef CHICORYSTEP_ENCODING_CALLER_MESSAGES_H_
+#define CHICORYSTEP_ENCODING_CALLER_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+
+#include "chicorystep/core/outcome.h"
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/tables/jobs.h"
+
+namespace chicorystep {
+
+// A refusal as the body that callers get.
+[[nodiscard]] std::string EncodeRefusal(const Refusal& refusal);
+[[nodiscard]] Result<Refusal, EncodingError> DecodeRefusal(
+    std::string_view text);
+
+// A job as callers submit it; its id is given by the system.
+[[nodiscard]] std::string EncodeJobSpec(const JobSpec& spec);
+[[nodiscard]] Result<JobSpec, EncodingError> DecodeJobSpec(
+    std::string_view text);
+
+[[nodiscard]] std::string EncodeJobStatus(const JobStatus& status);
+[[nodiscard]] Result<JobStatus, EncodingError> DecodeJobStatus(
+    std::string_view text);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_CALLER_MESSAGES_H_
--- /dev/null
+++ b/chicorystep/encoding/instance_list.h
@@ -0,0 +1,21 @@
+#ifndef CHICORYSTEP_ENCODING_INSTANCE_LIST_H_
+#define CHICORYSTEP_ENCODING_INSTANCE_LIST_H_
+
+#include <string>
+#include <string_view>
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/tables/instances.h"
+
+namespace chicorystep {
+
+// The platform's instance list: {"entries":[...],"executors":[...],
+// "workers":[...]}.
+[[nodiscard]] std::string EncodeInstanceList(const InstanceList& list);
+[[nodiscard]] Result<InstanceList, EncodingError> DecodeInstanceList(
+    std::string_view text);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_INSTANCE_LIST_H_
--- /dev/null
+++ b/chicorystep/encoding/job_record.h
@@ -0,0 +1,20 @@
+#ifndef CHICORYSTEP_ENCODING_JOB_RECORD_H_
+#define CHICORYSTEP_ENCODING_JOB_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/systems/job_records.h"
+
+namespace chicorystep {
+
+// A record of a placement cell's stream.
+[[nodiscard]] std::string EncodeCellRecord(const CellRecord& record);
+[[nodiscard]] Result<CellRecord, EncodingError> DecodeCellRecord(
+    std::string_view data);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_JOB_RECORD_H_
--- /dev/null
+++ b/chicorystep/encoding/log_messages.h
@@ -0,0 +1,44 @@
+#ifndef CHICORYSTEP_ENCODING_LOG_MESSAGES_H_
+#define CHICORYSTEP_ENCODING_LOG_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/tables/log.h"
+
+namespace chicorystep {
+
+// The body of an append to the log service.
+struct AppendBody {
+  std::vector<LogRecord> records;
+};
+
+// The answer to an append: the offset of its first record.
+struct AppendAnswer {
+  Offset first;
+};
+
+// The answer to a read. `first` is the oldest offset that the service still
+// keeps, `next` the one after the records given.
+struct ReadAnswer {
+  Offset first;
+  Offset next;
+  std::vector<LogRecord> records;
+};
+
+[[nodiscard]] std::string EncodeAppendBody(const AppendBody& body);
+[[nodiscard]] Result<AppendBody, EncodingError> DecodeAppendBody(
+    std::string_view text);
+[[nodiscard]] std::string EncodeAppendAnswer(const AppendAnswer& answer);
+[[nodiscard]] Result<AppendAnswer, EncodingError> DecodeAppendAnswer(
+    std::string_view text);
+[[nodiscard]] std::string EncodeReadAnswer(const ReadAnswer& answer);
+[[nodiscard]] Result<ReadAnswer, EncodingError> DecodeReadAnswer(
+    std::string_view text);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_LOG_MESSAGES_H_
--- /dev/null
+++ b/chicorystep/encoding/peer_messages.h
@@ -0,0 +1,28 @@
+#ifndef CHICORYSTEP_ENCODING_PEER_MESSAGES_H_
+#define CHICORYSTEP_ENCODING_PEER_MESSAGES_H_
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/encoding/peer.capnp.h"
+#include "chicorystep/tables/jobs.h"
+#include "chicorystep/tables/members.h"
+
+namespace chicorystep {
+
+// Between the tables' messages and those on the wire.
+void WriteHeartbeat(const Heartbeat& beat, wire::Heartbeat::Builder builder);
+[[nodiscard]] Heartbeat ReadHeartbeat(wire::Heartbeat::Reader reader);
+
+void WriteJobOperation(const JobOperation& operation,
+                       wire::JobOperation::Builder builder);
+[[nodiscard]] Result<JobOperation, EncodingError> ReadJobOperation(
+    wire::JobOperation::Reader reader);
+
+void WriteJobAnswer(const EndJobOperation& end,
+                    wire::JobAnswer::Builder builder);
+[[nodiscard]] Result<EndJobOperation, EncodingError> ReadJobAnswer(
+    wire::JobAnswer::Reader reader);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_PEER_MESSAGES_H_
--- /dev/null
+++ b/chicorystep/encoding/state_dump.cc
@@ -0,0 +1,125 @@
+#include "chicorystep/encoding/state_dump.h"
+
+#include <chrono>
+
+#include "chicorystep/encoding/config_fields.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/membership.h"
+
+namespace chicorystep {
+namespace impl {
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+Json DumpConfig(const Config& config) {
+  Json routes = Json::array();
+  for (const auto& [kind, route] : config.routes) {
+    routes.push_back(JsonWriter::ToJson(route));
+  }
+  Json pools = Json::array();
+  for (const auto& [key, pool] : config.pools) {
+    pools.push_back(JsonWriter::ToJson(pool));
+  }
+  return {{"revision", config.revision.value},
+          {"next_offset", config.next.value},
+          {"routes", std::move(routes)},
+          {"pools", std::move(pools)}};
+}
+
+Json DumpMembers(const World& world, TimePoint now) {
+  Json members = Json::array();
+  for (const Member& member : world.members.table.rows) {
+    Json row = {{"id", member.id.value},
+                {"address", member.address.value},
+                {"zone", member.zone.value},
+                {"alive", IsAlive(member, world.self, now)},
+                {"listed", member.listed},
+                {"stopping", member.stopping},
+                {"config_next", member.config_next.value}};
+    if (member.heard != TimePoint::min()) {
+      row["heard_ms_ago"] = Milliseconds(now - member.heard);
+    }
+    members.push_back(std::move(row));
+  }
+  return members;
+}
+
+Json DumpExecutors(const Requests& requests) {
+  Json executors = Json::array();
+  for (const Executor& executor : requests.executors.rows) {
+    executors.push_back({{"id", executor.listed.id.value},
+                         {"service", executor.listed.service.value},
+                         {"zone", executor.listed.zone.value},
+                         {"state", NameOf(executor.listed.state)},
+                         {"in_flight", executor.in_flight.value},
+                         {"slots", executor.listed.slots.value}});
+  }
+  return executors;
+}
+
+Json DumpJob(const Job& job) {
+  Json pieces = Json::array();
+  for (const Piece& piece : job.pieces) {
+    pieces.push_back({{"worker", piece.worker.value},
+                      {"lease", piece.lease.value},
+                      {"state", NameOf(piece.state)}});
+  }
+  return {{"id", job.spec.id.value},
+          {"workspace", job.spec.workspace.value},
+          {"kind", job.spec.kind.value},
+          {"priority", NameOf(job.priority)},
+          {"state", NameOf(job.state)},
+          {"detail", job.end_detail},
+          {"tries", job.tries},
+          {"shape", JsonWriter::ToJson(job.spec.shape)},
+          {"pieces", std::move(pieces)}};
+}
+
+Json DumpCell(const Cell& cell) {
+  Json workers = Json::array();
+  for (const Worker& worker : cell.workers.rows) {
+    workers.push_back({{"id", worker.listed.id.value},
+                       {"rack", worker.listed.rack.value},
+                       {"state", NameOf(worker.listed.state)},
+                       {"free_accelerators", worker.free_accelerators.value},
+                       {"leases", worker.reported.size()}});
+  }
+  Json jobs = Json::array();
+  for (const Job& job : cell.jobs.rows) {
+    jobs.push_back(DumpJob(job));
+  }
+  return {{"zone", cell.zone.value},
+          {"epoch", cell.epoch.value},
+          {"recovered", cell.recovered},
+          {"workers", std::move(workers)},
+          {"jobs", std::move(jobs)}};
+}
+
+}  // namespace impl
+
+std::string EncodeStateDump(const World& world, TimePoint now) {
+  Json cells = Json::array();
+  for (const auto& [zone, cell] : world.jobs.cells) {
+    cells.push_back(impl::DumpCell(cell));
+  }
+  const Json dump = {{"id", world.self.id.value},
+                     {"zone", world.self.zone.value},
+                     {"region", world.self.region.value},
+                     {"ready", world.config_ready && !world.stopping},
+                     {"stopping", world.stopping},
+                     {"up_ms", impl::Milliseconds(now.time_since_epoch())},
+                     {"config", impl::DumpConfig(world.config)},
+                     {"members", impl::DumpMembers(world, now)},
+                     {"executors", impl::DumpExecutors(world.requests)},
+                     {"requests",
+                      {{"open", world.requests.table.size()},
+                       {"waiting", world.requests.waiting.size()}}},
+                     {"cells", std::move(cells)}};
+  return dump.dump(2, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/encoding/state_dump.h
@@ -0,0 +1,15 @@
+#ifndef CHICORYSTEP_ENCODING_STATE_DUMP_H_
+#define CHICORYSTEP_ENCODING_STATE_DUMP_H_
+
+#include <string>
+
+#include "chicorystep/control/world.h"
+
+namespace chicorystep {
+
+// The whole control state as JSON, for operators and tests.
+[[nodiscard]] std::string EncodeStateDump(const World& world, TimePoint now);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_STATE_DUMP_H_
--- /dev/null
+++ b/chicorystep/encoding/worker_messages.h
@@ -0,0 +1,36 @@
+#ifndef CHICORYSTEP_ENCODING_WORKER_MESSAGES_H_
+#define CHICORYSTEP_ENCODING_WORKER_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/tables/jobs.h"
+
+namespace chicorystep {
+
+// The body of the one message to a worker.
+struct WorkerMessage {
+  EntryId holder;
+  Epoch epoch;
+  Duration lease_time{};
+  std::vector<WorkerCommand> commands;
+};
+
+// A worker's answer: every lease it knows.
+struct WorkerReport {
+  std::vector<LeaseReport> leases;
+};
+
+[[nodiscard]] std::string EncodeWorkerMessage(const WorkerMessage& message);
+[[nodiscard]] Result<WorkerMessage, EncodingError> DecodeWorkerMessage(
+    std::string_view text);
+[[nodiscard]] std::string EncodeWorkerReport(const WorkerReport& report);
+[[nodiscard]] Result<WorkerReport, EncodingError> DecodeWorkerReport(
+    std::string_view text);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_WORKER_MESSAGES_H_
--- /dev/null
+++ b/chicorystep/platform/instance_list_client.h
@@ -0,0 +1,36 @@
+#ifndef CHICORYSTEP_PLATFORM_INSTANCE_LIST_CLIENT_H_
+#define CHICORYSTEP_PLATFORM_INSTANCE_LIST_CLIENT_H_
+
+#include <functional>
+#include <thread>
+
+#include "chicorystep/core/ids.h"
+#include "chicorystep/core/units.h"
+#include "chicorystep/tables/instances.h"
+
+namespace chicorystep {
+
+struct InstanceListOptions {
+  Address address;
+  Duration interval = std::chrono::seconds(1);
+  Duration timeout = std::chrono::seconds(5);
+};
+
+// Reads the platform's list again and again on a thread of its own and reports
+// each reading that differs from the one before.
+class InstanceListClient {
+ public:
+  InstanceListClient(InstanceListOptions options,
+                     std::function<void(InstanceList)> changed);
+
+ private:
+  void Run(const std::stop_token& stop);
+
+  InstanceListOptions options;
+  std::function<void(InstanceList)> changed;
+  std::jthread reader;
+};
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_PLATFORM_INSTANCE_LIST_CLIENT_H_
--- /dev/null
+++ b/chicorystep/programs/entry.cc
@@ -0,0 +1,257 @@
+// The daemon that runs on every entry instance.
+
+#include <fmt/format.h>
+
+#include <asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "chicorystep/control/loop.h"
+#include "chicorystep/core/logging.h"
+#include "chicorystep/core/version.h"
+#include "chicorystep/platform/instance_list_client.h"
+#include "chicorystep/platform/log_client.h"
+#include "chicorystep/platform/worker_client.h"
+#include "chicorystep/settings/entry_settings.h"
+#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/traffic/admin_server.h"
+#include "chicorystep/traffic/caller_server.h"
+#include "chicorystep/traffic/exchange.h"
+#include "chicorystep/traffic/metrics.h"
+#include "chicorystep/traffic/peers.h"
+
+namespace chicorystep {
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+
+Incarnation MakeIncarnation() {
+  return Incarnation(static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count()));
+}
+
+World MakeWorld(const EntrySettings& settings) {
+  World world;
+  world.self = Self{
+      .id = settings.id,
+      .incarnation = MakeIncarnation(),
+      .zone = settings.zone,
+      .region = settings.region,
+      .heartbeat_interval = settings.heartbeat_interval,
+      .member_timeout = settings.member_timeout,
+      .lease_time = settings.lease_time,
+      .worker_poll_interval = settings.worker_poll_interval,
+      .announce_time = settings.announce_time,
+      .drain_time = settings.drain_time,
+      .max_waiting_requests =
+          static_cast<std::size_t>(settings.max_waiting_requests),
+      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs)};
+  return world;
+}
+
+// The threads that move bytes, and what they share. Members are destroyed in
+// reverse order, so the clients stop before what they report to.
+struct Process {
+  explicit Process(const EntrySettings& entry_settings)
+      : settings(entry_settings),
+        executors(entry_settings.platform_timeout),
+        control(
+            MakeWorld(entry_settings),
+            [this](Outbox&& outbox) { this->CarryOut(std::move(outbox)); },
+            [this] { this->StopServing(); }),
+        caller_context{this->control, this->desk, this->executors,
+                       this->settings} {}
+
+  void CarryOut(Outbox&& outbox);
+  // Ends the callers' listener while the control loop still answers those on
+  // it, then the loop.
+  void StopServing();
+
+  const EntrySettings& settings;
+  Metrics metrics;
+  ExchangeDesk desk;
+  HttpClientPool executors;
+  ControlLoop control;
+  CallerContext caller_context;
+  std::unique_ptr<HttpServer> admin;
+  std::unique_ptr<Peers> peers;
+  std::unique_ptr<LogClient> log;
+  std::unique_ptr<InstanceListClient> instances;
+  std::unique_ptr<WorkerClient> workers;
+  std::unique_ptr<HttpServer> callers;
+  std::jthread stopper;
+};
+
+void Process::StopServing() {
+  this->stopper = std::jthread([this] {
+    this->callers->Stop();
+    this->control.Stop();
+  });
+}
+
+void Process::CarryOut(Outbox&& outbox) {
+  CountOutbox(this->metrics, outbox);
+  for (const UnfollowStream& unfollow : outbox.unfollows) {
+    this->log->Unfollow(unfollow.stream);
+  }
+  for (const FollowStream& follow : outbox.follows) {
+    this->log->Follow(follow);
+  }
+  for (AppendRecord& append : outbox.appends) {
+    this->log->Append(std::move(append));
+  }
+  for (SendHeartbeat& heartbeat : outbox.heartbeats) {
+    this->peers->Send(std::move(heartbeat));
+  }
+  for (ForwardJobOperation& forward : outbox.forwards) {
+    this->peers->Send(std::move(forward));
+  }
+  for (SendWorkerCommands& message : outbox.worker_commands) {
+    this->workers->Send(std::move(message));
+  }
+  for (SendAttempt& attempt : outbox.attempts) {
+    this->desk.Deliver(attempt.exchange, attempt);
+  }
+  for (EndExchange& end : outbox.ended_exchanges) {
+    this->desk.Deliver(end.exchange, std::move(end));
+  }
+  for (EndJobOperation& end : outbox.ended_job_operations) {
+    this->desk.Deliver(end.exchange, std::move(end));
+  }
+}
+
+// Starts every thread; false when an address cannot be bound.
+bool Start(Process& process) {
+  const EntrySettings& settings = process.settings;
+  ControlLoop& control = process.control;
+  RegisterMetrics(process.metrics);
+
+  process.admin = std::make_unique<HttpServer>(HttpServerOptions{});
+  AddAdminRoutes(process.admin->Routes(), control, process.metrics.registry);
+  process.callers = std::make_unique<HttpServer>(
+      HttpServerOptions{.threads = settings.caller_threads,
+                        .keep_alive_requests = settings.keep_alive_requests,
+                        .keep_alive_time = settings.keep_alive_time,
+                        .read_timeout = settings.read_timeout,
+                        .max_body = settings.max_body});
+  AddCallerRoutes(process.callers->Routes(), process.caller_context);
+
+  process.peers = std::make_unique<Peers>(
+      Peers::Options{.listen = settings.peers,
+                     .call_timeout = settings.platform_timeout},
+      control, process.desk);
+  process.log = std::make_unique<LogClient>(
+      LogServiceOptions{.address = settings.log,
+                        .timeout = settings.platform_timeout,
+                        .append_attempts = settings.append_attempts,
+                        .seed = MakeIncarnation().value},
+      LogClient::Callbacks{
+          .append_ended =
+              [&control](AppendEnded ended) {
+                control.Post([&](Inbox& inbox) {
+                  inbox.appends_ended.push_back(std::move(ended));
+                });
+              },
+          .batch =
+              [&control](LogBatch batch) {
+                control.Post([&](Inbox& inbox) {
+                  inbox.log_batches.push_back(std::move(batch));
+                });
+              }});
+  process.log->Follow(FollowStream{ConfigStream(), Offset{}});
+  process.workers = std::make_unique<WorkerClient>(
+      settings.worker_threads, settings.platform_timeout,
+      [&control](WorkerAnswered answered) {
+        control.Post([&](Inbox& inbox) {
+          inbox.worker_answers.push_back(std::move(answered));
+        });
+      });
+  process.instances = std::make_unique<InstanceListClient>(
+      InstanceListOptions{.address = settings.instances,
+                          .interval = settings.instances_interval,
+                          .timeout = settings.platform_timeout},
+      [&control](InstanceList list) {
+        control.Post([&](Inbox& inbox) {
+          inbox.instance_lists.push_back(std::move(list));
+        });
+      });
+  return process.peers->IsListening() && process.admin->Start(settings.admin) &&
+         process.callers->Start(settings.callers);
+}
+
+int RunEntry(const EntrySettings& settings) {
+  ConfigureLogging(settings.log_level, settings.id.value);
+  Process process(settings);
+  asio::signal_set signals(process.control.Context(), SIGTERM, SIGINT);
+  signals.async_wait([&](const std::error_code& error, int) {
+    if (!error) {
+      process.control.Post([](Inbox& inbox) { inbox.stop = true; });
+    }
+  });
+  if (!Start(process)) {
+    Log(LogLevel::kError, "address_not_bound");
+    return kExitFailed;
+  }
+  Log(LogLevel::kInfo, "started",
+      {{"zone", settings.zone.value},
+       {"callers", settings.callers.value},
+       {"peers", settings.peers.value},
+       {"admin", settings.admin.value}});
+  process.control.Run();
+  Log(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("chicorystep-entry",
+                           "Serves callers and holds placement cells.");
+  options.add_options()("settings", "INI file with the settings (required)",
+                        cxxopts::value<std::string>(), "FILE")(
+      "version", "Print the version")("help", "Print this help");
+  std::string file;
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0) {
+      fmt::print("{}\n", options.help());
+      return 0;
+    }
+    if (arguments.count("version") != 0) {
+      fmt::print("chicorystep-entry {}\n", kVersion);
+      return 0;
+    }
+    if (arguments.count("settings") == 0 || !arguments.unmatched().empty()) {
+      fmt::print(stderr, "chicorystep-entry: --settings FILE is required\n");
+      return kExitBadSettings;
+    }
+    file = arguments["settings"].as<std::string>();
+  } catch (const cxxopts::exceptions::exception& error) {
+    fmt::print(stderr, "chicorystep-entry: {}\n", error.what());
+    return kExitBadSettings;
+  }
+  const auto document = LoadIni(file);
+  const auto settings = document
+                            ? ReadEntrySettings(document.value())
+                            : Result<EntrySettings, std::vector<SettingsFault>>(
+                                  failure(document.error()));
+  if (!settings) {
+    for (const SettingsFault& fault : settings.error()) {
+      fmt::print(stderr, "{}\n", ToString(fault));
+    }
+    return kExitBadSettings;
+  }
+  return RunEntry(settings.value());
+}
+
+}  // namespace
+}  // namespace chicorystep
+
+int main(int argc, char** argv) {
+  return chicorystep::Main(argc, argv);
+}
--- /dev/null
+++ b/chicorystep/settings/entry_settings.cc
@@ -0,0 +1,262 @@
+#include "chicorystep/settings/entry_settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+
+#include "chicorystep/settings/values.h"
+
+namespace chicorystep {
+namespace impl {
+
+// What one key accepts: reads the text into the settings, false when it is not
+// what `expected` says.
+struct Field {
+  std::string_view section;
+  std::string_view key;
+  bool required;
+  std::string expected;
+  std::function<bool(EntrySettings&, std::string_view)> read;
+};
+
+template <typename Value>
+auto Store(Value EntrySettings::*member, auto parse, auto is_valid) {
+  return [=](EntrySettings& settings, std::string_view text) {
+    const auto value = parse(text);
+    if (!value || !is_valid(*value)) {
+      return false;
+    }
+    settings.*member = *value;
+    return true;
+  };
+}
+
+template <typename Name>
+Field NameField(std::string_view section,
+                std::string_view key,
+                Name EntrySettings::*member) {
+  return {section, key, true, std::string(kNameFormat),
+          [=](EntrySettings& settings, std::string_view text) {
+            settings.*member = Name(std::string(text));
+            return IsName(text);
+          }};
+}
+
+Field AddressField(std::string_view section,
+                   std::string_view key,
+                   Address EntrySettings::*member) {
+  return {section, key, true, std::string(kAddressFormat),
+          Store(member, ParseAddress, [](const Address&) { return true; })};
+}
+
+Field DurationField(std::string_view section,
+                    std::string_view key,
+                    Duration EntrySettings::*member,
+                    Duration least) {
+  return {section, key, false,
+          fmt::format("{}, at least {}us", kDurationFormat, least.count()),
+          Store(member, ParseDuration,
+                [=](Duration value) { return value >= least; })};
+}
+
+Field CountField(std::string_view section,
+                 std::string_view key,
+                 std::int64_t EntrySettings::*member,
+                 std::int64_t least,
+                 std::int64_t most) {
+  return {section, key, false,
+          fmt::format("a whole number from {} to {}", least, most),
+          Store(member, ParseCount, [=](std::int64_t value) {
+            return value >= least && value <= most;
+          })};
+}
+
+Field BytesField(std::string_view section,
+                 std::string_view key,
+                 Bytes EntrySettings::*member) {
+  return {
+      section, key, false, std::string(kBytesFormat),
+      Store(member, ParseBytes, [](Bytes value) { return value > Bytes{0}; })};
+}
+
+Field LogLevelField() {
+  static constexpr std::array kNames = {"debug", "info", "warn", "error"};
+  return {"instance", "log_level", false, "debug, info, warn or error",
+          [](EntrySettings& settings, std::string_view text) {
+            const auto found = std::find(kNames.begin(), kNames.end(), text);
+            if (found == kNames.end()) {
+              return false;
+            }
+            settings.log_level =
+                static_cast<LogLevel>(std::distance(kNames.begin(), found));
+            return true;
+          }};
+}
+
+const std::vector<Field>& Fields() {
+  using S = EntrySettings;
+  using std::chrono::milliseconds;
+  static const std::vector<Field> fields = {
+      NameField("instance", "id", &S::id),
+      NameField("instance", "zone", &S::zone),
+      NameField("instance", "region", &S::region),
+      LogLevelField(),
+      AddressField("listen", "callers", &S::callers),
+      AddressField("listen", "peers", &S::peers),
+      AddressField("listen", "admin", &S::admin),
+      AddressField("platform", "log", &S::log),
+      AddressField("platform", "instances", &S::instances),
+      DurationField("platform", "instances_interval", &S::instances_interval,
+                    milliseconds(10)),
+      DurationField("platform", "timeout", &S::platform_timeout,
+                    milliseconds(10)),
+      CountField("platform", "append_attempts", &S::append_attempts, 1, 1000),
+      CountField("callers", "threads", &S::caller_threads, 1, 20'000),
+      CountField("callers", "keep_alive_requests", &S::keep_alive_requests, 1,
+                 1'000'000'000),
+      DurationField("callers", "keep_alive_time", &S::keep_alive_time,
+                    milliseconds(1)),
+      DurationField("callers", "read_timeout", &S::read_timeout,
+                    milliseconds(1)),
+      BytesField("callers", "max_body", &S::max_body),
+      CountField("callers", "max_waiting", &S::max_waiting_requests, 1,
+                 10'000'000),
+      DurationField("callers", "max_deadline", &S::max_deadline,
+                    milliseconds(1)),
+      CountField("jobs", "max_waiting", &S::max_waiting_jobs, 1, 10'000'000),
+      DurationField("jobs", "lease_time", &S::lease_time, milliseconds(100)),
+      DurationField("jobs", "worker_poll_interval", &S::worker_poll_interval,
+                    milliseconds(10)),
+      CountField("jobs", "worker_threads", &S::worker_threads, 1, 1000),
+      DurationField("peers", "heartbeat_interval", &S::heartbeat_interval,
+                    milliseconds(10)),
+      DurationField("peers", "member_timeout", &S::member_timeout,
+                    milliseconds(20)),
+      DurationField("stop", "announce_time", &S::announce_time,
+                    milliseconds(0)),
+      DurationField("stop", "drain_time", &S::drain_time, milliseconds(0)),
+  };
+  return fields;
+}
+
+const Field* FindField(std::string_view section, std::string_view key) {
+  const auto found =
+      std::find_if(Fields().begin(), Fields().end(), [&](const Field& field) {
+        return field.section == section && field.key == key;
+      });
+  return found == Fields().end() ? nullptr : &*found;
+}
+
+bool IsKnownSection(std::string_view section) {
+  return std::any_of(Fields().begin(), Fields().end(), [&](const Field& field) {
+    return field.section == section;
+  });
+}
+
+using Seen = std::map<std::string, SourcePosition>;
+
+void ReadEntry(EntrySettings& settings,
+               const IniSection& section,
+               const IniEntry& entry,
+               Seen& seen,
+               std::vector<SettingsFault>& faults) {
+  const std::string name = section.name + "." + entry.key;
+  const Field* field = FindField(section.name, entry.key);
+  if (field == nullptr) {
+    faults.push_back({entry.position, name, "a known key"});
+    return;
+  }
+  if (!seen.emplace(name, entry.position).second) {
+    faults.push_back({entry.position, name, "each key once"});
+    return;
+  }
+  if (!field->read(settings, entry.value)) {
+    faults.push_back({entry.position, name, field->expected});
+  }
+}
+
+void CheckRequired(const IniDocument& document,
+                   const Seen& seen,
+                   std::vector<SettingsFault>& faults) {
+  for (const Field& field : Fields()) {
+    std::string name = fmt::format("{}.{}", field.section, field.key);
+    if (field.required && !seen.contains(name)) {
+      faults.push_back({{document.file, 0, 0},
+                        std::move(name),
+                        field.expected + "; it is missing"});
+    }
+  }
+}
+
+// Checks that span several keys.
+void CheckTogether(const EntrySettings& settings,
+                   const Seen& seen,
+                   std::vector<SettingsFault>& faults) {
+  const std::array listened = {
+      std::pair("listen.callers", &settings.callers),
+      std::pair("listen.peers", &settings.peers),
+      std::pair("listen.admin", &settings.admin),
+      std::pair("platform.log", &settings.log),
+      std::pair("platform.instances", &settings.instances)};
+  for (std::size_t i = 0; i < listened.size(); ++i) {
+    const auto& [key, address] = listened[i];
+    for (std::size_t j = 0; j < std::min<std::size_t>(i, 3); ++j) {
+      const auto& [other_key, other] = listened[j];
+      if (!address->empty() && *address == *other) {
+        faults.push_back(
+            {seen.at(key), key,
+             fmt::format("an address other than that of {}", other_key)});
+      }
+    }
+  }
+  if (settings.member_timeout < 2 * settings.heartbeat_interval) {
+    const auto at = seen.find("peers.member_timeout");
+    faults.push_back({at == seen.end() ? SourcePosition{} : at->second,
+                      "peers.member_timeout",
+                      "at least twice peers.heartbeat_interval"});
+  }
+  if (settings.lease_time < 2 * settings.worker_poll_interval) {
+    const auto at = seen.find("jobs.lease_time");
+    faults.push_back({at == seen.end() ? SourcePosition{} : at->second,
+                      "jobs.lease_time",
+                      "at least twice jobs.worker_poll_interval"});
+  }
+}
+
+}  // namespace impl
+
+Result<EntrySettings, std::vector<SettingsFault>> ReadEntrySettings(
+    const IniDocument& document) {
+  EntrySettings settings;
+  std::vector<SettingsFault> faults;
+  impl::Seen seen;
+  for (const IniSection& section : document.sections) {
+    if (!impl::IsKnownSection(section.name)) {
+      faults.push_back({section.position, section.name, "a known section"});
+      continue;
+    }
+    for (const IniEntry& entry : section.entries) {
+      impl::ReadEntry(settings, section, entry, seen, faults);
+    }
+  }
+  impl::CheckRequired(document, seen, faults);
+  impl::CheckTogether(settings, seen, faults);
+  if (!faults.empty()) {
+    std::sort(faults.begin(), faults.end(),
+              [](const SettingsFault& a, const SettingsFault& b) {
+                return a.position < b.position;
+              });
+    return failure(std::move(faults));
+  }
+  return settings;
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/settings/entry_settings.h
@@ -0,0 +1,67 @@
+#ifndef CHICORYSTEP_SETTINGS_ENTRY_SETTINGS_H_
+#define CHICORYSTEP_SETTINGS_ENTRY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "chicorystep/core/ids.h"
+#include "chicorystep/core/logging.h"
+#include "chicorystep/core/result.h"
+#include "chicorystep/core/units.h"
+#include "chicorystep/settings/ini.h"
+
+namespace chicorystep {
+
+// The settings of chicorystep-entry. Each member is one key of the INI file;
+// docs/OPERATING.md lists them with their units.
+struct EntrySettings {
+  // [instance]
+  EntryId id;
+  Zone zone;
+  Region region;
+  LogLevel log_level = LogLevel::kInfo;
+
+  // [listen]
+  Address callers;
+  Address peers;
+  Address admin;
+
+  // [platform]
+  Address log;
+  Address instances;
+  Duration instances_interval = std::chrono::seconds(1);
+  Duration platform_timeout = std::chrono::seconds(5);
+  std::int64_t append_attempts = 8;
+
+  // [callers]
+  std::int64_t caller_threads = 256;
+  std::int64_t keep_alive_requests = 1'000'000;
+  Duration keep_alive_time = std::chrono::seconds(60);
+  Duration read_timeout = std::chrono::seconds(10);
+  Bytes max_body{8 << 20};
+  std::int64_t max_waiting_requests = 10'000;
+  Duration max_deadline = std::chrono::hours(1);
+
+  // [jobs]
+  std::int64_t max_waiting_jobs = 20'000;
+  Duration lease_time = std::chrono::seconds(10);
+  Duration worker_poll_interval = std::chrono::seconds(1);
+  std::int64_t worker_threads = 8;
+
+  // [peers]
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+  Duration member_timeout = std::chrono::seconds(2);
+
+  // [stop]
+  Duration announce_time = std::chrono::seconds(5);
+  Duration drain_time = std::chrono::seconds(30);
+};
+
+// Checks the whole document and reports every fault in it.
+[[nodiscard]] Result<EntrySettings, std::vector<SettingsFault>>
+ReadEntrySettings(const IniDocument& document);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SETTINGS_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/chicorystep/settings/ini.h
@@ -0,0 +1,63 @@
+#ifndef CHICORYSTEP_SETTINGS_INI_H_
+#define CHICORYSTEP_SETTINGS_INI_H_
+
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chicorystep/core/result.h"
+
+namespace chicorystep {
+
+// A place in a text file; lines and columns count from 1.
+struct SourcePosition {
+  std::string file;
+  std::size_t line = 0;
+  std::size_t column = 0;
+
+  friend auto operator<=>(const SourcePosition&,
+                          const SourcePosition&) = default;
+};
+
+// One fault of a settings or table file.
+struct SettingsFault {
+  SourcePosition position;
+  // "section.key", or empty for a fault of the whole line.
+  std::string key;
+  std::string expected;
+};
+
+// "file:line:column: key: expected ...", as compilers print it.
+[[nodiscard]] std::string ToString(const SettingsFault& fault);
+
+struct IniEntry {
+  std::string key;
+  std::string value;
+  SourcePosition position;
+};
+
+struct IniSection {
+  std::string name;
+  SourcePosition position;
+  std::vector<IniEntry> entries;
+};
+
+struct IniDocument {
+  std::string file;
+  std::vector<IniSection> sections;
+};
+
+// Parses INI text; reports every malformed line, not only the first.
+[[nodiscard]] Result<IniDocument, std::vector<SettingsFault>> ParseIni(
+    std::string_view text,
+    const std::string& file);
+
+// Reads and parses a file; a file that cannot be read is one fault.
+[[nodiscard]] Result<IniDocument, std::vector<SettingsFault>> LoadIni(
+    const std::string& file);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SETTINGS_INI_H_
--- /dev/null
+++ b/chicorystep/standin/executor_standin.cc
@@ -0,0 +1,138 @@
+#include "chicorystep/standin/executor_standin.h"
+
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "chicorystep/core/outcome.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/standin/lost_answer.h"
+#include "chicorystep/traffic/headers.h"
+
+namespace chicorystep {
+
+template <typename Archive>
+void VisitFields(Archive& archive, ExecutorFaults& faults) {
+  archive("refuse", faults.refuse);
+  archive("lose_answers", faults.lose_answers);
+  archive("cross_answers", faults.cross_answers);
+  archive("cut_answers", faults.cut_answers);
+  archive("delay_us", faults.delay);
+}
+
+namespace impl {
+
+inline constexpr int kBadFaults = 400;
+inline constexpr int kBusy = 503;
+
+// Uses up one of `left` faults, if there is one.
+bool TakeFault(std::int64_t& left) {
+  if (left <= 0) {
+    return false;
+  }
+  --left;
+  return true;
+}
+
+// What one call is to suffer, decided when it begins.
+struct CallPlan {
+  bool refuse = false;
+  bool lose_answer = false;
+  bool cross_answer = false;
+  bool cut_answer = false;
+  Duration run_time{};
+};
+
+CallPlan BeginCall(ExecutorStandin& standin) {
+  const std::scoped_lock lock(standin.mutex);
+  CallPlan plan;
+  plan.refuse =
+      TakeFault(standin.faults.refuse) || standin.busy >= standin.slots;
+  if (plan.refuse) {
+    return plan;
+  }
+  standin.busy += Slots{1};
+  plan.lose_answer = TakeFault(standin.faults.lose_answers);
+  plan.cross_answer = TakeFault(standin.faults.cross_answers);
+  plan.cut_answer = TakeFault(standin.faults.cut_answers);
+  plan.run_time = standin.run_time + standin.faults.delay;
+  return plan;
+}
+
+Slots EndCall(ExecutorStandin& standin, const RequestId& id) {
+  const std::scoped_lock lock(standin.mutex);
+  ++standin.executions[id];
+  standin.busy -= Slots{1};
+  return standin.busy;
+}
+
+void CutAnswer(httplib::Response& response, const std::string& body) {
+  response.set_content_provider(
+      body.size() + 1, "application/octet-stream",
+      [body](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+        return offset == 0 && !body.empty() &&
+               sink.write(body.data(), body.size());
+      });
+}
+
+void HandleRun(ExecutorStandin& standin,
+               const httplib::Request& request,
+               httplib::Response& response) {
+  const CallPlan plan = BeginCall(standin);
+  const RequestId id(request.get_header_value(kRequestIdHeader));
+  response.set_header(kRequestIdHeader,
+                      plan.cross_answer ? id.value + "-other" : id.value);
+  if (plan.refuse) {
+    response.status = kBusy;
+    response.set_header(kOutcomeHeader,
+                        std::string(NameOf(Execution::kNotRun)));
+    return;
+  }
+  std::this_thread::sleep_for(plan.run_time);
+  const Slots busy = EndCall(standin, id);
+  response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kRan)));
+  response.set_header(kBusySlotsHeader, std::to_string(busy.value));
+  if (plan.lose_answer) {
+    LoseAnswer(response);
+  } else if (plan.cut_answer) {
+    CutAnswer(response, request.body);
+  } else {
+    response.set_content(request.body,
+                         request.get_header_value("Content-Type"));
+  }
+}
+
+std::string DumpExecutions(ExecutorStandin& standin) {
+  const std::scoped_lock lock(standin.mutex);
+  Json executions = Json::object();
+  for (const auto& [id, count] : standin.executions) {
+    executions[id.value] = count;
+  }
+  return executions.dump();
+}
+
+}  // namespace impl
+
+void AddExecutorRoutes(httplib::Server& server, ExecutorStandin& standin) {
+  using httplib::Request;
+  using httplib::Response;
+  server.Post(R"(/v1/run/([A-Za-z0-9._-]+))",
+              [&standin](const Request& request, Response& response) {
+                impl::HandleRun(standin, request, response);
+              });
+  server.Get("/v1/executions", [&standin](const Request&, Response& response) {
+    response.set_content(impl::DumpExecutions(standin), kJsonType);
+  });
+  server.Post("/v1/faults",
+              [&standin](const Request& request, Response& response) {
+                const auto faults = DecodeJson<ExecutorFaults>(request.body);
+                if (!faults) {
+                  response.status = impl::kBadFaults;
+                  return;
+                }
+                const std::scoped_lock lock(standin.mutex);
+                standin.faults = faults.value();
+              });
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/standin/executor_standin.h
@@ -0,0 +1,46 @@
+#ifndef CHICORYSTEP_STANDIN_EXECUTOR_STANDIN_H_
+#define CHICORYSTEP_STANDIN_EXECUTOR_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "chicorystep/core/ids.h"
+#include "chicorystep/core/units.h"
+#include "chicorystep/traffic/http_server.h"
+
+namespace chicorystep {
+
+// What the executor stand-in does wrong; changed by POST /v1/faults.
+struct ExecutorFaults {
+  // Refuses the next requests as not run.
+  std::int64_t refuse = 0;
+  // The next requests that run but whose answer is lost.
+  std::int64_t lose_answers = 0;
+  // The next answers that name another request.
+  std::int64_t cross_answers = 0;
+  // The next answers that end before their last byte.
+  std::int64_t cut_answers = 0;
+  // Added to the run time of every request.
+  Duration delay{};
+};
+
+// A small stand-in of an executor. It answers with the request's body.
+struct ExecutorStandin {
+  Slots slots{8};
+  Duration run_time{};
+
+  std::mutex mutex;
+  ExecutorFaults faults;
+  Slots busy;
+  // How often each request took effect.
+  std::map<RequestId, std::int64_t> executions;
+};
+
+// Adds POST /v1/run/<kind>, GET /v1/executions and the faults to `server`.
+void AddExecutorRoutes(httplib::Server& server, ExecutorStandin& standin);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_STANDIN_EXECUTOR_STANDIN_H_
--- /dev/null
+++ b/chicorystep/standin/instances_standin.h
@@ -0,0 +1,37 @@
+#ifndef CHICORYSTEP_STANDIN_INSTANCES_STANDIN_H_
+#define CHICORYSTEP_STANDIN_INSTANCES_STANDIN_H_
+
+#include <chrono>
+#include <deque>
+#include <mutex>
+#include <string>
+
+#include "chicorystep/core/units.h"
+#include "chicorystep/tables/instances.h"
+#include "chicorystep/traffic/http_server.h"
+
+namespace chicorystep {
+
+// A small stand-in of the platform's instance list. A change is shown only
+// after `lag`.
+struct InstancesStandin {
+  struct Change {
+    std::chrono::steady_clock::time_point shown_from;
+    std::string list;
+  };
+
+  std::mutex mutex;
+  Duration lag{};
+  std::string shown = "{}";
+  std::deque<Change> changes;
+};
+
+// Adds GET and PUT /v1/instances to `server`.
+void AddInstancesRoutes(httplib::Server& server, InstancesStandin& standin);
+
+// Replaces the list.
+void SetInstances(InstancesStandin& standin, const InstanceList& list);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_STANDIN_INSTANCES_STANDIN_H_
--- /dev/null
+++ b/chicorystep/systems/cells.h
@@ -0,0 +1,43 @@
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_H_
+
+#include <optional>
+
+#include "chicorystep/control/world.h"
+#include "chicorystep/systems/job_records.h"
+
+namespace chicorystep {
+
+// The stream of the cell of `zone`.
+[[nodiscard]] Stream CellStream(const Zone& zone);
+
+// The entry process that rendezvous hashing names for the cell of `zone` among
+// those alive; every process with the same view names the same one.
+[[nodiscard]] EntryId PreferredHolder(const World& world,
+                                      const Zone& zone,
+                                      TimePoint now);
+
+// Claims the cells that this process should hold and drops the others.
+void AssignCells(World& world, TimePoint now, Outbox& outbox);
+
+// Applies the records of the cells' streams: claims, acceptances, ends.
+void ApplyCellBatches(World& world,
+                      const Inbox& inbox,
+                      TimePoint now,
+                      Outbox& outbox);
+
+// Handles appends that were not acknowledged.
+void ApplyAppendsEnded(World& world, const Inbox& inbox, Outbox& outbox);
+
+// Appends `record` to the stream of `cell`; returns the id it was given.
+RecordId AppendCellRecord(World& world,
+                          const Cell& cell,
+                          const CellRecord& record,
+                          Outbox& outbox);
+
+// Whether this process may act for `cell`.
+[[nodiscard]] bool IsHeld(const Cell& cell) noexcept;
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_H_
--- /dev/null
+++ b/chicorystep/systems/job_operations.cc
@@ -0,0 +1,208 @@
+#include "chicorystep/systems/job_operations.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/job_records.h"
+
+namespace chicorystep {
+namespace impl {
+
+void Refuse(Outbox& outbox,
+            const JobOperation& operation,
+            Execution execution,
+            Reason reason,
+            std::string detail) {
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      operation.exchange,
+      Refusal{execution, reason, std::move(detail), Duration{}}, JobStatus{}});
+}
+
+std::uint64_t HashOf(const Workspace& workspace, const RequestId& request_id) {
+  const std::string key = workspace.value + '\0' + request_id.value;
+  return XXH3_64bits(key.data(), key.size());
+}
+
+// The zones where `pool` guarantees capacity, or all zones with workers.
+std::set<Zone> ZonesOf(const World& world, const Pool& pool) {
+  std::set<Zone> zones;
+  for (const Guarantee& guarantee : pool.guarantees) {
+    zones.insert(guarantee.zone);
+  }
+  if (zones.empty()) {
+    for (const ListedWorker& worker : world.instances.workers) {
+      zones.insert(worker.zone);
+    }
+  }
+  return zones;
+}
+
+// The zone whose cell takes the job: the same for every repeat.
+std::optional<Zone> ChooseZone(const World& world,
+                               const Pool& pool,
+                               const JobSpec& spec) {
+  const std::set<Zone> zones = ZonesOf(world, pool);
+  if (zones.empty()) {
+    return std::nullopt;
+  }
+  const auto step = HashOf(spec.workspace, spec.request_id) % zones.size();
+  return *std::next(zones.begin(), static_cast<std::ptrdiff_t>(step));
+}
+
+// Checks a submission and gives it its id, or refuses it.
+bool PrepareSubmission(const World& world,
+                       JobOperation& operation,
+                       Outbox& outbox) {
+  JobSpec& spec = operation.spec;
+  const auto route = world.config.routes.find(spec.kind);
+  if (route == world.config.routes.end()) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownKind,
+           spec.kind.value);
+    return false;
+  }
+  const auto pool =
+      world.config.pools.find(PoolKey{route->second.pool, spec.workspace});
+  if (pool == world.config.pools.end()) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownWorkspace,
+           spec.workspace.value);
+    return false;
+  }
+  const auto zone = ChooseZone(world, pool->second, spec);
+  if (!zone) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kNeverRunnable,
+           "no availability zone has workers");
+    return false;
+  }
+  spec.id = MakeJobId(*zone, spec.workspace, spec.request_id);
+  return true;
+}
+
+void Forward(const World& world,
+             const JobOperation& operation,
+             TimePoint now,
+             Outbox& outbox) {
+  const EntryId holder = PreferredHolder(world, ZoneOf(operation.spec.id), now);
+  const Member* member = world.members.table.find(holder);
+  if (operation.forwarded || member == nullptr) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kNotReady,
+           "the cell has no holder yet");
+    return;
+  }
+  outbox.forwards.push_back(ForwardJobOperation{member->address, operation});
+}
+
+bool IsSameJob(const JobSpec& a, const JobSpec& b) {
+  return a.kind == b.kind && a.shape == b.shape && a.command == b.command;
+}
+
+void Submit(World& world,
+            Cell& cell,
+            const JobOperation& operation,
+            Outbox& outbox) {
+  if (const Job* job = cell.jobs.find(operation.spec.id)) {
+    if (IsSameJob(job->spec, operation.spec)) {
+      outbox.ended_job_operations.push_back(EndJobOperation{
+          operation.exchange, std::nullopt,
+          JobStatus{job->spec.id, job->state, job->end_detail}});
+    } else {
+      Refuse(outbox, operation, Execution::kNotRun, Reason::kDuplicateId,
+             "the request id names another job");
+    }
+    return;
+  }
+  if (cell.jobs.size() >= world.self.max_waiting_jobs) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kOverloaded,
+           "the cell's queue is full");
+    return;
+  }
+  const RecordId record = AppendCellRecord(
+      world, cell,
+      CellRecord{.kind = CellRecordKind::kJobAccepted, .job = operation.spec},
+      outbox);
+  cell.pending.push_back(
+      PendingAcceptance{operation.exchange, operation.spec.id, record});
+}
+
+void Cancel(World& world,
+            Cell& cell,
+            const Job& job,
+            const JobOperation& operation,
+            Outbox& outbox) {
+  if (!HasEnded(job.state)) {
+    AppendCellRecord(world, cell,
+                     CellRecord{.kind = CellRecordKind::kJobCancelled,
+                                .job = JobSpec{.id = job.spec.id}},
+                     outbox);
+  }
+  outbox.ended_job_operations.push_back(
+      EndJobOperation{operation.exchange, std::nullopt,
+                      JobStatus{job.spec.id, job.state, job.end_detail}});
+}
+
+void HandleOne(World& world,
+               JobOperation operation,
+               TimePoint now,
+               Outbox& outbox) {
+  if (!world.config_ready) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kNotReady,
+           "the tables have not been read yet");
+    return;
+  }
+  if (operation.kind == JobOperationKind::kSubmit && !operation.forwarded &&
+      !PrepareSubmission(world, operation, outbox)) {
+    return;
+  }
+  const auto cell = world.jobs.cells.find(ZoneOf(operation.spec.id));
+  if (cell == world.jobs.cells.end() || !IsHeld(cell->second)) {
+    Forward(world, operation, now, outbox);
+    return;
+  }
+  if (operation.kind == JobOperationKind::kSubmit) {
+    Submit(world, cell->second, operation, outbox);
+    return;
+  }
+  const Job* job = cell->second.jobs.find(operation.spec.id);
+  if (job == nullptr || job->spec.workspace != operation.spec.workspace) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownJob,
+           operation.spec.id.value);
+    return;
+  }
+  if (operation.kind == JobOperationKind::kCancel) {
+    Cancel(world, cell->second, *job, operation, outbox);
+    return;
+  }
+  outbox.ended_job_operations.push_back(
+      EndJobOperation{operation.exchange, std::nullopt,
+                      JobStatus{job->spec.id, job->state, job->end_detail}});
+}
+
+}  // namespace impl
+
+JobId MakeJobId(const Zone& zone,
+                const Workspace& workspace,
+                const RequestId& request_id) {
+  return JobId(fmt::format("{}.{:016x}", zone.value,
+                           impl::HashOf(workspace, request_id)));
+}
+
+Zone ZoneOf(const JobId& id) {
+  return Zone(id.value.substr(0, id.value.rfind('.')));
+}
+
+void HandleJobOperations(World& world,
+                         const Inbox& inbox,
+                         TimePoint now,
+                         Outbox& outbox) {
+  for (const JobOperation& operation : inbox.job_operations) {
+    impl::HandleOne(world, operation, now, outbox);
+  }
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/systems/membership.h
@@ -0,0 +1,25 @@
+#ifndef CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
+#define CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
+
+#include "chicorystep/control/world.h"
+
+namespace chicorystep {
+
+// Takes the newest reading of the platform's list into the tables of members
+// and executors.
+void ApplyInstanceLists(World& world, const Inbox& inbox);
+
+// Takes heartbeats in, and sends this process's own when they are due.
+void ExchangeHeartbeats(World& world,
+                        const Inbox& inbox,
+                        TimePoint now,
+                        Outbox& outbox);
+
+// Whether heartbeats show `member` alive and staying.
+[[nodiscard]] bool IsAlive(const Member& member,
+                           const Self& self,
+                           TimePoint now) noexcept;
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
--- /dev/null
+++ b/chicorystep/systems/routing.h
@@ -0,0 +1,32 @@
+#ifndef CHICORYSTEP_SYSTEMS_ROUTING_H_
+#define CHICORYSTEP_SYSTEMS_ROUTING_H_
+
+#include "chicorystep/control/world.h"
+
+namespace chicorystep {
+
+// Takes new requests in, or refuses them as not run.
+void AdmitRequests(World& world,
+                   const Inbox& inbox,
+                   TimePoint now,
+                   Outbox& outbox);
+
+// Ends requests whose attempt gave the answer; puts those that may be retried
+// back among the waiting.
+void EndAttempts(World& world,
+                 const Inbox& inbox,
+                 TimePoint now,
+                 Outbox& outbox);
+
+// Refuses waiting requests whose deadline has passed.
+void ExpireRequests(World& world, TimePoint now, Outbox& outbox);
+
+// Sends waiting requests to executors with a free slot, urgent ones first.
+void RouteRequests(World& world, TimePoint now, Outbox& outbox);
+
+// When the first waiting request expires.
+[[nodiscard]] TimePoint NextRequestDue(const World& world);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_ROUTING_H_
--- /dev/null
+++ b/chicorystep/traffic/caller_server.cc
@@ -0,0 +1,283 @@
+#include "chicorystep/traffic/caller_server.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "chicorystep/core/outcome.h"
+#include "chicorystep/encoding/caller_messages.h"
+#include "chicorystep/settings/values.h"
+#include "chicorystep/traffic/executor_attempt.h"
+#include "chicorystep/traffic/headers.h"
+
+namespace chicorystep {
+namespace impl {
+
+// How much longer than its deadline a traffic thread waits for the decision
+// that ends the exchange.
+inline constexpr Duration kDecisionMargin = std::chrono::seconds(5);
+
+int StatusOf(Reason reason) {
+  switch (reason) {
+    case Reason::kBadRequest:
+      return 400;
+    case Reason::kTooLarge:
+      return 413;
+    case Reason::kUnknownKind:
+    case Reason::kUnknownJob:
+      return 404;
+    case Reason::kUnknownWorkspace:
+      return 403;
+    case Reason::kDuplicateId:
+    case Reason::kAlreadyClaimed:
+      return 409;
+    case Reason::kNeverRunnable:
+      return 422;
+    case Reason::kOverloaded:
+      return 429;
+    case Reason::kDeadlineUnreachable:
+    case Reason::kDeadlinePassed:
+      return 504;
+    case Reason::kExecutorFailed:
+    case Reason::kAnswerCutShort:
+    case Reason::kAnswerMismatched:
+      return 502;
+    default:
+      return 503;
+  }
+}
+
+void WriteRefusal(httplib::Response& response, const Refusal& refusal) {
+  response.status = StatusOf(refusal.reason);
+  response.set_header(kOutcomeHeader, std::string(NameOf(refusal.execution)));
+  response.set_content(EncodeRefusal(refusal), kJsonType);
+}
+
+// What every call carries in its header.
+struct CallHeader {
+  RequestId id;
+  Workspace workspace;
+  std::optional<Duration> deadline;
+};
+
+Result<CallHeader, Refusal> ReadHeader(const httplib::Request& request,
+                                       Duration max_deadline) {
+  const auto bad = [](std::string detail) {
+    return failure(Refusal{Execution::kNotRun, Reason::kBadRequest,
+                           std::move(detail), Duration{}});
+  };
+  CallHeader header{
+      .id = RequestId(request.get_header_value(kRequestIdHeader)),
+      .workspace = Workspace(request.get_header_value(kWorkspaceHeader))};
+  if (!IsName(header.id.value)) {
+    return bad(fmt::format("{}: expected {}", kRequestIdHeader, kNameFormat));
+  }
+  if (!IsName(header.workspace.value)) {
+    return bad(fmt::format("{}: expected {}", kWorkspaceHeader, kNameFormat));
+  }
+  if (request.has_header(kDeadlineHeader)) {
+    const auto count = ParseCount(request.get_header_value(kDeadlineHeader));
+    const auto max_count =
+        std::chrono::floor<std::chrono::milliseconds>(max_deadline).count();
+    if (!count || *count < 1 || *count > max_count) {
+      return bad(fmt::format("{}: expected milliseconds from 1 to {}",
+                             kDeadlineHeader, max_count));
+    }
+    header.deadline = std::chrono::milliseconds(*count);
+  }
+  return header;
+}
+
+// One open exchange, closed at the end of its scope.
+class OpenExchange {
+ public:
+  explicit OpenExchange(ExchangeDesk& exchange_desk)
+      : desk(exchange_desk), id(exchange_desk.Open()) {}
+  OpenExchange(const OpenExchange&) = delete;
+  OpenExchange& operator=(const OpenExchange&) = delete;
+  ~OpenExchange() { this->desk.Close(this->id); }
+
+  ExchangeDesk& desk;
+  const ExchangeId id;
+};
+
+void WriteAnswer(httplib::Response& response, AttemptAnswer answer) {
+  response.status = 200;
+  response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kRan)));
+  response.set_content(std::move(answer.body), answer.content_type);
+}
+
+void WriteNoDecision(httplib::Response& response) {
+  WriteRefusal(response, Refusal{Execution::kUnknown, Reason::kNotReady,
+                                 "no decision in time", Duration{}});
+}
+
+// Carries out the instructions for one request until it ends.
+void CarryOut(CallerContext& context,
+              const OpenExchange& exchange,
+              const RequestBytes& bytes,
+              Duration patience,
+              httplib::Response& response) {
+  AttemptAnswer answer;
+  while (auto next = context.desk.Await(exchange.id, patience)) {
+    if (const auto* send = std::get_if<SendAttempt>(&*next)) {
+      answer = RunAttempt(context.executors, *send, bytes);
+      context.loop.Post([&](Inbox& inbox) {
+        inbox.attempts_ended.push_back(
+            AttemptEnded{.exchange = exchange.id,
+                         .attempt = send->attempt,
+                         .result = answer.result,
+                         .reported_busy = answer.reported_busy});
+      });
+    } else if (const auto* end = std::get_if<EndExchange>(&*next)) {
+      if (end->refusal) {
+        WriteRefusal(response, *end->refusal);
+      } else {
+        WriteAnswer(response, std::move(answer));
+      }
+      return;
+    }
+  }
+  WriteNoDecision(response);
+}
+
+void HandleRequest(CallerContext& context,
+                   const httplib::Request& request,
+                   httplib::Response& response) {
+  const auto header = ReadHeader(request, context.settings.max_deadline);
+  if (!header) {
+    WriteRefusal(response, header.error());
+    return;
+  }
+  const RequestBytes bytes{
+      .id = header.value().id,
+      .workspace = header.value().workspace,
+      .kind = Kind(request.matches[1]),
+      .body = request.body,
+      .content_type = request.get_header_value("Content-Type")};
+  response.set_header(kRequestIdHeader, bytes.id.value);
+
+  const OpenExchange exchange(context.desk);
+  context.loop.Post([&](Inbox& inbox) {
+    inbox.requests.push_back(
+        RequestArrived{.exchange = exchange.id,
+                       .id = bytes.id,
+                       .workspace = bytes.workspace,
+                       .kind = bytes.kind,
+                       .size = Bytes(std::ssize(bytes.body)),
+                       .deadline = header.value().deadline});
+  });
+  const Duration patience =
+      header.value().deadline.value_or(context.settings.max_deadline) +
+      kDecisionMargin;
+  CarryOut(context, exchange, bytes, patience, response);
+}
+
+void RunJobOperation(CallerContext& context,
+                     JobOperation operation,
+                     int success_status,
+                     httplib::Response& response) {
+  const OpenExchange exchange(context.desk);
+  operation.exchange = exchange.id;
+  context.loop.Post([&](Inbox& inbox) {
+    inbox.job_operations.push_back(std::move(operation));
+  });
+  const auto next = context.desk.Await(
+      exchange.id, context.settings.platform_timeout + kDecisionMargin);
+  const auto* end = next ? std::get_if<EndJobOperation>(&*next) : nullptr;
+  if (end == nullptr) {
+    WriteNoDecision(response);
+  } else if (end->refusal) {
+    WriteRefusal(response, *end->refusal);
+  } else {
+    response.status = success_status;
+    response.set_content(EncodeJobStatus(end->status), kJsonType);
+  }
+}
+
+void HandleSubmit(CallerContext& context,
+                  const httplib::Request& request,
+                  httplib::Response& response) {
+  const auto header = ReadHeader(request, context.settings.max_deadline);
+  if (!header) {
+    WriteRefusal(response, header.error());
+    return;
+  }
+  auto spec = DecodeJobSpec(request.body);
+  if (!spec) {
+    WriteRefusal(response, Refusal{Execution::kNotRun, Reason::kBadRequest,
+                                   spec.error().detail, Duration{}});
+    return;
+  }
+  JobOperation operation{.kind = JobOperationKind::kSubmit,
+                         .spec = std::move(spec.value())};
+  operation.spec.request_id = header.value().id;
+  operation.spec.workspace = header.value().workspace;
+  RunJobOperation(context, std::move(operation), 202, response);
+}
+
+void HandleJob(CallerContext& context,
+               JobOperationKind kind,
+               const httplib::Request& request,
+               httplib::Response& response) {
+  const Workspace workspace(request.get_header_value(kWorkspaceHeader));
+  if (!IsName(workspace.value)) {
+    WriteRefusal(response, Refusal{Execution::kNotRun, Reason::kBadRequest,
+                                   fmt::format("{}: expected {}",
+                                               kWorkspaceHeader, kNameFormat),
+                                   Duration{}});
+    return;
+  }
+  RunJobOperation(context,
+                  JobOperation{.kind = kind,
+                               .spec = JobSpec{.id = JobId(request.matches[1]),
+                                               .workspace = workspace}},
+                  200, response);
+}
+
+}  // namespace impl
+
+void AddCallerRoutes(httplib::Server& server, CallerContext& context) {
+  using httplib::Request;
+  using httplib::Response;
+  server.Post(R"(/v1/requests/([A-Za-z0-9._-]{1,64}))",
+              [&context](const Request& request, Response& response) {
+                impl::HandleRequest(context, request, response);
+              });
+  server.Post("/v1/jobs",
+              [&context](const Request& request, Response& response) {
+                impl::HandleSubmit(context, request, response);
+              });
+  server.Get(R"(/v1/jobs/([A-Za-z0-9._-]{1,128}))",
+             [&context](const Request& request, Response& response) {
+               impl::HandleJob(context, JobOperationKind::kGet, request,
+                               response);
+             });
+  server.Delete(R"(/v1/jobs/([A-Za-z0-9._-]{1,128}))",
+                [&context](const Request& request, Response& response) {
+                  impl::HandleJob(context, JobOperationKind::kCancel, request,
+                                  response);
+                });
+  server.set_error_handler([](const Request&, Response& response) {
+    if (response.body.empty()) {
+      const Reason reason =
+          response.status == 413 ? Reason::kTooLarge : Reason::kBadRequest;
+      const int status = response.status;
+      impl::WriteRefusal(response,
+                         Refusal{Execution::kNotRun, reason,
+                                 "the request was not understood", Duration{}});
+      response.status = status;
+    }
+  });
+  server.set_post_routing_handler(
+      [&context](const Request&, Response& response) {
+        if (context.loop.CurrentView()->stopping) {
+          response.set_header("Connection", "close");
+        }
+      });
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/traffic/caller_server.h
@@ -0,0 +1,26 @@
+#ifndef CHICORYSTEP_TRAFFIC_CALLER_SERVER_H_
+#define CHICORYSTEP_TRAFFIC_CALLER_SERVER_H_
+
+#include "chicorystep/control/loop.h"
+#include "chicorystep/settings/entry_settings.h"
+#include "chicorystep/traffic/exchange.h"
+#include "chicorystep/traffic/http_client.h"
+#include "chicorystep/traffic/http_server.h"
+
+namespace chicorystep {
+
+// What the callers' handlers need; it outlives the server.
+struct CallerContext {
+  ControlLoop& loop;
+  ExchangeDesk& desk;
+  HttpClientPool& executors;
+  const EntrySettings& settings;
+};
+
+// Adds the callers' interface to `server`: requests and jobs. The handlers
+// move bytes and wait; what happens to a request is decided by the systems.
+void AddCallerRoutes(httplib::Server& server, CallerContext& context);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_TRAFFIC_CALLER_SERVER_H_
--- /dev/null
+++ b/chicorystep/traffic/peers.cc
@@ -0,0 +1,293 @@
+#include "chicorystep/traffic/peers.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/timer.h>
+
+#include <deque>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/encoding/peer_messages.h"
+
+namespace chicorystep {
+namespace impl {
+
+// A message that waits to be sent by the loop's thread.
+using PeerMessage = std::variant<SendHeartbeat, ForwardJobOperation>;
+
+// What the interface's server and the loop share.
+struct PeerState {
+  ControlLoop& control;
+  ExchangeDesk& desk;
+  // This process's newest heartbeat, for answering others.
+  std::optional<Heartbeat> own;
+};
+
+// The server side. Each call is posted to the control loop; the promise of a
+// job operation is kept when its exchange ends.
+class PeerServer final : public wire::Peer::Server {
+ public:
+  explicit PeerServer(PeerState& shared) : state(shared) {}
+
+  kj::Promise<void> heartbeat(HeartbeatContext context) override {
+    this->state.control.Post(
+        [beat = ReadHeartbeat(context.getParams().getBeat())](Inbox& inbox) {
+          inbox.heartbeats.push_back(beat);
+        });
+    if (this->state.own) {
+      WriteHeartbeat(*this->state.own, context.getResults().initBeat());
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> job(JobContext context) override {
+    auto operation = ReadJobOperation(context.getParams().getOperation());
+    if (!operation) {
+      WriteJobAnswer(
+          EndJobOperation{.refusal =
+                              Refusal{Execution::kNotRun, Reason::kBadRequest,
+                                      operation.error().detail, Duration{}}},
+          context.getResults().initAnswer());
+      return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<EndJobOperation>();
+    auto fulfiller = std::make_shared<
+        kj::Own<kj::CrossThreadPromiseFulfiller<EndJobOperation>>>(
+        kj::mv(pair.fulfiller));
+    const ExchangeId exchange =
+        this->state.desk.Open([fulfiller](Instruction instruction) {
+          if (auto* end = std::get_if<EndJobOperation>(&instruction)) {
+            (*fulfiller)->fulfill(std::move(*end));
+          }
+        });
+    operation.value().exchange = exchange;
+    this->state.control.Post([&](Inbox& inbox) {
+      inbox.job_operations.push_back(std::move(operation.value()));
+    });
+    return pair.promise.then(
+        [this, exchange, context](EndJobOperation end) mutable {
+          this->state.desk.Close(exchange);
+          WriteJobAnswer(end, context.getResults().initAnswer());
+        });
+  }
+
+ private:
+  PeerState& state;
+};
+
+// A connection to one peer; calls made before it is open wait for it.
+struct PeerConnection {
+  kj::Own<kj::AsyncIoStream> stream;
+  kj::Own<capnp::TwoPartyClient> client;
+  std::optional<wire::Peer::Client> peer;
+  bool failed = false;
+};
+
+class PeerLoop final : private kj::TaskSet::ErrorHandler {
+ public:
+  PeerLoop(Peers::Options loop_options,
+           ControlLoop& control,
+           ExchangeDesk& desk)
+      : options(std::move(loop_options)),
+        state{.control = control, .desk = desk, .own = std::nullopt} {}
+
+  // Serves until `Stop`. `listening` is set once the address is bound.
+  void Run(std::promise<bool> listening);
+  void Stop();
+  void Send(PeerMessage message);
+
+ private:
+  using Wake = kj::CrossThreadPromiseFulfiller<void>;
+
+  void taskFailed(kj::Exception&& exception) override {
+    Log(LogLevel::kDebug, "peer_task_failed",
+        {{"error", exception.getDescription().cStr()}});
+  }
+
+  std::deque<PeerMessage> WaitForMessages(kj::WaitScope& scope);
+  std::shared_ptr<PeerConnection> ConnectionTo(const Address& address);
+  void CarryOut(SendHeartbeat message);
+  void CarryOut(ForwardJobOperation message);
+
+  Peers::Options options;
+  PeerState state;
+  std::mutex mutex;
+  std::deque<PeerMessage> messages;
+  bool stopped = false;
+  kj::Own<Wake> wake;
+  // Set while `Run` is on the stack.
+  kj::AsyncIoContext* io = nullptr;
+  kj::TaskSet* tasks = nullptr;
+  std::unordered_map<Address, std::shared_ptr<PeerConnection>> connections;
+};
+
+void PeerLoop::Run(std::promise<bool> listening) {
+  kj::AsyncIoContext context = kj::setupAsyncIo();
+  this->io = &context;
+  kj::TaskSet::ErrorHandler& errors = *this;
+  auto running = kj::heap<kj::TaskSet>(errors);
+  this->tasks = running.get();
+  capnp::TwoPartyServer server(kj::heap<PeerServer>(this->state));
+
+  kj::Own<kj::ConnectionReceiver> listener;
+  const auto failed = kj::runCatchingExceptions([&] {
+    listener = context.provider->getNetwork()
+                   .parseAddress(this->options.listen.value.c_str())
+                   .wait(context.waitScope)
+                   ->listen();
+  });
+  listening.set_value(failed == nullptr);
+  if (failed != nullptr) {
+    return;
+  }
+  running->add(server.listen(*listener));
+
+  while (true) {
+    std::deque<PeerMessage> batch = this->WaitForMessages(context.waitScope);
+    if (batch.empty()) {
+      break;
+    }
+    for (PeerMessage& message : batch) {
+      std::visit(
+          [this](auto& alternative) { this->CarryOut(std::move(alternative)); },
+          message);
+    }
+  }
+  // The calls under way use the connections.
+  running = nullptr;
+  this->connections.clear();
+}
+
+// Returns an empty batch when the loop is to stop.
+std::deque<PeerMessage> PeerLoop::WaitForMessages(kj::WaitScope& scope) {
+  auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+  {
+    const std::scoped_lock lock(this->mutex);
+    if (!this->messages.empty() || this->stopped) {
+      return this->stopped ? std::deque<PeerMessage>()
+                           : std::exchange(this->messages, {});
+    }
+    this->wake = kj::mv(pair.fulfiller);
+  }
+  pair.promise.wait(scope);
+  const std::scoped_lock lock(this->mutex);
+  this->wake = nullptr;
+  return this->stopped ? std::deque<PeerMessage>()
+                       : std::exchange(this->messages, {});
+}
+
+void PeerLoop::Send(PeerMessage message) {
+  const std::scoped_lock lock(this->mutex);
+  this->messages.push_back(std::move(message));
+  if (this->wake.get() != nullptr) {
+    this->wake->fulfill();
+  }
+}
+
+void PeerLoop::Stop() {
+  const std::scoped_lock lock(this->mutex);
+  this->stopped = true;
+  if (this->wake.get() != nullptr) {
+    this->wake->fulfill();
+  }
+}
+
+std::shared_ptr<PeerConnection> PeerLoop::ConnectionTo(const Address& address) {
+  auto& known = this->connections[address];
+  if (known != nullptr && !known->failed) {
+    return known;
+  }
+  known = std::make_shared<PeerConnection>();
+  auto connection = known;
+  kj::Promise<wire::Peer::Client> peer =
+      this->io->provider->getNetwork()
+          .parseAddress(address.value.c_str())
+          .then([](kj::Own<kj::NetworkAddress> parsed) {
+            auto connecting = parsed->connect();
+            return connecting.attach(kj::mv(parsed));
+          })
+          .then([connection](kj::Own<kj::AsyncIoStream> stream) {
+            connection->stream = kj::mv(stream);
+            connection->client =
+                kj::heap<capnp::TwoPartyClient>(*connection->stream);
+            return connection->client->bootstrap().castAs<wire::Peer>();
+          });
+  connection->peer.emplace(kj::mv(peer));
+  return connection;
+}
+
+void PeerLoop::CarryOut(SendHeartbeat message) {
+  this->state.own = message.heartbeat;
+  const auto connection = this->ConnectionTo(message.address);
+  auto call = connection->peer->heartbeatRequest();
+  WriteHeartbeat(message.heartbeat, call.initBeat());
+  this->tasks->add(
+      this->io->provider->getTimer()
+          .timeoutAfter(this->options.call_timeout.count() * kj::MICROSECONDS,
+                        call.send().ignoreResult())
+          .catch_(
+              [connection](kj::Exception&&) { connection->failed = true; }));
+}
+
+void PeerLoop::CarryOut(ForwardJobOperation message) {
+  const auto connection = this->ConnectionTo(message.address);
+  const ExchangeId exchange = message.operation.exchange;
+  auto call = connection->peer->jobRequest();
+  WriteJobOperation(message.operation, call.initOperation());
+  auto answered = call.send().then([this, exchange](auto response) {
+    auto end = ReadJobAnswer(response.getAnswer());
+    if (end) {
+      this->state.desk.Deliver(exchange, std::move(end.value()));
+    }
+  });
+  this->tasks->add(
+      this->io->provider->getTimer()
+          .timeoutAfter(this->options.call_timeout.count() * kj::MICROSECONDS,
+                        kj::mv(answered))
+          .catch_([this, connection, exchange](kj::Exception&&) {
+            connection->failed = true;
+            this->state.desk.Deliver(
+                exchange,
+                EndJobOperation{
+                    .refusal = Refusal{
+                        Execution::kUnknown, Reason::kHolderUnreachable,
+                        "the cell's holder did not answer; the same request "
+                        "may be repeated",
+                        Duration{}}});
+          }));
+}
+
+}  // namespace impl
+
+Peers::Peers(Options options, ControlLoop& control, ExchangeDesk& desk)
+    : loop(
+          std::make_unique<impl::PeerLoop>(std::move(options), control, desk)) {
+  std::promise<bool> listening;
+  auto bound = listening.get_future();
+  this->thread =
+      std::thread([this, listening = std::move(listening)]() mutable {
+        this->loop->Run(std::move(listening));
+      });
+  this->listening = bound.get();
+}
+
+Peers::~Peers() {
+  this->loop->Stop();
+  this->thread.join();
+}
+
+void Peers::Send(SendHeartbeat message) {
+  this->loop->Send(std::move(message));
+}
+
+void Peers::Send(ForwardJobOperation message) {
+  this->loop->Send(std::move(message));
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,57 @@
+#ifndef TESTS_SUPPORT_PROCESS_H_
+#define TESTS_SUPPORT_PROCESS_H_
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/types.h>
+#include <sys/wait.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+extern char** environ;
+
+namespace chicorystep::testing {
+
+// A child process; killed and reaped at the end of its scope.
+class ChildProcess {
+ public:
+  explicit ChildProcess(const std::vector<std::string>& words) {
+    std::vector<char*> arguments;
+    for (const std::string& word : words) {
+      arguments.push_back(const_cast<char*>(word.c_str()));
+    }
+    arguments.push_back(nullptr);
+    if (posix_spawn(&this->pid, arguments[0], nullptr, nullptr,
+                    arguments.data(), environ) != 0) {
+      this->pid = -1;
+    }
+  }
+  ChildProcess(ChildProcess&& other) noexcept
+      : pid(std::exchange(other.pid, -1)) {}
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+  ~ChildProcess() {
+    if (this->pid > 0) {
+      ::kill(this->pid, SIGKILL);
+      (void)this->Wait();
+    }
+  }
+
+  void Signal(int number) const { ::kill(this->pid, number); }
+
+  // Waits for the end; the exit code, or -1 when a signal ended it.
+  int Wait() {
+    int status = 0;
+    const pid_t reaped = ::waitpid(std::exchange(this->pid, -1), &status, 0);
+    return reaped > 0 && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  pid_t pid = -1;
+};
+
+}  // namespace chicorystep::testing
+
+#endif  // TESTS_SUPPORT_PROCESS_H_
