--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -120,10 +120,12 @@
     this->desk.Deliver(attempt.exchange, attempt);
   }
   for (EndExchange& end : outbox.ended_exchanges) {
-    this->desk.Deliver(end.exchange, std::move(end));
+    const ExchangeId exchange = end.exchange;
+    this->desk.Deliver(exchange, std::move(end));
   }
   for (EndJobOperation& end : outbox.ended_job_operations) {
-    this->desk.Deliver(end.exchange, std::move(end));
+    const ExchangeId exchange = end.exchange;
+    this->desk.Deliver(exchange, std::move(end));
   }
 }
 
--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -104,10 +104,10 @@
   const ExchangeId id;
 };
 
-void WriteAnswer(httplib::Response& response, AttemptAnswer answer) {
+void WriteAnswer(httplib::Response& response, const AttemptAnswer& answer) {
   response.status = 200;
   response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kRan)));
-  response.set_content(std::move(answer.body), answer.content_type);
+  response.set_content(answer.body, answer.content_type);
 }
 
 void WriteNoDecision(httplib::Response& response) {
@@ -136,7 +136,7 @@
       if (end->refusal) {
         WriteRefusal(response, *end->refusal);
       } else {
-        WriteAnswer(response, std::move(answer));
+        WriteAnswer(response, answer);
       }
       return;
     }
--- a/chicorystep/traffic/peers.cc
+++ b/chicorystep/traffic/peers.cc
@@ -71,7 +71,7 @@
       inbox.job_operations.push_back(std::move(operation.value()));
     });
     return pair.promise.then(
-        [this, exchange, context](EndJobOperation end) mutable {
+        [this, exchange, context](const EndJobOperation& end) mutable {
           this->state.desk.Close(exchange);
           WriteJobAnswer(end, context.getResults().initAnswer());
         });
@@ -112,8 +112,8 @@
 
   std::deque<PeerMessage> WaitForMessages(kj::WaitScope& scope);
   std::shared_ptr<PeerConnection> ConnectionTo(const Address& address);
-  void CarryOut(SendHeartbeat message);
-  void CarryOut(ForwardJobOperation message);
+  void CarryOut(const SendHeartbeat& message);
+  void CarryOut(const ForwardJobOperation& message);
 
   Peers::Options options;
   PeerState state;
@@ -153,9 +153,9 @@
     if (batch.empty()) {
       break;
     }
-    for (PeerMessage& message : batch) {
+    for (const PeerMessage& message : batch) {
       std::visit(
-          [this](auto& alternative) { this->CarryOut(std::move(alternative)); },
+          [this](const auto& alternative) { this->CarryOut(alternative); },
           message);
     }
   }
@@ -222,7 +222,7 @@
   return connection;
 }
 
-void PeerLoop::CarryOut(SendHeartbeat message) {
+void PeerLoop::CarryOut(const SendHeartbeat& message) {
   this->state.own = message.heartbeat;
   const auto connection = this->ConnectionTo(message.address);
   auto call = connection->peer->heartbeatRequest();
@@ -235,7 +235,7 @@
               [connection](kj::Exception&&) { connection->failed = true; }));
 }
 
-void PeerLoop::CarryOut(ForwardJobOperation message) {
+void PeerLoop::CarryOut(const ForwardJobOperation& message) {
   const auto connection = this->ConnectionTo(message.address);
   const ExchangeId exchange = message.operation.exchange;
   auto call = connection->peer->jobRequest();
--- /dev/null
+++ b/examples/rendezvous.cc
@@ -0,0 +1,21 @@
+// Which entry process should hold a zone's cell, asked of the systems alone.
+#include <fmt/format.h>
+
+#include <string>
+
+#include "chicorystep/chicorystep.h"
+
+int main() {
+  using namespace chicorystep;
+  World world;
+  world.self.id = EntryId("entry-1");
+  world.self.member_timeout = std::chrono::seconds(2);
+  const TimePoint now(std::chrono::seconds(1));
+  for (const std::string id : {"entry-2", "entry-3"}) {
+    world.members.table.insert(EntryId(id),
+                               Member{.id = EntryId(id), .heard = now});
+  }
+  for (const std::string zone : {"Tanger", "Fes", "Agadir"}) {
+    fmt::print("{}: {}\n", zone, PreferredHolder(world, Zone(zone), now).value);
+  }
+}
