Make the rule for edits survive repeats, foreign records and over-promising

Cause: a create that was appended twice came back after its row had been deleted, an edit rejected for a missing pool came into force when its late repeat met the pool, '{}' decoded as an edit, and guarantees were checked against nothing. ApplyEdit copied both tables for every edit.

Ruled out: remembering the ids of all records (unbounded; accepted edits already conflict with their own repeats through the rows' revisions). Checking guarantees against the instance list (each process sees another one).

Change: deleted rows keep the revision of their deletion, rejected record ids are remembered (both bounded by the same rule everywhere), records carry a type and required members, and a capacity record in the stream says what the zones hold; a guarantee that raises a zone's promises is packed by first fit against it. Edits apply in place and are undone on rejection.

Before: the table's cases 'a late repeat of a create', 'a repeat of a rejected edit' and 'records that are not ours' describe what was accepted wrongly.

Conclusion: the verdict depends on the stream alone.

--- a/chicorystep/encoding/config_fields.h
+++ b/chicorystep/encoding/config_fields.h
@@ -51,6 +51,15 @@
   archive("revision", route.revision);
 }
 
+template <typename Archive>
+void VisitFields(Archive& archive, WorkerGroup& group) {
+  archive.Required("racks", group.racks);
+  archive.Required("workers_per_rack", group.workers_per_rack);
+  archive.Required("accelerators", group.accelerators);
+  archive.Required("millicores", group.processors);
+  archive.Required("memory_mib", group.memory);
+}
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_ENCODING_CONFIG_FIELDS_H_
--- a/chicorystep/encoding/edit_record.cc
+++ b/chicorystep/encoding/edit_record.cc
@@ -1,36 +1,121 @@
 #include "chicorystep/encoding/edit_record.h"
 
+#include <array>
+#include <utility>
+
 #include "chicorystep/encoding/config_fields.h"
 
 namespace chicorystep {
 
 template <typename Archive>
 void VisitFields(Archive& archive, RouteChange& change) {
-  archive("key", change.key);
-  archive("base", change.base);
-  archive("row", change.row);
+  archive.Required("key", change.key);
+  archive.Required("base", change.base);
+  archive.Required("row", change.row);
 }
 
 template <typename Archive>
 void VisitFields(Archive& archive, PoolChange& change) {
-  archive("key", change.key);
-  archive("base", change.base);
-  archive("row", change.row);
+  archive.Required("key", change.key);
+  archive.Required("base", change.base);
+  archive.Required("row", change.row);
 }
 
 template <typename Archive>
 void VisitFields(Archive& archive, Edit& edit) {
-  archive("author", edit.author);
-  archive("routes", edit.routes);
-  archive("pools", edit.pools);
+  archive.Required("author", edit.author);
+  archive.Required("routes", edit.routes);
+  archive.Required("pools", edit.pools);
+}
+
+template <typename Archive>
+void VisitFields(Archive& archive, ZoneCapacity& capacity) {
+  archive.Required("zone", capacity.zone);
+  archive.Required("groups", capacity.groups);
 }
 
+template <typename Archive>
+void VisitFields(Archive& archive, CapacityReport& report) {
+  archive.Required("zones", report.zones);
+}
+
+template <typename Archive>
+void VisitFields(Archive& archive, SnapshotMark& mark) {
+  archive.Required("next", mark.next);
+}
+
+namespace impl {
+
+enum class ConfigRecordType : std::uint8_t { kEdit, kCapacity, kSnapshot };
+
+}  // namespace impl
+
+template <>
+inline constexpr std::array kEnumNames<impl::ConfigRecordType> = {
+    std::string_view("edit"),
+    std::string_view("capacity"),
+    std::string_view("snapshot"),
+};
+
+namespace impl {
+
+// The outer object of every record: what it is, then its content.
+template <typename Content>
+struct TypedRecord {
+  ConfigRecordType type = ConfigRecordType::kEdit;
+  Content content;
+};
+
+// Reads only the type.
+struct AnyRecord {
+  ConfigRecordType type = ConfigRecordType::kEdit;
+};
+
+template <typename Archive, typename Content>
+void VisitFields(Archive& archive, TypedRecord<Content>& record) {
+  archive.Required("type", record.type);
+  archive.Required("content", record.content);
+}
+
+template <typename Archive>
+void VisitFields(Archive& archive, AnyRecord& record) {
+  archive.Required("type", record.type);
+}
+
+template <typename Content>
+Result<ConfigRecord, EncodingError> DecodeContent(std::string_view data) {
+  BOOST_OUTCOME_TRY(record, DecodeJson<TypedRecord<Content>>(data));
+  return ConfigRecord(std::move(record.content));
+}
+
+}  // namespace impl
+
 std::string EncodeEdit(const Edit& edit) {
-  return EncodeJson(edit);
+  return EncodeJson(
+      impl::TypedRecord<Edit>{impl::ConfigRecordType::kEdit, edit});
+}
+
+std::string EncodeCapacityReport(const CapacityReport& report) {
+  return EncodeJson(impl::TypedRecord<CapacityReport>{
+      impl::ConfigRecordType::kCapacity, report});
+}
+
+std::string EncodeSnapshotMark(const SnapshotMark& mark) {
+  return EncodeJson(
+      impl::TypedRecord<SnapshotMark>{impl::ConfigRecordType::kSnapshot, mark});
 }
 
-Result<Edit, EncodingError> DecodeEdit(std::string_view data) {
-  return DecodeJson<Edit>(data);
+Result<ConfigRecord, EncodingError> DecodeConfigRecord(std::string_view data) {
+  BOOST_OUTCOME_TRY(any, DecodeJson<impl::AnyRecord>(data));
+  switch (any.type) {
+    case impl::ConfigRecordType::kEdit:
+      return impl::DecodeContent<Edit>(data);
+    case impl::ConfigRecordType::kCapacity:
+      return impl::DecodeContent<CapacityReport>(data);
+    case impl::ConfigRecordType::kSnapshot:
+      return impl::DecodeContent<SnapshotMark>(data);
+  }
+  return failure(EncodingError{"type: expected a known type"});
 }
 
 }  // namespace chicorystep
--- a/chicorystep/encoding/edit_record.h
+++ b/chicorystep/encoding/edit_record.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "chicorystep/core/result.h"
 #include "chicorystep/encoding/json.h"
@@ -10,9 +11,17 @@
 
 namespace chicorystep {
 
-// An edit as a record of the configuration stream.
+// What a record of the configuration stream may hold.
+using ConfigRecord = std::variant<Edit, CapacityReport, SnapshotMark>;
+
+// Each kind as a record of the configuration stream.
 [[nodiscard]] std::string EncodeEdit(const Edit& edit);
-[[nodiscard]] Result<Edit, EncodingError> DecodeEdit(std::string_view data);
+[[nodiscard]] std::string EncodeCapacityReport(const CapacityReport& report);
+[[nodiscard]] std::string EncodeSnapshotMark(const SnapshotMark& mark);
+
+// Fails unless the record has one of the known types and all that it requires.
+[[nodiscard]] Result<ConfigRecord, EncodingError> DecodeConfigRecord(
+    std::string_view data);
 
 }  // namespace chicorystep
 
--- a/chicorystep/encoding/json.h
+++ b/chicorystep/encoding/json.h
@@ -39,6 +39,10 @@
   void operator()(std::string_view name, const Value& value) {
     this->object[std::string(name)] = ToJson(value);
   }
+  template <typename Value>
+  void Required(std::string_view name, const Value& value) {
+    (*this)(name, value);
+  }
 
   template <typename Tag, typename Rep>
   static Json ToJson(const Id<Tag, Rep>& id) {
@@ -99,6 +103,16 @@
     }
   }
 
+  // A member whose absence is an error.
+  template <typename Value>
+  void Required(std::string_view name, Value& value) {
+    if (!this->object.contains(std::string(name))) {
+      this->Fail(fmt::format("{}.{}", this->path, name), "a value");
+      return;
+    }
+    (*this)(name, value);
+  }
+
   void Fail(const std::string& field, std::string_view expected) {
     if (!this->error) {
       this->error = EncodingError{
--- a/chicorystep/systems/config_edits.cc
+++ b/chicorystep/systems/config_edits.cc
@@ -3,8 +3,14 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <map>
+#include <set>
 #include <utility>
 
+#include "chicorystep/systems/guarantee_check.h"
+
 namespace chicorystep {
 namespace impl {
 
@@ -17,15 +23,57 @@
                      key.workspace.value);
 }
 
+// The keys of one table's row and of its deletion mark before an edit.
+template <typename Key, typename Row>
+struct SavedRow {
+  Key key;
+  std::optional<Row> row;
+  std::optional<Revision> deleted;
+};
+
+template <typename Map, typename Key>
+auto Lookup(const Map& map, const Key& key)
+    -> std::optional<typename Map::mapped_type> {
+  const auto found = map.find(key);
+  return found == map.end() ? std::nullopt : std::optional(found->second);
+}
+
+template <typename Map, typename Key, typename Value>
+void Restore(Map& map, const Key& key, std::optional<Value>& value) {
+  if (value.has_value()) {
+    map.insert_or_assign(key, std::move(*value));
+  } else {
+    map.erase(key);
+  }
+}
+
+// One table with the marks of its deleted rows, and what an edit replaced.
+template <typename Key, typename Row>
+struct EditedTable {
+  std::map<Key, Row>& rows;
+  std::map<Key, Revision>& deleted;
+  std::vector<SavedRow<Key, Row>> saved = {};
+};
+
+template <typename Key, typename Row>
+void Undo(EditedTable<Key, Row>& table) {
+  for (auto saved = table.saved.rbegin(); saved != table.saved.rend();
+       ++saved) {
+    Restore(table.rows, saved->key, saved->row);
+    Restore(table.deleted, saved->key, saved->deleted);
+  }
+}
+
 // Applies changes to one table; the error names the first row that conflicts.
-template <typename Rows, typename Change>
-Result<void, EditError> ApplyChanges(Rows& rows,
+template <typename Key, typename Row, typename Change>
+Result<void, EditError> ApplyChanges(EditedTable<Key, Row>& table,
                                      const std::vector<Change>& changes,
                                      Revision revision) {
   for (const Change& change : changes) {
-    const auto found = rows.find(change.key);
+    SavedRow<Key, Row> saved{change.key, Lookup(table.rows, change.key),
+                             Lookup(table.deleted, change.key)};
     const Revision current =
-        found == rows.end() ? Revision{} : found->second.revision;
+        saved.row ? saved.row->revision : saved.deleted.value_or(Revision{});
     if (current != change.base) {
       return failure(EditError{
           EditErrorCode::kConflict,
@@ -33,17 +81,35 @@
                       "against {}",
                       Describe(change.key), current.value, change.base.value)});
     }
+    if (!change.row && !saved.row) {
+      return failure(
+          EditError{EditErrorCode::kConflict,
+                    fmt::format("{} does not exist", Describe(change.key))});
+    }
+    table.saved.push_back(std::move(saved));
     if (change.row.has_value()) {
       auto row = *change.row;
       row.revision = revision;
-      rows.insert_or_assign(change.key, std::move(row));
+      table.rows.insert_or_assign(change.key, std::move(row));
+      table.deleted.erase(change.key);
     } else {
-      rows.erase(change.key);
+      table.rows.erase(change.key);
+      table.deleted.insert_or_assign(change.key, revision);
     }
   }
   return success();
 }
 
+// Forgets the oldest deletions beyond the limit.
+template <typename Key>
+void LimitDeleted(std::map<Key, Revision>& deleted) {
+  while (deleted.size() > kDeletedRemembered) {
+    deleted.erase(std::min_element(
+        deleted.begin(), deleted.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+}
+
 Result<void, EditError> CheckRoute(const Route& route) {
   if (route.kind.empty() || route.service.empty() || route.max_attempts < 1 ||
       route.deadline <= Duration::zero() || route.max_request < Bytes{0} ||
@@ -75,29 +141,163 @@
   return first != config.pools.end() && first->first.name == name;
 }
 
-Result<void, EditError> CheckTables(const Config& config) {
-  for (const auto& [kind, route] : config.routes) {
-    BOOST_OUTCOME_TRY(CheckRoute(route));
-    if (!HasPoolNamed(config, route.pool)) {
+Result<void, EditError> MissingPool(const Kind& kind, const PoolName& pool) {
+  return failure(
+      EditError{EditErrorCode::kMissingPool,
+                fmt::format("route {} names pool {}, which no row holds",
+                            kind.value, pool.value)});
+}
+
+Result<void, EditError> CheckRoutes(const Config& config, const Edit& edit) {
+  for (const RouteChange& change : edit.routes) {
+    if (!change.row) {
+      continue;
+    }
+    if (change.row->kind != change.key) {
       return failure(
-          EditError{EditErrorCode::kMissingPool,
-                    fmt::format("route {} names pool {}, which no row holds",
-                                kind.value, route.pool.value)});
+          EditError{EditErrorCode::kInvalidRow, Describe(change.key)});
+    }
+    BOOST_OUTCOME_TRY(CheckRoute(*change.row));
+    if (!HasPoolNamed(config, change.row->pool)) {
+      return MissingPool(change.key, change.row->pool);
+    }
+  }
+  return success();
+}
+
+// A route loses its pool only through the deletion of a pool's last row.
+Result<void, EditError> CheckDeletedPools(const Config& config,
+                                          const Edit& edit) {
+  for (const PoolChange& change : edit.pools) {
+    if (change.row || HasPoolNamed(config, change.key.name)) {
+      continue;
+    }
+    for (const auto& [kind, route] : config.routes) {
+      if (route.pool == change.key.name) {
+        return MissingPool(kind, route.pool);
+      }
+    }
+  }
+  return success();
+}
+
+std::int64_t CountOf(const Pool* pool, const Zone& zone, const Shape& shape) {
+  std::int64_t count = 0;
+  if (pool != nullptr) {
+    for (const Guarantee& row : pool->guarantees) {
+      count += row.zone == zone && row.shape == shape ? row.count : 0;
+    }
+  }
+  return count;
+}
+
+// The zones in which an edit promises more than before. Lowering a guarantee
+// is accepted even when the rest does not fit any more.
+std::set<Zone> RaisedZones(const Edit& edit,
+                           const std::vector<SavedRow<PoolKey, Pool>>& saved) {
+  std::set<Zone> zones;
+  for (std::size_t i = 0; i < edit.pools.size(); ++i) {
+    if (!edit.pools[i].row) {
+      continue;
+    }
+    const Pool& row = *edit.pools[i].row;
+    const Pool* before = saved[i].row ? &*saved[i].row : nullptr;
+    for (const Guarantee& guarantee : row.guarantees) {
+      if (CountOf(&row, guarantee.zone, guarantee.shape) >
+          CountOf(before, guarantee.zone, guarantee.shape)) {
+        zones.insert(guarantee.zone);
+      }
     }
   }
+  return zones;
+}
+
+Result<void, EditError> CheckCapacity(const Config& config, const Zone& zone) {
+  std::vector<Guarantee> guarantees;
   for (const auto& [key, pool] : config.pools) {
-    BOOST_OUTCOME_TRY(CheckPool(pool));
+    std::copy_if(pool.guarantees.begin(), pool.guarantees.end(),
+                 std::back_inserter(guarantees),
+                 [&](const Guarantee& row) { return row.zone == zone; });
+  }
+  const auto found = config.capacities.find(zone);
+  if (found == config.capacities.end() ||
+      !HoldsGuarantees(found->second, std::move(guarantees))) {
+    return failure(
+        EditError{EditErrorCode::kExceedsCapacity,
+                  fmt::format("zone {} does not hold all guarantees together",
+                              zone.value)});
   }
   return success();
 }
 
-template <typename Change, typename Rows>
-std::vector<Change> DiffRows(const Rows& current, const Rows& wanted) {
+Result<void, EditError> CheckPools(
+    const Config& config,
+    const Edit& edit,
+    const std::vector<SavedRow<PoolKey, Pool>>& saved) {
+  for (const PoolChange& change : edit.pools) {
+    if (change.row) {
+      if (change.row->key != change.key) {
+        return failure(
+            EditError{EditErrorCode::kInvalidRow, Describe(change.key)});
+      }
+      BOOST_OUTCOME_TRY(CheckPool(*change.row));
+    }
+  }
+  BOOST_OUTCOME_TRY(CheckDeletedPools(config, edit));
+  if (!config.capacities.empty()) {
+    for (const Zone& zone : RaisedZones(edit, saved)) {
+      BOOST_OUTCOME_TRY(CheckCapacity(config, zone));
+    }
+  }
+  return success();
+}
+
+// Applies and checks the edit; on failure everything is as before.
+Result<void, EditError> TryEdit(Config& config,
+                                const Edit& edit,
+                                Revision revision) {
+  EditedTable<Kind, Route> routes{config.routes, config.deleted_routes};
+  EditedTable<PoolKey, Pool> pools{config.pools, config.deleted_pools};
+  auto verdict = [&]() -> Result<void, EditError> {
+    BOOST_OUTCOME_TRY(ApplyChanges(routes, edit.routes, revision));
+    BOOST_OUTCOME_TRY(ApplyChanges(pools, edit.pools, revision));
+    BOOST_OUTCOME_TRY(CheckRoutes(config, edit));
+    return CheckPools(config, edit, pools.saved);
+  }();
+  if (!verdict) {
+    Undo(routes);
+    Undo(pools);
+  }
+  return verdict;
+}
+
+void RememberRejected(Config& config, const RecordId& record) {
+  config.rejected.push_back(record);
+  if (config.rejected.size() > kRejectedRemembered) {
+    config.rejected.pop_front();
+  }
+}
+
+bool IsPlausible(const ZoneCapacity& capacity) {
+  return std::all_of(capacity.groups.begin(), capacity.groups.end(),
+                     [](const WorkerGroup& group) {
+                       return group.racks > 0 && group.workers_per_rack > 0 &&
+                              group.accelerators >= Accelerators{0} &&
+                              group.processors >= Millicores{0} &&
+                              group.memory >= Mebibytes{0};
+                     });
+}
+
+template <typename Change, typename Rows, typename Deleted>
+std::vector<Change> DiffRows(const Rows& current,
+                             const Deleted& deleted,
+                             const Rows& wanted) {
   std::vector<Change> changes;
   for (const auto& [key, row] : wanted) {
     const auto found = current.find(key);
     if (found == current.end()) {
-      changes.push_back(Change{key, Revision{}, row});
+      changes.push_back(
+          Change{key, Lookup(deleted, key).value_or(Revision{}), row});
       continue;
     }
     auto same_revision = row;
@@ -118,25 +318,85 @@
 
 Result<Revision, EditError> ApplyEdit(Config& config,
                                       const Edit& edit,
+                                      const RecordId& record,
                                       Offset offset) {
+  if (std::find(config.rejected.begin(), config.rejected.end(), record) !=
+      config.rejected.end()) {
+    return failure(
+        EditError{EditErrorCode::kRepeated, "the record was rejected before"});
+  }
   if (edit.routes.empty() && edit.pools.empty()) {
     return failure(
         EditError{EditErrorCode::kNoChange, "the edit changes nothing"});
   }
   const Revision revision(offset.value + 1);
-  Config edited = config;
-  BOOST_OUTCOME_TRY(impl::ApplyChanges(edited.routes, edit.routes, revision));
-  BOOST_OUTCOME_TRY(impl::ApplyChanges(edited.pools, edit.pools, revision));
-  BOOST_OUTCOME_TRY(impl::CheckTables(edited));
-  edited.revision = revision;
-  config = std::move(edited);
+  if (auto verdict = impl::TryEdit(config, edit, revision); !verdict) {
+    impl::RememberRejected(config, record);
+    return failure(std::move(verdict.error()));
+  }
+  impl::LimitDeleted(config.deleted_routes);
+  impl::LimitDeleted(config.deleted_pools);
+  config.revision = revision;
   return revision;
 }
 
+void ApplyCapacityReport(Config& config, const CapacityReport& report) {
+  ZoneCapacities capacities;
+  for (const ZoneCapacity& capacity : report.zones) {
+    if (impl::IsPlausible(capacity)) {
+      capacities.insert_or_assign(capacity.zone, capacity.groups);
+    }
+  }
+  config.capacities = std::move(capacities);
+}
+
+ZoneCapacities CapacitiesOf(const InstanceList& list) {
+  // The equal workers of each rack, then the equal racks of each zone.
+  std::map<std::pair<Zone, Rack>, std::map<WorkerGroup, std::int64_t>> racks;
+  for (const ListedWorker& worker : list.workers) {
+    const WorkerGroup alike{.racks = 1,
+                            .accelerators = worker.accelerators,
+                            .processors = worker.processors,
+                            .memory = worker.memory};
+    ++racks[{worker.zone, worker.rack}][alike];
+  }
+  std::map<Zone, std::map<WorkerGroup, std::int64_t>> zones;
+  for (const auto& [place, groups] : racks) {
+    // Of a rack with unlike workers only its largest equal part counts.
+    const auto& [alike, count] =
+        *std::max_element(groups.begin(), groups.end(), [](auto& a, auto& b) {
+          return a.first.accelerators * a.second <
+                 b.first.accelerators * b.second;
+        });
+    WorkerGroup group = alike;
+    group.workers_per_rack = count;
+    ++zones[place.first][group];
+  }
+  ZoneCapacities capacities;
+  for (const auto& [zone, groups] : zones) {
+    for (const auto& [alike, count] : groups) {
+      WorkerGroup group = alike;
+      group.racks = count;
+      capacities[zone].push_back(group);
+    }
+  }
+  return capacities;
+}
+
+CapacityReport MakeCapacityReport(const ZoneCapacities& capacities) {
+  CapacityReport report;
+  for (const auto& [zone, groups] : capacities) {
+    report.zones.push_back(ZoneCapacity{zone, groups});
+  }
+  return report;
+}
+
 Edit DiffConfig(const Config& current, const Config& wanted) {
   Edit edit;
-  edit.routes = impl::DiffRows<RouteChange>(current.routes, wanted.routes);
-  edit.pools = impl::DiffRows<PoolChange>(current.pools, wanted.pools);
+  edit.routes = impl::DiffRows<RouteChange>(
+      current.routes, current.deleted_routes, wanted.routes);
+  edit.pools = impl::DiffRows<PoolChange>(current.pools, current.deleted_pools,
+                                          wanted.pools);
   return edit;
 }
 
--- a/chicorystep/systems/config_stream.cc
+++ b/chicorystep/systems/config_stream.cc
@@ -1,5 +1,8 @@
 #include "chicorystep/systems/config_stream.h"
 
+#include <algorithm>
+#include <variant>
+
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/edit_record.h"
 #include "chicorystep/systems/config_edits.h"
@@ -30,11 +33,20 @@
 Result<Revision, EditError> ApplyConfigRecord(Config& config,
                                               const LogRecord& record) {
   config.next = Offset(record.offset.value + 1);
-  const auto edit = DecodeEdit(record.data);
-  if (!edit) {
-    return failure(EditError{EditErrorCode::kMalformed, edit.error().detail});
+  const auto decoded = DecodeConfigRecord(record.data);
+  if (!decoded) {
+    return failure(
+        EditError{EditErrorCode::kMalformed, decoded.error().detail});
+  }
+  if (const auto* edit = std::get_if<Edit>(&decoded.value())) {
+    return ApplyEdit(config, *edit, record.id, record.offset);
+  }
+  if (const auto* report = std::get_if<CapacityReport>(&decoded.value())) {
+    ApplyCapacityReport(config, *report);
+  } else if (const auto* mark = std::get_if<SnapshotMark>(&decoded.value())) {
+    config.snapshot_next = std::max(config.snapshot_next, mark->next);
   }
-  return ApplyEdit(config, edit.value(), record.offset);
+  return config.revision;
 }
 
 void ApplyConfigBatches(World& world, const Inbox& inbox) {
--- a/chicorystep/tables/config.h
+++ b/chicorystep/tables/config.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string_view>
 #include <vector>
@@ -93,14 +94,42 @@
   friend auto operator<=>(const Pool&, const Pool&) = default;
 };
 
-// Both tables as of `next`, the offset after the last record applied. Ordered,
-// so that equal tables have one serialisation.
+// Equal racks of equal workers within one zone.
+struct WorkerGroup {
+  std::int64_t racks = 0;
+  std::int64_t workers_per_rack = 0;
+  // Of each worker.
+  Accelerators accelerators;
+  Millicores processors;
+  Mebibytes memory;
+
+  friend auto operator<=>(const WorkerGroup&, const WorkerGroup&) = default;
+};
+
+// What each zone holds, as the log says; guarantees are checked against it.
+using ZoneCapacities = std::map<Zone, std::vector<WorkerGroup>>;
+
+// Both tables as of `next`, the offset after the last record applied, with all
+// that the rule for further records depends on. Ordered, so that equal tables
+// have one serialisation.
 struct Config {
   std::map<Kind, Route> routes;
   std::map<PoolKey, Pool> pools;
+  // The revision at which each row was deleted, for rows that do not exist; a
+  // new row of that key must be made against it. The oldest are forgotten.
+  std::map<Kind, Revision> deleted_routes;
+  std::map<PoolKey, Revision> deleted_pools;
+  // Empty until the first capacity record: then no guarantee is checked.
+  ZoneCapacities capacities;
+  // Rejected edits, oldest first; a repeated append of one stays rejected.
+  std::deque<RecordId> rejected;
+  // The offset up to which the newest snapshot in the log reaches.
+  Offset snapshot_next;
   // The revision of the newest edit in force.
   Revision revision;
   Offset next;
+
+  friend bool operator==(const Config&, const Config&) = default;
 };
 
 }  // namespace chicorystep
