Record histories and check them against the eight promises

Ruled out: one flat event with optional members (which members count would depend on a kind, and every checker would filter it); checkers inside the test files (the soak needs the same ones).

Change: proof/ is a small library with the events, one table a kind, their JSON lines, a recorder and one pure checker for each promise. The stand-ins note arrivals, effects and lease ids with times; a lapsed lease is noted at the time of the lapse, not of the next message. New switches break a promise on purpose: execute_twice, swap_answers, deny_executions, ignore_stops, ForgetLastRecord.

Before: no checker. After: tests/checkers_test runs 33 right and wrong histories over the 8 checkers, their encoding and 4 wrong lines; all as wanted.

--- a/chicorystep/standin/executor_standin.cc
+++ b/chicorystep/standin/executor_standin.cc
@@ -18,6 +18,9 @@
   archive("cross_answers", faults.cross_answers);
   archive("cut_answers", faults.cut_answers);
   archive("delay_us", faults.delay);
+  archive("execute_twice", faults.execute_twice);
+  archive("swap_answers", faults.swap_answers);
+  archive("deny_executions", faults.deny_executions);
 }
 
 namespace impl {
@@ -40,11 +43,20 @@
   bool lose_answer = false;
   bool cross_answer = false;
   bool cut_answer = false;
+  bool execute_twice = false;
+  bool swap_answer = false;
+  bool deny_execution = false;
   Duration run_time{};
 };
 
-CallPlan BeginCall(ExecutorStandin& standin) {
+void Note(ExecutorStandin& standin, const RequestId& id, bool executed) {
+  standin.events.push_back(
+      ExecutorEvent{id, executed, std::chrono::steady_clock::now()});
+}
+
+CallPlan BeginCall(ExecutorStandin& standin, const RequestId& id) {
   const std::scoped_lock lock(standin.mutex);
+  Note(standin, id, false);
   CallPlan plan;
   plan.refuse =
       TakeFault(standin.faults.refuse) || standin.busy >= standin.slots;
@@ -55,13 +67,26 @@
   plan.lose_answer = TakeFault(standin.faults.lose_answers);
   plan.cross_answer = TakeFault(standin.faults.cross_answers);
   plan.cut_answer = TakeFault(standin.faults.cut_answers);
+  plan.execute_twice = TakeFault(standin.faults.execute_twice);
+  plan.swap_answer = TakeFault(standin.faults.swap_answers);
+  plan.deny_execution = TakeFault(standin.faults.deny_executions);
   plan.run_time = standin.run_time + standin.faults.delay;
   return plan;
 }
 
-Slots EndCall(ExecutorStandin& standin, const RequestId& id) {
-  const std::scoped_lock lock(standin.mutex);
+void Execute(ExecutorStandin& standin, const RequestId& id) {
   ++standin.executions[id];
+  Note(standin, id, true);
+}
+
+Slots EndCall(ExecutorStandin& standin,
+              const RequestId& id,
+              const CallPlan& plan) {
+  const std::scoped_lock lock(standin.mutex);
+  Execute(standin, id);
+  if (plan.execute_twice) {
+    Execute(standin, id);
+  }
   standin.busy -= Slots{1};
   return standin.busy;
 }
@@ -75,27 +100,36 @@
       });
 }
 
+void RefuseRun(httplib::Response& response) {
+  response.status = kBusy;
+  response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kNotRun)));
+}
+
 void HandleRun(ExecutorStandin& standin,
                const httplib::Request& request,
                httplib::Response& response) {
-  const CallPlan plan = BeginCall(standin);
   const RequestId id(request.get_header_value(kRequestIdHeader));
+  const CallPlan plan = BeginCall(standin, id);
   response.set_header(kRequestIdHeader,
                       plan.cross_answer ? id.value + "-other" : id.value);
   if (plan.refuse) {
-    response.status = kBusy;
-    response.set_header(kOutcomeHeader,
-                        std::string(NameOf(Execution::kNotRun)));
+    RefuseRun(response);
     return;
   }
   std::this_thread::sleep_for(plan.run_time);
-  const Slots busy = EndCall(standin, id);
+  const Slots busy = EndCall(standin, id, plan);
+  if (plan.deny_execution) {
+    RefuseRun(response);
+    return;
+  }
   response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kRan)));
   response.set_header(kBusySlotsHeader, std::to_string(busy.value));
   if (plan.lose_answer) {
     LoseAnswer(response);
   } else if (plan.cut_answer) {
     CutAnswer(response, request.body);
+  } else if (plan.swap_answer) {
+    response.set_content("other " + request.body, "text/plain");
   } else {
     response.set_content(request.body,
                          request.get_header_value("Content-Type"));
--- a/chicorystep/standin/executor_standin.h
+++ b/chicorystep/standin/executor_standin.h
@@ -1,10 +1,12 @@
 #ifndef CHICORYSTEP_STANDIN_EXECUTOR_STANDIN_H_
 #define CHICORYSTEP_STANDIN_EXECUTOR_STANDIN_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
@@ -24,6 +26,20 @@
   std::int64_t cut_answers = 0;
   // Added to the run time of every request.
   Duration delay{};
+  // Broken promises, which the checkers of histories must catch: the next
+  // requests that take effect twice, that are answered with other bytes, and
+  // that take effect although the answer says that they did not run.
+  std::int64_t execute_twice = 0;
+  std::int64_t swap_answers = 0;
+  std::int64_t deny_executions = 0;
+};
+
+// What happened to a request, for the checkers of histories.
+struct ExecutorEvent {
+  RequestId request;
+  // Whether it took effect, or only arrived.
+  bool executed = false;
+  std::chrono::steady_clock::time_point at;
 };
 
 // A small stand-in of an executor. It answers with the request's body.
@@ -36,6 +52,7 @@
   Slots busy;
   // How often each request took effect.
   std::map<RequestId, std::int64_t> executions;
+  std::vector<ExecutorEvent> events;
 };
 
 // Adds POST /v1/run/<kind>, GET /v1/executions and the faults to `server`.
--- a/chicorystep/standin/log_standin.cc
+++ b/chicorystep/standin/log_standin.cc
@@ -145,6 +145,14 @@
               });
 }
 
+void ForgetLastRecord(LogStandin& standin, const Stream& stream) {
+  const std::scoped_lock lock(standin.mutex);
+  std::vector<LogRecord>& records = standin.streams[stream.value].records;
+  if (!records.empty()) {
+    records.pop_back();
+  }
+}
+
 void ExpireRecords(LogStandin& standin, const Stream& stream, Offset first) {
   const std::scoped_lock lock(standin.mutex);
   LogStandin::StreamData& data = standin.streams[stream.value];
--- a/chicorystep/standin/log_standin.h
+++ b/chicorystep/standin/log_standin.h
@@ -46,6 +46,10 @@
 // Drops records before `first`, as the service's retention does.
 void ExpireRecords(LogStandin& standin, const Stream& stream, Offset first);
 
+// Breaks the service's promise, which the checkers of histories must catch:
+// loses the last record, so that the next one takes its offset.
+void ForgetLastRecord(LogStandin& standin, const Stream& stream);
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_STANDIN_LOG_STANDIN_H_
--- a/chicorystep/standin/worker_standin.cc
+++ b/chicorystep/standin/worker_standin.cc
@@ -13,6 +13,7 @@
 void VisitFields(Archive& archive, WorkerFaults& faults) {
   archive("fail_starts", faults.fail_starts);
   archive("lose_answers", faults.lose_answers);
+  archive("ignore_stops", faults.ignore_stops);
 }
 
 namespace impl {
@@ -24,9 +25,10 @@
 
 void Record(WorkerStandin& standin,
             const WorkerLease& lease,
-            PieceState state) {
-  standin.events.push_back(
-      TaskEvent{lease.command.job, lease.command.piece, state, Clock::now()});
+            PieceState state,
+            Clock::time_point at) {
+  standin.events.push_back(TaskEvent{lease.command.job, lease.command.piece,
+                                     lease.command.lease, state, at});
 }
 
 // How long the task of `command` runs.
@@ -43,16 +45,19 @@
 void PassTime(WorkerStandin& standin, Clock::time_point now) {
   for (auto entry = standin.leases.begin(); entry != standin.leases.end();) {
     WorkerLease& lease = entry->second;
-    if (lease.state == PieceState::kRunning && now >= lease.done) {
+    const bool ignores_lapse =
+        standin.faults.ignore_stops && lease.state == PieceState::kRunning;
+    if (lease.state == PieceState::kRunning && now >= lease.done &&
+        (lease.done <= lease.lapses || ignores_lapse)) {
       lease.state = PieceState::kDone;
-      Record(standin, lease, PieceState::kDone);
+      Record(standin, lease, PieceState::kDone, lease.done);
     }
-    if (now < lease.lapses) {
+    if (now < lease.lapses || ignores_lapse) {
       ++entry;
       continue;
     }
     if (lease.state == PieceState::kRunning) {
-      Record(standin, lease, PieceState::kStopping);
+      Record(standin, lease, PieceState::kStopping, lease.lapses);
     }
     entry = standin.leases.erase(entry);
   }
@@ -80,12 +85,12 @@
   WorkerLease& lease = found->second;
   if (standin.faults.fail_starts) {
     lease.state = PieceState::kFailed;
-    Record(standin, lease, PieceState::kFailed);
+    Record(standin, lease, PieceState::kFailed, now);
     return;
   }
   lease.state = PieceState::kRunning;
   lease.done = now + RunTimeOf(lease.command.command);
-  Record(standin, lease, PieceState::kRunning);
+  Record(standin, lease, PieceState::kRunning, now);
 }
 
 void Release(WorkerStandin& standin, const LeaseId& id) {
@@ -94,7 +99,10 @@
     return;
   }
   if (found->second.state == PieceState::kRunning) {
-    Record(standin, found->second, PieceState::kStopping);
+    if (standin.faults.ignore_stops) {
+      return;
+    }
+    Record(standin, found->second, PieceState::kStopping, Clock::now());
   }
   standin.leases.erase(found);
 }
@@ -167,6 +175,12 @@
 
 }  // namespace impl
 
+std::vector<TaskEvent> CurrentEvents(WorkerStandin& standin) {
+  const std::scoped_lock lock(standin.mutex);
+  impl::PassTime(standin, impl::Clock::now());
+  return standin.events;
+}
+
 void AddWorkerRoutes(httplib::Server& server, WorkerStandin& standin) {
   using httplib::Request;
   using httplib::Response;
--- a/chicorystep/standin/worker_standin.h
+++ b/chicorystep/standin/worker_standin.h
@@ -20,6 +20,9 @@
   bool fail_starts = false;
   // The next answers that are lost after the commands took effect.
   std::int64_t lose_answers = 0;
+  // A broken promise, which the checkers of histories must catch: running
+  // tasks go on when they are stopped or their lease lapses.
+  bool ignore_stops = false;
 };
 
 // A lease and the task that runs under it.
@@ -35,6 +38,7 @@
 struct TaskEvent {
   JobId job;
   PieceIndex piece;
+  LeaseId lease;
   PieceState state = PieceState::kNone;
   std::chrono::steady_clock::time_point at;
 };
@@ -56,6 +60,9 @@
 // Adds POST /v1/commands and the faults to `server`.
 void AddWorkerRoutes(httplib::Server& server, WorkerStandin& standin);
 
+// Ends what is due by now and returns all that happened so far.
+[[nodiscard]] std::vector<TaskEvent> CurrentEvents(WorkerStandin& standin);
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_STANDIN_WORKER_STANDIN_H_
--- /dev/null
+++ b/proof/check.h
@@ -0,0 +1,99 @@
+#ifndef PROOF_CHECK_H_
+#define PROOF_CHECK_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chicorystep/core/enum_names.h"
+#include "proof/history.h"
+
+namespace chicorystep::proof {
+
+// The bounds that the promises are checked against.
+struct Bounds {
+  // From the acceptance of a guaranteed gang to all its pieces running: the
+  // grace of those that make room for it, and the time beyond it.
+  Duration reclaim = std::chrono::seconds(8);
+  // How long a gang may run in part.
+  Duration partial_gang = std::chrono::seconds(6);
+  // From an executor or a worker being listed as leaving to its last new work.
+  Duration leaving = std::chrono::seconds(5);
+  // From an edit being accepted to its being in force everywhere.
+  Duration in_force = std::chrono::seconds(4);
+};
+
+// What must always hold.
+enum class Promise : std::uint8_t {
+  kGuaranteeReclaimed,
+  kGangWhole,
+  kAnswerWhole,
+  kNotRunTrue,
+  kAtMostOnce,
+  kLeavingSpared,
+  kStopGraceful,
+  kEditInForce,
+};
+
+}  // namespace chicorystep::proof
+
+namespace chicorystep {
+template <>
+inline constexpr std::array kEnumNames<proof::Promise> = {
+    std::string_view("guarantee_reclaimed"), std::string_view("gang_whole"),
+    std::string_view("answer_whole"),        std::string_view("not_run_true"),
+    std::string_view("at_most_once"),        std::string_view("leaving_spared"),
+    std::string_view("stop_graceful"),       std::string_view("edit_in_force"),
+};
+}  // namespace chicorystep
+
+namespace chicorystep::proof {
+
+struct Verdict {
+  // How many cases the history held for the promise; a history without any
+  // proves nothing.
+  std::size_t examined = 0;
+  std::vector<std::string> violations;
+};
+
+// The checkers, one for each promise: pure functions of the history.
+[[nodiscard]] Verdict CheckGuaranteeReclaimed(const History& history,
+                                              const Bounds& bounds);
+[[nodiscard]] Verdict CheckGangWhole(const History& history,
+                                     const Bounds& bounds);
+[[nodiscard]] Verdict CheckAnswerWhole(const History& history,
+                                       const Bounds& bounds);
+[[nodiscard]] Verdict CheckNotRunTrue(const History& history,
+                                      const Bounds& bounds);
+[[nodiscard]] Verdict CheckAtMostOnce(const History& history,
+                                      const Bounds& bounds);
+[[nodiscard]] Verdict CheckLeavingSpared(const History& history,
+                                         const Bounds& bounds);
+[[nodiscard]] Verdict CheckStopGraceful(const History& history,
+                                        const Bounds& bounds);
+[[nodiscard]] Verdict CheckEditInForce(const History& history,
+                                       const Bounds& bounds);
+
+struct Checker {
+  Promise promise;
+  Verdict (*check)(const History&, const Bounds&);
+};
+
+inline constexpr std::array kCheckers = {
+    Checker{Promise::kGuaranteeReclaimed, &CheckGuaranteeReclaimed},
+    Checker{Promise::kGangWhole, &CheckGangWhole},
+    Checker{Promise::kAnswerWhole, &CheckAnswerWhole},
+    Checker{Promise::kNotRunTrue, &CheckNotRunTrue},
+    Checker{Promise::kAtMostOnce, &CheckAtMostOnce},
+    Checker{Promise::kLeavingSpared, &CheckLeavingSpared},
+    Checker{Promise::kStopGraceful, &CheckStopGraceful},
+    Checker{Promise::kEditInForce, &CheckEditInForce},
+};
+
+}  // namespace chicorystep::proof
+
+#endif  // PROOF_CHECK_H_
--- /dev/null
+++ b/proof/check_leaving_spared.cc
@@ -0,0 +1,29 @@
+// A target receives no new work once it was listed as leaving for the bound.
+
+#include <fmt/format.h>
+
+#include "proof/check.h"
+
+namespace chicorystep::proof {
+
+Verdict CheckLeavingSpared(const History& history, const Bounds& bounds) {
+  Verdict verdict;
+  const TimePoint end = EndOf(history);
+  for (const TargetLeaving& leaving : history.leaving) {
+    const TimePoint due = leaving.at + bounds.leaving;
+    if (end < due) {
+      continue;
+    }
+    ++verdict.examined;
+    for (const WorkReceived& event : history.work_received) {
+      if (event.target == leaving.target && event.at > due) {
+        verdict.violations.push_back(fmt::format(
+            "{} received new work {} ms after it was listed as leaving",
+            leaving.target.value, Milliseconds(event.at - leaving.at)));
+      }
+    }
+  }
+  return verdict;
+}
+
+}  // namespace chicorystep::proof
--- /dev/null
+++ b/tests/checkers_test.cc
@@ -0,0 +1,316 @@
+// The checkers themselves: right histories pass, planted wrong ones are caught.
+
+#define BOOST_TEST_MODULE checkers
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "proof/check.h"
+#include "proof/json_lines.h"
+
+namespace chicorystep::proof {
+namespace {
+
+constexpr TimePoint At(int milliseconds) {
+  return TimePoint(std::chrono::milliseconds(milliseconds));
+}
+
+const EntryId kEntry("entry-0");
+const TargetId kTarget("executor-0");
+const RequestId kRequest("r1");
+const JobId kJob("z1.1");
+
+CallBegun Call(int at, int call, bool idempotent = false) {
+  return {.at = At(at),
+          .call = CallId(call),
+          .request = kRequest,
+          .entry = kEntry,
+          .idempotent = idempotent,
+          .expected = Digest(7)};
+}
+
+CallEnded Ended(int at, int call, CallOutcome outcome) {
+  return {.at = At(at), .call = CallId(call), .outcome = outcome};
+}
+
+CallEnded Answered(int at, int call, const RequestId& of, int digest) {
+  return {At(at), CallId(call), CallOutcome::kAnswered, of, Digest(digest)};
+}
+
+RequestExecuted Executed(int at) {
+  return {At(at), kTarget, kRequest};
+}
+
+JobAccepted Gang(int at, bool guaranteed) {
+  return {At(at), kJob, 2, guaranteed};
+}
+
+PieceStarted Started(int at, int piece, int tries = 1) {
+  return {At(at), kTarget, kJob, Try(tries), PieceIndex(piece)};
+}
+
+PieceStopped Stopped(int at, int piece, bool done, int tries = 1) {
+  return {At(at), kTarget, kJob, Try(tries), PieceIndex(piece), done};
+}
+
+RevisionSeen Seen(int at, int revision, int digest, const EntryId& entry) {
+  return {At(at), entry, Revision(revision), Digest(digest)};
+}
+
+struct HistoryCase {
+  std::string name;
+  Promise promise;
+  std::size_t violations;
+  History history;
+};
+
+std::ostream& operator<<(std::ostream& stream, const HistoryCase& value) {
+  return stream << value.name;
+}
+
+const std::vector<HistoryCase> kHistoryCases = {
+    {"reclaimed in time",
+     Promise::kGuaranteeReclaimed,
+     0,
+     {.jobs = {Gang(0, true)},
+      .pieces_started = {Started(9, 0), Started(9, 1)}}},
+    {"reclaimed late",
+     Promise::kGuaranteeReclaimed,
+     1,
+     {.jobs = {Gang(0, true)},
+      .pieces_started = {Started(9, 0), Started(8'001, 1)}}},
+    {"late after a disturbance that excuses it",
+     Promise::kGuaranteeReclaimed,
+     0,
+     {.jobs = {Gang(0, true)},
+      .pieces_started = {Started(9, 0), Started(8'001, 1)},
+      .disturbances = {{At(5), At(100), kEntry}}}},
+    {"one piece of two tries each is not reclaimed",
+     Promise::kGuaranteeReclaimed,
+     1,
+     {.jobs = {Gang(0, true)},
+      .pieces_started = {Started(9, 0), Started(10, 1, 2), Started(9'000, 2)}}},
+    {"never started within the bound of the history",
+     Promise::kGuaranteeReclaimed,
+     1,
+     {.executed = {Executed(8'001)}, .jobs = {Gang(0, true)}}},
+
+    {"gang starts and ends together",
+     Promise::kGangWhole,
+     0,
+     {.jobs = {Gang(0, false)},
+      .pieces_started = {Started(0, 0), Started(90, 1)},
+      .pieces_stopped = {Stopped(9'000, 0, true), Stopped(9'500, 1, true)}}},
+    {"done piece counts beside a straggler",
+     Promise::kGangWhole,
+     0,
+     {.jobs = {Gang(0, false)},
+      .pieces_started = {Started(0, 0), Started(0, 1)},
+      .pieces_stopped = {Stopped(1, 0, true), Stopped(60'000, 1, true)}}},
+    {"one piece never starts",
+     Promise::kGangWhole,
+     1,
+     {.jobs = {Gang(0, false)},
+      .pieces_started = {Started(0, 0)},
+      .pieces_stopped = {Stopped(6'001, 0, false)}}},
+    {"one piece is stopped and the other goes on",
+     Promise::kGangWhole,
+     1,
+     {.executed = {Executed(30'000)},
+      .jobs = {Gang(0, false)},
+      .pieces_started = {Started(0, 0), Started(0, 1)},
+      .pieces_stopped = {Stopped(20'000, 0, false)}}},
+    {"pieces of different tries do not make a gang",
+     Promise::kGangWhole,
+     2,
+     {.executed = {Executed(30'000)},
+      .jobs = {Gang(0, false)},
+      .pieces_started = {Started(0, 0, 1), Started(0, 1, 2)}}},
+
+    {"whole answer",
+     Promise::kAnswerWhole,
+     0,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Answered(1, 1, kRequest, 7)}}},
+    {"answer of another request",
+     Promise::kAnswerWhole,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Answered(1, 1, RequestId("r2"), 7)}}},
+    {"other bytes",
+     Promise::kAnswerWhole,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Answered(1, 1, kRequest, 8)}}},
+    {"call that never ends",
+     Promise::kAnswerWhole,
+     1,
+     {.calls_begun = {Call(0, 1)}}},
+    {"no answer from an undisturbed entry",
+     Promise::kAnswerWhole,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(1, 1, CallOutcome::kNoAnswer)},
+      .disturbances = {{At(0), At(9), EntryId("entry-1")}}}},
+    {"no answer from a killed entry",
+     Promise::kAnswerWhole,
+     0,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(1, 1, CallOutcome::kNoAnswer)},
+      .disturbances = {{At(0), At(9), kEntry}}}},
+
+    {"refused, then run by a repeat",
+     Promise::kNotRunTrue,
+     0,
+     {.calls_begun = {Call(0, 1), Call(10, 2)},
+      .calls_ended = {Ended(5, 1, CallOutcome::kNotRun),
+                      Answered(20, 2, kRequest, 7)},
+      .executed = {Executed(15)}}},
+    {"refused after it ran",
+     Promise::kNotRunTrue,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(5, 1, CallOutcome::kNotRun)},
+      .executed = {Executed(4)}}},
+    {"refused and run later by nobody's call",
+     Promise::kNotRunTrue,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(5, 1, CallOutcome::kNotRun)},
+      .executed = {Executed(9)}}},
+    {"repeat refused as not run although the first call ran",
+     Promise::kNotRunTrue,
+     1,
+     {.calls_begun = {Call(0, 1), Call(10, 2)},
+      .calls_ended = {Ended(5, 1, CallOutcome::kUnknown),
+                      Ended(20, 2, CallOutcome::kNotRun)},
+      .executed = {Executed(4)}}},
+
+    {"ran once",
+     Promise::kAtMostOnce,
+     0,
+     {.calls_begun = {Call(0, 1), Call(1, 2)}, .executed = {Executed(1)}}},
+    {"ran twice",
+     Promise::kAtMostOnce,
+     1,
+     {.calls_begun = {Call(0, 1)}, .executed = {Executed(1), Executed(2)}}},
+    {"idempotent work may run twice",
+     Promise::kAtMostOnce,
+     0,
+     {.calls_begun = {Call(0, 1, true)},
+      .executed = {Executed(1), Executed(2)}}},
+
+    {"work within the bound after leaving",
+     Promise::kLeavingSpared,
+     0,
+     {.work_received = {{At(4'999), kTarget},
+                        {At(9'000), TargetId("executor-1")}},
+      .leaving = {{At(0), kTarget}}}},
+    {"work beyond the bound after leaving",
+     Promise::kLeavingSpared,
+     1,
+     {.work_received = {{At(5'001), kTarget}}, .leaving = {{At(0), kTarget}}}},
+
+    {"stop with every call answered",
+     Promise::kStopGraceful,
+     0,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Answered(8, 1, kRequest, 7)},
+      .stopping = {{At(5), kEntry}},
+      .ended = {{At(10), kEntry, true}}}},
+    {"stop cuts off a call",
+     Promise::kStopGraceful,
+     1,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(8, 1, CallOutcome::kNoAnswer)},
+      .stopping = {{At(5), kEntry}},
+      .ended = {{At(10), kEntry, true}}}},
+    {"stop leaves a call in doubt and does not end cleanly",
+     Promise::kStopGraceful,
+     2,
+     {.calls_begun = {Call(0, 1)},
+      .calls_ended = {Ended(8, 1, CallOutcome::kUnknown)},
+      .stopping = {{At(5), kEntry}},
+      .ended = {{At(10), kEntry, false}}}},
+
+    {"edit in force everywhere",
+     Promise::kEditInForce,
+     0,
+     {.edits = {{At(0), Revision(3)}},
+      .revisions = {Seen(3'000, 2, 1, kEntry), Seen(4'500, 3, 2, kEntry),
+                    Seen(4'500, 3, 2, EntryId("entry-1"))}}},
+    {"edit late at one entry",
+     Promise::kEditInForce,
+     1,
+     {.edits = {{At(0), Revision(3)}},
+      .revisions = {Seen(4'500, 3, 2, kEntry),
+                    Seen(4'500, 2, 1, EntryId("entry-1"))}}},
+    {"edit late at a paused entry",
+     Promise::kEditInForce,
+     0,
+     {.disturbances = {{At(3'000), At(6'000), EntryId("entry-1")}},
+      .edits = {{At(0), Revision(3)}},
+      .revisions = {Seen(4'500, 3, 2, kEntry),
+                    Seen(6'500, 2, 1, EntryId("entry-1"))}}},
+    {"edit reverted after a restart",
+     Promise::kEditInForce,
+     1,
+     {.revisions = {Seen(100, 3, 2, kEntry), Seen(200, 2, 1, kEntry)}}},
+    {"other tables at one revision",
+     Promise::kEditInForce,
+     1,
+     {.revisions = {Seen(100, 3, 2, kEntry),
+                    Seen(100, 3, 1, EntryId("entry-1"))}}},
+};
+
+BOOST_AUTO_TEST_CASE(right_histories_pass_and_wrong_ones_are_caught) {
+  for (const HistoryCase& sample : kHistoryCases) {
+    BOOST_TEST_CONTEXT(NameOf(sample.promise) << ": " << sample.name) {
+      const auto checker = std::find_if(
+          kCheckers.begin(), kCheckers.end(),
+          [&](const Checker& row) { return row.promise == sample.promise; });
+      BOOST_REQUIRE(checker != kCheckers.end());
+      const Verdict verdict = checker->check(sample.history, Bounds{});
+      BOOST_TEST(verdict.violations.size() == sample.violations);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(histories_survive_their_encoding) {
+  for (const HistoryCase& sample : kHistoryCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const std::string lines = EncodeHistory(sample.history);
+      const auto decoded = DecodeHistory(lines);
+      BOOST_REQUIRE(decoded);
+      BOOST_TEST(EncodeHistory(decoded.value()) == lines);
+    }
+  }
+}
+
+struct LineCase {
+  std::string name;
+  std::string line;
+};
+
+const std::vector<LineCase> kWrongLines = {
+    {"not JSON", "{"},
+    {"no event", "{}"},
+    {"unknown event", R"({"event":"nothing"})"},
+    {"wrong member", R"({"event":"call_ended","outcome":"maybe"})"},
+};
+
+BOOST_AUTO_TEST_CASE(wrong_lines_are_named) {
+  for (const LineCase& sample : kWrongLines) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto decoded = DecodeHistory(sample.line);
+      BOOST_REQUIRE(!decoded);
+      BOOST_TEST(decoded.error().detail.starts_with("line 1: "));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::proof
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -1,10 +1,12 @@
 #ifndef TESTS_SUPPORT_PROCESS_H_
 #define TESTS_SUPPORT_PROCESS_H_
 
+#include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/types.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <string>
 #include <utility>
@@ -17,16 +19,25 @@
 // A child process; killed and reaped at the end of its scope.
 class ChildProcess {
  public:
-  explicit ChildProcess(const std::vector<std::string>& words) {
+  // Standard output goes to the file `output` if one is named.
+  explicit ChildProcess(const std::vector<std::string>& words,
+                        const std::string& output = "") {
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    if (!output.empty()) {
+      posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, output.c_str(),
+                                       O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    }
     std::vector<char*> arguments;
     for (const std::string& word : words) {
       arguments.push_back(const_cast<char*>(word.c_str()));
     }
     arguments.push_back(nullptr);
-    if (posix_spawn(&this->pid, arguments[0], nullptr, nullptr,
-                    arguments.data(), environ) != 0) {
+    if (posix_spawn(&this->pid, arguments[0], &files, nullptr, arguments.data(),
+                    environ) != 0) {
       this->pid = -1;
     }
+    posix_spawn_file_actions_destroy(&files);
   }
   ChildProcess(ChildProcess&& other) noexcept
       : pid(std::exchange(other.pid, -1)) {}
