--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 #include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config_publish.h"
+#include "chicorystep/systems/config_sync.h"
 #include "chicorystep/systems/gangs.h"
 #include "chicorystep/systems/job_operations.h"
 #include "chicorystep/systems/membership.h"
@@ -16,9 +17,10 @@
   Outbox outbox;
   BeginStopping(world, inbox, now);
 
-  ApplyConfigBatches(world, inbox);
   ApplyInstanceLists(world, inbox);
   ExchangeHeartbeats(world, inbox, now, outbox);
+  SyncConfig(world, inbox, now, outbox);
+  PublishConfigRecords(world, inbox, now, outbox);
 
   EndAttempts(world, inbox, now, outbox);
   AdmitRequests(world, inbox, now, outbox);
--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -6,6 +6,7 @@
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/config.h"
+#include "chicorystep/tables/config_sync.h"
 #include "chicorystep/tables/instances.h"
 #include "chicorystep/tables/jobs.h"
 #include "chicorystep/tables/log.h"
@@ -18,12 +19,16 @@
 struct Self {
   EntryId id;
   Incarnation incarnation;
+  // Where peers reach it.
+  Address address;
   Zone zone;
   Region region;
   Duration heartbeat_interval{};
   // A peer not heard for this long counts as gone.
   Duration member_timeout{};
   Duration lease_time{};
+  // For how long the log service keeps records.
+  Duration log_retention = std::chrono::hours(24);
   // How often a worker is sent its one message when nothing else is due.
   Duration worker_poll_interval{};
   // For how long a stopping process still accepts, so that the balancer can
@@ -38,8 +43,11 @@
 struct World {
   Self self;
   Config config;
-  // Whether the configuration stream has been read to its end once.
+  // Whether the tables may be acted on: they are as new as the log, or as any
+  // peer has shown.
   bool config_ready = false;
+  ConfigSync config_sync;
+  ConfigPublishing config_publishing;
   bool stopping = false;
   TimePoint accept_until = kNever;
   TimePoint drain_until = kNever;
@@ -52,6 +60,8 @@
 // What came in since the last tick, one vector for each kind of message.
 struct Inbox {
   std::vector<LogBatch> log_batches;
+  std::vector<LogReadState> log_read_states;
+  std::vector<ConfigFetched> configs_fetched;
   std::vector<AppendEnded> appends_ended;
   std::vector<InstanceList> instance_lists;
   std::vector<Heartbeat> heartbeats;
@@ -68,6 +78,7 @@
   std::vector<FollowStream> follows;
   std::vector<UnfollowStream> unfollows;
   std::vector<SendHeartbeat> heartbeats;
+  std::vector<FetchConfig> config_fetches;
   std::vector<SendAttempt> attempts;
   std::vector<EndExchange> ended_exchanges;
   std::vector<ForwardJobOperation> forwards;
--- a/chicorystep/encoding/peer.capnp
+++ b/chicorystep/encoding/peer.capnp
@@ -13,6 +13,36 @@
   # The offset up to which the sender has applied the configuration stream.
   configNext @4 :UInt64;
   stopping @5 :Bool;
+  # Where the sender listens for peers.
+  address @6 :Text;
+  # Whether the sender's reads of the log fail.
+  logFailing @7 :Bool;
+  # Whom the sender heard of lately; a bounded number.
+  seen @8 :List(Seen);
+}
+
+struct Seen {
+  # A hash of the member's id.
+  member @0 :UInt32;
+  # How long ago it was heard, in hundredths of a second.
+  age @1 :UInt16;
+}
+
+struct Record {
+  offset @0 :UInt64;
+  id @1 :Text;
+  data @2 :Data;
+}
+
+# What a process knows of the configuration beyond an offset: the records that
+# follow, or a snapshot when it has not kept them.
+struct ConfigAnswer {
+  # Whether the sender serves callers from its tables.
+  ready @0 :Bool;
+  # How far its tables reach.
+  next @1 :UInt64;
+  records @2 :List(Record);
+  snapshot @3 :Data;
 }
 
 enum JobOperationKind {
@@ -40,4 +70,6 @@
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
   # Carries out a job operation at the holder of its cell.
   job @1 (operation :JobOperation) -> (answer :JobAnswer);
+  # The configuration's records from an offset on.
+  records @2 (from :UInt64) -> (answer :ConfigAnswer);
 }
--- a/chicorystep/encoding/peer.capnp.cc
+++ b/chicorystep/encoding/peer.capnp.cc
@@ -5,66 +5,87 @@
 
 namespace capnp {
 namespace schemas {
-static const ::capnp::_::AlignedData<110> b_fccd40341a593d1f = {
+static const ::capnp::_::AlignedData<160> b_fccd40341a593d1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31,  61,  89,  26,  52,  64, 205, 252,
      11,   0,   0,   0,   1,   0,   3,   0,
     105,  95,  62, 125, 160, 193, 244, 178,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  87,   1,   0,   0,
+     25,   0,   0,   0, 255,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  72, 101,  97, 114, 116,
      98, 101,  97, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   4,   0,
+     36,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,  26,   0,   0,   0,
+    237,   0,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    148,   0,   0,   0,   3,   0,   1,   0,
-    160,   0,   0,   0,   2,   0,   1,   0,
+    232,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,  98,   0,   0,   0,
+    241,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    156,   0,   0,   0,   3,   0,   1,   0,
-    168,   0,   0,   0,   2,   0,   1,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+    252,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,  42,   0,   0,   0,
+    249,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    160,   0,   0,   0,   3,   0,   1,   0,
-    172,   0,   0,   0,   2,   0,   1,   0,
+    244,   0,   0,   0,   3,   0,   1,   0,
+      0,   1,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,  58,   0,   0,   0,
+    253,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    164,   0,   0,   0,   3,   0,   1,   0,
-    176,   0,   0,   0,   2,   0,   1,   0,
+    248,   0,   0,   0,   3,   0,   1,   0,
+      4,   1,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    173,   0,   0,   0,  90,   0,   0,   0,
+      1,   1,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    172,   0,   0,   0,   3,   0,   1,   0,
-    184,   0,   0,   0,   2,   0,   1,   0,
+      0,   1,   0,   0,   3,   0,   1,   0,
+     12,   1,   0,   0,   2,   0,   1,   0,
       5,   0,   0,   0, 128,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,  74,   0,   0,   0,
+      9,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    180,   0,   0,   0,   3,   0,   1,   0,
-    192,   0,   0,   0,   2,   0,   1,   0,
+      8,   1,   0,   0,   3,   0,   1,   0,
+     20,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     17,   1,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   1,   0,   0,   3,   0,   1,   0,
+     24,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0, 129,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   1,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     20,   1,   0,   0,   3,   0,   1,   0,
+     32,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     24,   1,   0,   0,   3,   0,   1,   0,
+     52,   1,   0,   0,   2,   0,   1,   0,
     105, 100,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -114,16 +135,274 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111, 103,  70,  97, 105, 108, 105,
+    110, 103,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 101, 110,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    232, 153, 202, 207, 210,   1, 235, 150,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_fccd40341a593d1f = b_fccd40341a593d1f.words;
 #if !CAPNP_LITE
-static const uint16_t m_fccd40341a593d1f[] = {4, 0, 1, 3, 5, 2};
-static const uint16_t i_fccd40341a593d1f[] = {0, 1, 2, 3, 4, 5};
+static const ::capnp::_::RawSchema* const d_fccd40341a593d1f[] = {
+  &s_96eb01d2cfca99e8,
+};
+static const uint16_t m_fccd40341a593d1f[] = {6, 4, 0, 1, 7, 3, 8, 5, 2};
+static const uint16_t i_fccd40341a593d1f[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
 const ::capnp::_::RawSchema s_fccd40341a593d1f = {
-  0xfccd40341a593d1f, b_fccd40341a593d1f.words, 110, nullptr, m_fccd40341a593d1f,
-  0, 6, i_fccd40341a593d1f, nullptr, nullptr, { &s_fccd40341a593d1f, nullptr, nullptr, 0, 0, nullptr }
+  0xfccd40341a593d1f, b_fccd40341a593d1f.words, 160, d_fccd40341a593d1f, m_fccd40341a593d1f,
+  1, 9, i_fccd40341a593d1f, nullptr, nullptr, { &s_fccd40341a593d1f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<46> b_96eb01d2cfca99e8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    232, 153, 202, 207, 210,   1, 235, 150,
+     11,   0,   0,   0,   1,   0,   1,   0,
+    105,  95,  62, 125, 160, 193, 244, 178,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 130,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 101, 101, 110,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    109, 101, 109,  98, 101, 114,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_96eb01d2cfca99e8 = b_96eb01d2cfca99e8.words;
+#if !CAPNP_LITE
+static const uint16_t m_96eb01d2cfca99e8[] = {1, 0};
+static const uint16_t i_96eb01d2cfca99e8[] = {0, 1};
+const ::capnp::_::RawSchema s_96eb01d2cfca99e8 = {
+  0x96eb01d2cfca99e8, b_96eb01d2cfca99e8.words, 46, nullptr, m_96eb01d2cfca99e8,
+  0, 2, i_96eb01d2cfca99e8, nullptr, nullptr, { &s_96eb01d2cfca99e8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<62> b_a67c8558f6db4b51 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     81,  75, 219, 246,  88, 133, 124, 166,
+     11,   0,   0,   0,   1,   0,   1,   0,
+    105,  95,  62, 125, 160, 193, 244, 178,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 146,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  82, 101,  99, 111, 114,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    111, 102, 102, 115, 101, 116,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 116,  97,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a67c8558f6db4b51 = b_a67c8558f6db4b51.words;
+#if !CAPNP_LITE
+static const uint16_t m_a67c8558f6db4b51[] = {2, 1, 0};
+static const uint16_t i_a67c8558f6db4b51[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a67c8558f6db4b51 = {
+  0xa67c8558f6db4b51, b_a67c8558f6db4b51.words, 62, nullptr, m_a67c8558f6db4b51,
+  0, 3, i_a67c8558f6db4b51, nullptr, nullptr, { &s_a67c8558f6db4b51, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<82> b_d821d8e7f74c2c57 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     87,  44,  76, 247, 231, 216,  33, 216,
+     11,   0,   0,   0,   1,   0,   2,   0,
+    105,  95,  62, 125, 160, 193, 244, 178,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 111, 110, 102, 105,
+    103,  65, 110, 115, 119, 101, 114,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  97, 100, 121,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 120, 116,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     81,  75, 219, 246,  88, 133, 124, 166,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 110,  97, 112, 115, 104, 111, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d821d8e7f74c2c57 = b_d821d8e7f74c2c57.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d821d8e7f74c2c57[] = {
+  &s_a67c8558f6db4b51,
+};
+static const uint16_t m_d821d8e7f74c2c57[] = {1, 0, 2, 3};
+static const uint16_t i_d821d8e7f74c2c57[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_d821d8e7f74c2c57 = {
+  0xd821d8e7f74c2c57, b_d821d8e7f74c2c57.words, 82, d_d821d8e7f74c2c57, m_d821d8e7f74c2c57,
+  1, 4, i_d821d8e7f74c2c57, nullptr, nullptr, { &s_d821d8e7f74c2c57, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<30> b_a83d1318c00841b0 = {
@@ -286,7 +565,7 @@
   0, 2, i_9362c94be65a2ba7, nullptr, nullptr, { &s_9362c94be65a2ba7, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_d181abdb95f21f49 = {
+static const ::capnp::_::AlignedData<48> b_d181abdb95f21f49 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      73,  31, 242, 149, 219, 171, 129, 209,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -296,48 +575,60 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     208,  28,  71, 204, 190,  35, 106, 145,
     173,  99,  56, 123, 173,  35, 202, 171,
-     49,   0,   0,   0,  82,   0,   0,   0,
+     81,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,   7,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     232, 131,   8,  54, 141, 191, 233, 238,
      42, 160, 176,  54,  21,  60,  84, 194,
-     29,   0,   0,   0,  34,   0,   0,   0,
+     61,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   7,   0,   0,   0,
+     49,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     12, 226,  82,  64, 214,   6, 169, 147,
+     63, 212,  70,  19,  17, 247, 192, 165,
+     37,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     106, 111,  98,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d181abdb95f21f49 = b_d181abdb95f21f49.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d181abdb95f21f49[] = {
   &s_916a23becc471cd0,
+  &s_93a906d64052e20c,
+  &s_a5c0f7111346d43f,
   &s_abca23ad7b3863ad,
   &s_c2543c1536b0a02a,
   &s_eee9bf8d360883e8,
 };
-static const uint16_t m_d181abdb95f21f49[] = {0, 1};
+static const uint16_t m_d181abdb95f21f49[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_d181abdb95f21f49 = {
-  0xd181abdb95f21f49, b_d181abdb95f21f49.words, 38, d_d181abdb95f21f49, m_d181abdb95f21f49,
-  4, 2, nullptr, nullptr, nullptr, { &s_d181abdb95f21f49, nullptr, nullptr, 0, 0, nullptr }
+  0xd181abdb95f21f49, b_d181abdb95f21f49.words, 48, d_d181abdb95f21f49, m_d181abdb95f21f49,
+  6, 3, nullptr, nullptr, nullptr, { &s_d181abdb95f21f49, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_916a23becc471cd0 = {
@@ -527,6 +818,95 @@
   1, 1, i_c2543c1536b0a02a, nullptr, nullptr, { &s_c2543c1536b0a02a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_93a906d64052e20c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     12, 226,  82,  64, 214,   6, 169, 147,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101,  99, 111, 114, 100, 115,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    102, 114, 111, 109,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_93a906d64052e20c = b_93a906d64052e20c.words;
+#if !CAPNP_LITE
+static const uint16_t m_93a906d64052e20c[] = {0};
+static const uint16_t i_93a906d64052e20c[] = {0};
+const ::capnp::_::RawSchema s_93a906d64052e20c = {
+  0x93a906d64052e20c, b_93a906d64052e20c.words, 32, nullptr, m_93a906d64052e20c,
+  0, 1, i_93a906d64052e20c, nullptr, nullptr, { &s_93a906d64052e20c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_a5c0f7111346d43f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     63, 212,  70,  19,  17, 247, 192, 165,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101,  99, 111, 114, 100, 115,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+     97, 110, 115, 119, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     87,  44,  76, 247, 231, 216,  33, 216,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a5c0f7111346d43f = b_a5c0f7111346d43f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_a5c0f7111346d43f[] = {
+  &s_d821d8e7f74c2c57,
+};
+static const uint16_t m_a5c0f7111346d43f[] = {0};
+static const uint16_t i_a5c0f7111346d43f[] = {0};
+const ::capnp::_::RawSchema s_a5c0f7111346d43f = {
+  0xa5c0f7111346d43f, b_a5c0f7111346d43f.words, 32, d_a5c0f7111346d43f, m_a5c0f7111346d43f,
+  1, 1, i_a5c0f7111346d43f, nullptr, nullptr, { &s_a5c0f7111346d43f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -543,6 +923,30 @@
 constexpr ::capnp::_::RawSchema const* Heartbeat::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Seen
+constexpr uint16_t Seen::_capnpPrivate::dataWordSize;
+constexpr uint16_t Seen::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Seen::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Seen::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Record
+constexpr uint16_t Record::_capnpPrivate::dataWordSize;
+constexpr uint16_t Record::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Record::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Record::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ConfigAnswer
+constexpr uint16_t ConfigAnswer::_capnpPrivate::dataWordSize;
+constexpr uint16_t ConfigAnswer::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ConfigAnswer::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ConfigAnswer::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // JobOperation
 constexpr uint16_t JobOperation::_capnpPrivate::dataWordSize;
 constexpr uint16_t JobOperation::_capnpPrivate::pointerCount;
@@ -580,6 +984,16 @@
       "peer.capnp:Peer", "job",
       0xd181abdb95f21f49ull, 1);
 }
+::capnp::Request< ::chicorystep::wire::Peer::RecordsParams,  ::chicorystep::wire::Peer::RecordsResults>
+Peer::Client::recordsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::chicorystep::wire::Peer::RecordsParams,  ::chicorystep::wire::Peer::RecordsResults>(
+      0xd181abdb95f21f49ull, 2, sizeHint);
+}
+::kj::Promise<void> Peer::Server::records(RecordsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "records",
+      0xd181abdb95f21f49ull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -606,6 +1020,12 @@
              ::chicorystep::wire::Peer::JobParams,  ::chicorystep::wire::Peer::JobResults>(context)),
         false
       };
+    case 2:
+      return {
+        records(::capnp::Capability::Server::internalGetTypedContext<
+             ::chicorystep::wire::Peer::RecordsParams,  ::chicorystep::wire::Peer::RecordsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -653,6 +1073,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::JobResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::RecordsParams
+constexpr uint16_t Peer::RecordsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::RecordsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::RecordsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::RecordsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::RecordsResults
+constexpr uint16_t Peer::RecordsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::RecordsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::RecordsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::RecordsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/chicorystep/encoding/peer.capnp.h
+++ b/chicorystep/encoding/peer.capnp.h
@@ -20,6 +20,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(fccd40341a593d1f);
+CAPNP_DECLARE_SCHEMA(96eb01d2cfca99e8);
+CAPNP_DECLARE_SCHEMA(a67c8558f6db4b51);
+CAPNP_DECLARE_SCHEMA(d821d8e7f74c2c57);
 CAPNP_DECLARE_SCHEMA(a83d1318c00841b0);
 enum class JobOperationKind_a83d1318c00841b0: uint16_t {
   SUBMIT,
@@ -34,6 +37,8 @@
 CAPNP_DECLARE_SCHEMA(abca23ad7b3863ad);
 CAPNP_DECLARE_SCHEMA(eee9bf8d360883e8);
 CAPNP_DECLARE_SCHEMA(c2543c1536b0a02a);
+CAPNP_DECLARE_SCHEMA(93a906d64052e20c);
+CAPNP_DECLARE_SCHEMA(a5c0f7111346d43f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -49,7 +54,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fccd40341a593d1f, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fccd40341a593d1f, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Seen {
+  Seen() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96eb01d2cfca99e8, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Record {
+  Record() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a67c8558f6db4b51, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigAnswer {
+  ConfigAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d821d8e7f74c2c57, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -104,6 +154,8 @@
   struct HeartbeatResults;
   struct JobParams;
   struct JobResults;
+  struct RecordsParams;
+  struct RecordsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -173,6 +225,36 @@
   };
 };
 
+struct Peer::RecordsParams {
+  RecordsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93a906d64052e20c, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::RecordsResults {
+  RecordsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5c0f7111346d43f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Heartbeat::Reader {
@@ -207,6 +289,14 @@
 
   inline bool getStopping() const;
 
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getLogFailing() const;
+
+  inline bool hasSeen() const;
+  inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Reader getSeen() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -265,6 +355,23 @@
   inline bool getStopping();
   inline void setStopping(bool value);
 
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool getLogFailing();
+  inline void setLogFailing(bool value);
+
+  inline bool hasSeen();
+  inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Builder getSeen();
+  inline void setSeen( ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Builder initSeen(unsigned int size);
+  inline void adoptSeen(::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>> disownSeen();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -291,6 +398,284 @@
 };
 #endif  // !CAPNP_LITE
 
+class Seen::Reader {
+public:
+  typedef Seen Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMember() const;
+
+  inline  ::uint16_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Seen::Builder {
+public:
+  typedef Seen Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getMember();
+  inline void setMember( ::uint32_t value);
+
+  inline  ::uint16_t getAge();
+  inline void setAge( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Seen::Pipeline {
+public:
+  typedef Seen Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Record::Reader {
+public:
+  typedef Record Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Record::Builder {
+public:
+  typedef Record Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Record::Pipeline {
+public:
+  typedef Record Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigAnswer::Reader {
+public:
+  typedef ConfigAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getReady() const;
+
+  inline  ::uint64_t getNext() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool hasSnapshot() const;
+  inline  ::capnp::Data::Reader getSnapshot() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigAnswer::Builder {
+public:
+  typedef ConfigAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool hasSnapshot();
+  inline  ::capnp::Data::Builder getSnapshot();
+  inline void setSnapshot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSnapshot(unsigned int size);
+  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSnapshot();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigAnswer::Pipeline {
+public:
+  typedef ConfigAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class JobOperation::Reader {
 public:
   typedef JobOperation Reads;
@@ -497,6 +882,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::chicorystep::wire::Peer::JobParams,  ::chicorystep::wire::Peer::JobResults> jobRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::chicorystep::wire::Peer::RecordsParams,  ::chicorystep::wire::Peer::RecordsResults> recordsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -521,6 +908,10 @@
   typedef  ::chicorystep::wire::Peer::JobResults JobResults;
   typedef ::capnp::CallContext<JobParams, JobResults> JobContext;
   virtual ::kj::Promise<void> job(JobContext context);
+  typedef  ::chicorystep::wire::Peer::RecordsParams RecordsParams;
+  typedef  ::chicorystep::wire::Peer::RecordsResults RecordsResults;
+  typedef ::capnp::CallContext<RecordsParams, RecordsResults> RecordsContext;
+  virtual ::kj::Promise<void> records(RecordsContext context);
 
   inline  ::chicorystep::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -617,7 +1008,171 @@
 
 class Peer::HeartbeatResults::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef HeartbeatResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBeat() const;
+  inline  ::chicorystep::wire::Heartbeat::Reader getBeat() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HeartbeatResults::Builder {
+public:
+  typedef HeartbeatResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBeat();
+  inline  ::chicorystep::wire::Heartbeat::Builder getBeat();
+  inline void setBeat( ::chicorystep::wire::Heartbeat::Reader value);
+  inline  ::chicorystep::wire::Heartbeat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::chicorystep::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::chicorystep::wire::Heartbeat> disownBeat();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HeartbeatResults::Pipeline {
+public:
+  typedef HeartbeatResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::chicorystep::wire::Heartbeat::Pipeline getBeat();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::JobParams::Reader {
+public:
+  typedef JobParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOperation() const;
+  inline  ::chicorystep::wire::JobOperation::Reader getOperation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::JobParams::Builder {
+public:
+  typedef JobParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOperation();
+  inline  ::chicorystep::wire::JobOperation::Builder getOperation();
+  inline void setOperation( ::chicorystep::wire::JobOperation::Reader value);
+  inline  ::chicorystep::wire::JobOperation::Builder initOperation();
+  inline void adoptOperation(::capnp::Orphan< ::chicorystep::wire::JobOperation>&& value);
+  inline ::capnp::Orphan< ::chicorystep::wire::JobOperation> disownOperation();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::JobParams::Pipeline {
+public:
+  typedef JobParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::chicorystep::wire::JobOperation::Pipeline getOperation();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::JobResults::Reader {
+public:
+  typedef JobResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -632,8 +1187,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBeat() const;
-  inline  ::chicorystep::wire::Heartbeat::Reader getBeat() const;
+  inline bool hasAnswer() const;
+  inline  ::chicorystep::wire::JobAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -647,9 +1202,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class Peer::JobResults::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef JobResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -663,12 +1218,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBeat();
-  inline  ::chicorystep::wire::Heartbeat::Builder getBeat();
-  inline void setBeat( ::chicorystep::wire::Heartbeat::Reader value);
-  inline  ::chicorystep::wire::Heartbeat::Builder initBeat();
-  inline void adoptBeat(::capnp::Orphan< ::chicorystep::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::chicorystep::wire::Heartbeat> disownBeat();
+  inline bool hasAnswer();
+  inline  ::chicorystep::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::chicorystep::wire::JobAnswer::Reader value);
+  inline  ::chicorystep::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::chicorystep::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::chicorystep::wire::JobAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -680,15 +1235,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class Peer::JobResults::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef JobResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::chicorystep::wire::Heartbeat::Pipeline getBeat();
+  inline  ::chicorystep::wire::JobAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -697,9 +1252,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::JobParams::Reader {
+class Peer::RecordsParams::Reader {
 public:
-  typedef JobParams Reads;
+  typedef RecordsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -714,8 +1269,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOperation() const;
-  inline  ::chicorystep::wire::JobOperation::Reader getOperation() const;
+  inline  ::uint64_t getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -729,9 +1283,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::JobParams::Builder {
+class Peer::RecordsParams::Builder {
 public:
-  typedef JobParams Builds;
+  typedef RecordsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -745,12 +1299,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOperation();
-  inline  ::chicorystep::wire::JobOperation::Builder getOperation();
-  inline void setOperation( ::chicorystep::wire::JobOperation::Reader value);
-  inline  ::chicorystep::wire::JobOperation::Builder initOperation();
-  inline void adoptOperation(::capnp::Orphan< ::chicorystep::wire::JobOperation>&& value);
-  inline ::capnp::Orphan< ::chicorystep::wire::JobOperation> disownOperation();
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -762,15 +1312,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::JobParams::Pipeline {
+class Peer::RecordsParams::Pipeline {
 public:
-  typedef JobParams Pipelines;
+  typedef RecordsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::chicorystep::wire::JobOperation::Pipeline getOperation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -779,9 +1328,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::JobResults::Reader {
+class Peer::RecordsResults::Reader {
 public:
-  typedef JobResults Reads;
+  typedef RecordsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -797,7 +1346,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer() const;
-  inline  ::chicorystep::wire::JobAnswer::Reader getAnswer() const;
+  inline  ::chicorystep::wire::ConfigAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -811,9 +1360,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::JobResults::Builder {
+class Peer::RecordsResults::Builder {
 public:
-  typedef JobResults Builds;
+  typedef RecordsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -828,11 +1377,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer();
-  inline  ::chicorystep::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::chicorystep::wire::JobAnswer::Reader value);
-  inline  ::chicorystep::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::chicorystep::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::chicorystep::wire::JobAnswer> disownAnswer();
+  inline  ::chicorystep::wire::ConfigAnswer::Builder getAnswer();
+  inline void setAnswer( ::chicorystep::wire::ConfigAnswer::Reader value);
+  inline  ::chicorystep::wire::ConfigAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::chicorystep::wire::ConfigAnswer>&& value);
+  inline ::capnp::Orphan< ::chicorystep::wire::ConfigAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -844,15 +1393,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::JobResults::Pipeline {
+class Peer::RecordsResults::Pipeline {
 public:
-  typedef JobResults Pipelines;
+  typedef RecordsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::chicorystep::wire::JobAnswer::Pipeline getAnswer();
+  inline  ::chicorystep::wire::ConfigAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1007,6 +1556,294 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::getLogFailing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getLogFailing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLogFailing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasSeen() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasSeen() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSeen() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setSeen( ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSeen(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptSeen(
+    ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSeen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Seen,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Seen::Reader::getMember() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Seen::Builder::getMember() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Seen::Builder::setMember( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Seen::Reader::getAge() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Seen::Builder::getAge() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Seen::Builder::setAge( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Record::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Record::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Record::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Record::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Record::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Record::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Record::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Record::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Record::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Record::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Record::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigAnswer::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigAnswer::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnswer::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigAnswer::Reader::getNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigAnswer::Builder::getNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigAnswer::Builder::setNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigAnswer::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigAnswer::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Reader ConfigAnswer::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Builder ConfigAnswer::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigAnswer::Builder::setRecords( ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>::Builder ConfigAnswer::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigAnswer::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>> ConfigAnswer::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicorystep::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigAnswer::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigAnswer::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigAnswer::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigAnswer::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigAnswer::Builder::setSnapshot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigAnswer::Builder::initSnapshot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigAnswer::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigAnswer::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::chicorystep::wire::JobOperationKind JobOperation::Reader::getKind() const {
   return _reader.getDataField< ::chicorystep::wire::JobOperationKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1352,6 +2189,59 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::RecordsParams::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::RecordsParams::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::RecordsParams::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::RecordsResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RecordsResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicorystep::wire::ConfigAnswer::Reader Peer::RecordsResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::chicorystep::wire::ConfigAnswer::Builder Peer::RecordsResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicorystep::wire::ConfigAnswer::Pipeline Peer::RecordsResults::Pipeline::getAnswer() {
+  return  ::chicorystep::wire::ConfigAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::RecordsResults::Builder::setAnswer( ::chicorystep::wire::ConfigAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::chicorystep::wire::ConfigAnswer::Builder Peer::RecordsResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RecordsResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::chicorystep::wire::ConfigAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicorystep::wire::ConfigAnswer> Peer::RecordsResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::chicorystep::wire::ConfigAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/chicorystep/encoding/peer_messages.cc
+++ b/chicorystep/encoding/peer_messages.cc
@@ -1,10 +1,31 @@
 #include "chicorystep/encoding/peer_messages.h"
 
+#include <algorithm>
+#include <chrono>
+#include <limits>
 #include <utility>
 
 #include "chicorystep/encoding/caller_messages.h"
 
 namespace chicorystep {
+namespace impl {
+
+inline constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
+
+std::uint16_t AgeOnWire(Duration age) {
+  return static_cast<std::uint16_t>(std::clamp<Duration::rep>(
+      age / kAgeUnit, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
+kj::ArrayPtr<const kj::byte> DataOf(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+std::string TextOf(kj::ArrayPtr<const kj::byte> data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+}  // namespace impl
 
 void WriteHeartbeat(const Heartbeat& beat, wire::Heartbeat::Builder builder) {
   builder.setId(beat.id.value);
@@ -13,15 +34,55 @@
   builder.setRegion(beat.region.value);
   builder.setConfigNext(beat.config_next.value);
   builder.setStopping(beat.stopping);
+  builder.setAddress(beat.address.value);
+  builder.setLogFailing(beat.log_failing);
+  auto seen = builder.initSeen(static_cast<unsigned>(beat.seen.size()));
+  for (unsigned i = 0; i < seen.size(); ++i) {
+    seen[i].setMember(beat.seen[i].member.value);
+    seen[i].setAge(impl::AgeOnWire(beat.seen[i].age));
+  }
 }
 
 Heartbeat ReadHeartbeat(wire::Heartbeat::Reader reader) {
-  return Heartbeat{.id = EntryId(reader.getId().cStr()),
-                   .incarnation = Incarnation(reader.getIncarnation()),
-                   .zone = Zone(reader.getZone().cStr()),
-                   .region = Region(reader.getRegion().cStr()),
-                   .config_next = Offset(reader.getConfigNext()),
-                   .stopping = reader.getStopping()};
+  Heartbeat beat{.id = EntryId(reader.getId().cStr()),
+                 .incarnation = Incarnation(reader.getIncarnation()),
+                 .zone = Zone(reader.getZone().cStr()),
+                 .region = Region(reader.getRegion().cStr()),
+                 .config_next = Offset(reader.getConfigNext()),
+                 .stopping = reader.getStopping(),
+                 .address = Address(reader.getAddress().cStr()),
+                 .log_failing = reader.getLogFailing()};
+  for (const auto seen : reader.getSeen()) {
+    beat.seen.push_back(
+        Seen{MemberHash(seen.getMember()), seen.getAge() * impl::kAgeUnit});
+  }
+  return beat;
+}
+
+void WriteConfigAnswer(const ConfigAnswer& answer,
+                       wire::ConfigAnswer::Builder builder) {
+  builder.setReady(answer.ready);
+  builder.setNext(answer.next.value);
+  builder.setSnapshot(impl::DataOf(answer.snapshot));
+  auto records =
+      builder.initRecords(static_cast<unsigned>(answer.records.size()));
+  for (unsigned i = 0; i < records.size(); ++i) {
+    records[i].setOffset(answer.records[i].offset.value);
+    records[i].setId(answer.records[i].id.value);
+    records[i].setData(impl::DataOf(answer.records[i].data));
+  }
+}
+
+ConfigAnswer ReadConfigAnswer(wire::ConfigAnswer::Reader reader) {
+  ConfigAnswer answer{.ready = reader.getReady(),
+                      .next = Offset(reader.getNext()),
+                      .snapshot = impl::TextOf(reader.getSnapshot())};
+  for (const auto record : reader.getRecords()) {
+    answer.records.push_back(LogRecord{Offset(record.getOffset()),
+                                       RecordId(record.getId().cStr()),
+                                       impl::TextOf(record.getData())});
+  }
+  return answer;
 }
 
 void WriteJobOperation(const JobOperation& operation,
--- a/chicorystep/encoding/peer_messages.h
+++ b/chicorystep/encoding/peer_messages.h
@@ -4,6 +4,7 @@
 #include "chicorystep/core/result.h"
 #include "chicorystep/encoding/json.h"
 #include "chicorystep/encoding/peer.capnp.h"
+#include "chicorystep/tables/config_sync.h"
 #include "chicorystep/tables/jobs.h"
 #include "chicorystep/tables/members.h"
 
@@ -13,6 +14,10 @@
 void WriteHeartbeat(const Heartbeat& beat, wire::Heartbeat::Builder builder);
 [[nodiscard]] Heartbeat ReadHeartbeat(wire::Heartbeat::Reader reader);
 
+void WriteConfigAnswer(const ConfigAnswer& answer,
+                       wire::ConfigAnswer::Builder builder);
+[[nodiscard]] ConfigAnswer ReadConfigAnswer(wire::ConfigAnswer::Reader reader);
+
 void WriteJobOperation(const JobOperation& operation,
                        wire::JobOperation::Builder builder);
 [[nodiscard]] Result<JobOperation, EncodingError> ReadJobOperation(
--- a/chicorystep/platform/log_client.cc
+++ b/chicorystep/platform/log_client.cc
@@ -16,6 +16,8 @@
 
 inline constexpr std::size_t kMaxBatch = 256;
 inline constexpr int kGone = 410;
+// Consecutive reads that must fail before the stream counts as failing.
+inline constexpr int kFailingAfter = 2;
 
 LogError ErrorOf(const httplib::Result& response) {
   if (response) {
@@ -183,6 +185,7 @@
   Backoff backoff{.random = std::minstd_rand(this->options.seed)};
   Offset next = follow.from;
   bool end_reported = false;
+  int failures = 0;
   auto client = impl::Connect(this->options, this->options.read_wait);
   while (!stop.stop_requested()) {
     auto answer =
@@ -194,18 +197,23 @@
            {"code", static_cast<int>(answer.error().code)}});
       if (answer.error().code == LogErrorCode::kExpired) {
         next = answer.error().first;
+      } else if (++failures == impl::kFailingAfter) {
+        this->callbacks.read_state(LogReadState{follow.stream, true});
       }
       WaitUnlessStopped(stop, NextDelay(backoff));
       continue;
     }
     Reset(backoff);
+    if (std::exchange(failures, 0) >= impl::kFailingAfter) {
+      this->callbacks.read_state(LogReadState{follow.stream, false});
+    }
     ReadAnswer& batch = answer.value();
-    next = batch.next;
+    const Offset from = std::exchange(next, batch.next);
     if (batch.records.empty() && std::exchange(end_reported, true)) {
       continue;
     }
     this->callbacks.batch(
-        LogBatch{follow.stream, std::move(batch.records), next});
+        LogBatch{follow.stream, std::move(batch.records), next, from});
   }
 }
 
--- a/chicorystep/platform/log_client.h
+++ b/chicorystep/platform/log_client.h
@@ -67,6 +67,8 @@
   struct Callbacks {
     std::function<void(AppendEnded)> append_ended;
     std::function<void(LogBatch)> batch;
+    // Called when the reads of a stream begin to fail, or succeed again.
+    std::function<void(LogReadState)> read_state;
   };
 
   LogClient(LogServiceOptions options, Callbacks callbacks);
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,7 +19,6 @@
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
-#include "chicorystep/systems/config_stream.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
@@ -42,11 +41,13 @@
   world.self = Self{
       .id = settings.id,
       .incarnation = MakeIncarnation(),
+      .address = settings.peers,
       .zone = settings.zone,
       .region = settings.region,
       .heartbeat_interval = settings.heartbeat_interval,
       .member_timeout = settings.member_timeout,
       .lease_time = settings.lease_time,
+      .log_retention = settings.log_retention,
       .worker_poll_interval = settings.worker_poll_interval,
       .announce_time = settings.announce_time,
       .drain_time = settings.drain_time,
@@ -110,6 +111,9 @@
   for (SendHeartbeat& heartbeat : outbox.heartbeats) {
     this->peers->Send(std::move(heartbeat));
   }
+  for (FetchConfig& fetch : outbox.config_fetches) {
+    this->peers->Send(std::move(fetch));
+  }
   for (ForwardJobOperation& forward : outbox.forwards) {
     this->peers->Send(std::move(forward));
   }
@@ -166,8 +170,13 @@
                 control.Post([&](Inbox& inbox) {
                   inbox.log_batches.push_back(std::move(batch));
                 });
+              },
+          .read_state =
+              [&control](LogReadState state) {
+                control.Post([&](Inbox& inbox) {
+                  inbox.log_read_states.push_back(std::move(state));
+                });
               }});
-  process.log->Follow(FollowStream{ConfigStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
       [&control](WorkerAnswered answered) {
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -119,6 +119,8 @@
       DurationField("platform", "timeout", &S::platform_timeout,
                     milliseconds(10)),
       CountField("platform", "append_attempts", &S::append_attempts, 1, 1000),
+      DurationField("platform", "log_retention", &S::log_retention,
+                    std::chrono::seconds(1)),
       CountField("callers", "threads", &S::caller_threads, 1, 20'000),
       CountField("callers", "keep_alive_requests", &S::keep_alive_requests, 1,
                  1'000'000'000),
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -33,6 +33,7 @@
   Duration instances_interval = std::chrono::seconds(1);
   Duration platform_timeout = std::chrono::seconds(5);
   std::int64_t append_attempts = 8;
+  Duration log_retention = std::chrono::hours(24);
 
   // [callers]
   std::int64_t caller_threads = 256;
--- a/chicorystep/systems/config_stream.cc
+++ b/chicorystep/systems/config_stream.cc
@@ -1,9 +1,12 @@
 #include "chicorystep/systems/config_stream.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
 #include <variant>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
 #include "chicorystep/systems/config_edits.h"
 
@@ -23,6 +26,23 @@
        {"detail", verdict.error().detail}});
 }
 
+// Peers that are further behind than this get a snapshot.
+inline constexpr Bytes kMaxRecent{1 << 20};
+
+Bytes SizeOf(const LogRecord& record) {
+  return Bytes{static_cast<std::int64_t>(sizeof(record) + record.data.size())};
+}
+
+void KeepForPeers(ConfigSync& sync, const LogRecord& record) {
+  sync.recent.push_back(record);
+  sync.recent_size += SizeOf(record);
+  while (sync.recent_size > kMaxRecent) {
+    sync.recent_size -= SizeOf(sync.recent.front());
+    sync.recent_from = Offset(sync.recent.front().offset.value + 1);
+    sync.recent.pop_front();
+  }
+}
+
 }  // namespace impl
 
 const Stream& ConfigStream() {
@@ -30,6 +50,11 @@
   return stream;
 }
 
+const Stream& SnapshotStream() {
+  static const Stream stream("config.snapshots");
+  return stream;
+}
+
 Result<Revision, EditError> ApplyConfigRecord(Config& config,
                                               const LogRecord& record) {
   config.next = Offset(record.offset.value + 1);
@@ -49,19 +74,55 @@
   return config.revision;
 }
 
+void ApplyRecord(World& world, const LogRecord& record) {
+  if (record.offset < world.config.next) {
+    return;
+  }
+  const Revision before = world.config.revision;
+  const auto verdict = ApplyConfigRecord(world.config, record);
+  if (!verdict || verdict.value() != before) {
+    impl::LogVerdict(record, verdict);
+  }
+  impl::KeepForPeers(world.config_sync, record);
+}
+
+void AdoptSnapshot(World& world, std::string_view data) {
+  auto decoded = DecodeSnapshot(data);
+  if (!decoded) {
+    Log(LogLevel::kWarn, "snapshot_skipped",
+        {{"error", decoded.error().detail}});
+    return;
+  }
+  if (decoded.value().next <= world.config.next) {
+    return;
+  }
+  world.config = std::move(decoded.value());
+  ConfigSync& sync = world.config_sync;
+  sync.recent.clear();
+  sync.recent_size = Bytes{};
+  sync.recent_from = world.config.next;
+  Log(LogLevel::kInfo, "snapshot_adopted",
+      {{"next", world.config.next.value}, {"bytes", data.size()}});
+}
+
 void ApplyConfigBatches(World& world, const Inbox& inbox) {
+  ConfigSync& sync = world.config_sync;
   for (const LogBatch& batch : inbox.log_batches) {
     if (batch.stream != ConfigStream()) {
       continue;
     }
-    for (const LogRecord& record : batch.records) {
-      if (record.offset >= world.config.next) {
-        impl::LogVerdict(record, ApplyConfigRecord(world.config, record));
-      }
+    if (batch.from > world.config.next) {
+      Log(LogLevel::kWarn, "records_expired",
+          {{"next", world.config.next.value}, {"first", batch.from.value}});
+      sync.based = false;
+      sync.caught_up = false;
+      continue;
     }
-    if (batch.records.empty() && batch.next <= world.config.next) {
-      world.config_ready = true;
+    for (const LogRecord& record : batch.records) {
+      ApplyRecord(world, record);
     }
+    sync.caught_up |=
+        sync.based && batch.records.empty() && batch.next <= world.config.next;
   }
 }
 
--- /dev/null
+++ b/chicorystep/systems/config_sync.cc
@@ -0,0 +1,293 @@
+#include "chicorystep/systems/config_sync.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <tuple>
+#include <utility>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/encoding/config_snapshot.h"
+#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/rendezvous.h"
+
+namespace chicorystep {
+namespace impl {
+
+// How many peers each process tells of new records.
+inline constexpr std::size_t kRelayFanout = 4;
+// For how long a starting process waits for peers before it reads snapshots.
+inline constexpr Duration kPeerGrace = std::chrono::milliseconds(500);
+// For how long the log, or a peer of the region, may deliver first what a
+// peer farther away has shown.
+inline constexpr Duration kNearerGrace = std::chrono::milliseconds(300);
+// Tables older than a peer's for longer than this are not acted on.
+inline constexpr Duration kBehindGrace = std::chrono::seconds(1);
+// For how long a reader whose reads fail leaves the role to others.
+inline constexpr Duration kFailingTime = std::chrono::seconds(10);
+inline constexpr Duration kFetchPause = std::chrono::milliseconds(200);
+// Limits of one answer to a fetch.
+inline constexpr std::size_t kMaxAnswerRecords = 256;
+inline constexpr Bytes kMaxAnswer{256 << 10};
+
+// A pause that others take for a death: what was known before is old.
+void NoticePause(World& world, TimePoint now) {
+  ConfigSync& sync = world.config_sync;
+  if (sync.started == kNever) {
+    sync.started = now;
+  }
+  if (const TimePoint last = std::exchange(sync.last_tick, now);
+      last != kNever && now - last > world.self.member_timeout) {
+    sync.caught_up = false;
+    sync.unsettled_until = now + world.self.member_timeout;
+    sync.started = now;
+    Log(LogLevel::kWarn, "paused",
+        {{"for_ms", (now - last) / std::chrono::milliseconds(1)}});
+  }
+}
+
+void NoticeLogState(ConfigSync& sync, const Inbox& inbox, TimePoint now) {
+  for (const LogReadState& state : inbox.log_read_states) {
+    if (state.stream == ConfigStream()) {
+      sync.log_failing = state.failing;
+      sync.log_failing_until = now + kFailingTime;
+      Log(LogLevel::kWarn, state.failing ? "log_failing" : "log_recovered");
+    }
+  }
+  if (!sync.follows_log && now >= sync.log_failing_until) {
+    sync.log_failing = false;
+  }
+}
+
+void ApplyFetched(World& world, const ConfigFetched& fetched, TimePoint now) {
+  ConfigSync& sync = world.config_sync;
+  const Offset before = world.config.next;
+  sync.fetching = EntryId{};
+  const ConfigAnswer& answer = fetched.answer;
+  if (fetched.answered && (answer.ready || sync.based)) {
+    if (!answer.snapshot.empty()) {
+      AdoptSnapshot(world, answer.snapshot);
+    }
+    for (const LogRecord& record : answer.records) {
+      ApplyRecord(world, record);
+    }
+    sync.shown = std::max(sync.shown, answer.next);
+    const bool complete = world.config.next >= answer.next;
+    sync.based |= answer.ready && complete;
+    sync.caught_up |= answer.ready && complete;
+  }
+  if (answer.ready || world.config.next > before) {
+    sync.failed_fetches = 0;
+    sync.next_fetch = now;
+  } else {
+    ++sync.failed_fetches;
+    sync.next_fetch = now + kFetchPause;
+  }
+}
+
+void ApplySnapshots(World& world, const Inbox& inbox) {
+  ConfigSync& sync = world.config_sync;
+  for (const LogBatch& batch : inbox.log_batches) {
+    if (batch.stream != SnapshotStream() || !sync.follows_snapshots) {
+      continue;
+    }
+    for (const LogRecord& record : batch.records) {
+      AdoptSnapshot(world, record.data);
+    }
+    // Without any snapshot the tables rest on the stream's beginning.
+    sync.based |= batch.records.empty();
+  }
+}
+
+bool WantsSnapshots(const ConfigSync& sync, std::size_t peers, TimePoint now) {
+  const bool peers_tried = peers > 0 && sync.failed_fetches >= peers;
+  return !sync.based && (peers_tried || now >= sync.started + kPeerGrace);
+}
+
+void FollowOrNot(bool wanted,
+                 bool& follows,
+                 const FollowStream& follow,
+                 Outbox& outbox) {
+  if (wanted && !follows) {
+    outbox.follows.push_back(follow);
+  } else if (!wanted && follows) {
+    outbox.unfollows.push_back(UnfollowStream{follow.stream});
+  }
+  follows = wanted;
+}
+
+bool MayGive(const Member& member) {
+  return !member.address.empty() && !member.stopping &&
+         (member.listed || member.heard != TimePoint::min());
+}
+
+// The peers to ask, the most useful first.
+std::vector<const Member*> Sources(const World& world, TimePoint now) {
+  const ConfigSync& sync = world.config_sync;
+  const bool any = !sync.based || !sync.caught_up;
+  const bool far_too =
+      any || now >= std::max(sync.behind_since, TimePoint{}) + kNearerGrace;
+  std::vector<const Member*> sources;
+  for (const Member& member : world.members.table.rows) {
+    const bool near = member.region == world.self.region;
+    const bool newer = member.config_next > world.config.next;
+    if (MayGive(member) && (any || (newer && (near || far_too)))) {
+      sources.push_back(&member);
+    }
+  }
+  const auto rank = [&](const Member* member) {
+    return std::tuple(!IsAlive(*member, world.self, now),
+                      member->region != world.self.region,
+                      Offset(~member->config_next.value), member->id);
+  };
+  std::sort(
+      sources.begin(), sources.end(),
+      [&](const Member* a, const Member* b) { return rank(a) < rank(b); });
+  return sources;
+}
+
+bool NeedsFetch(const World& world, TimePoint now) {
+  const ConfigSync& sync = world.config_sync;
+  if (!sync.based || !sync.caught_up) {
+    return true;
+  }
+  if (sync.behind_since == kNever) {
+    return false;
+  }
+  const bool log_may_deliver = sync.follows_log && !sync.log_failing;
+  return !log_may_deliver || now >= sync.behind_since + kNearerGrace;
+}
+
+void Fetch(World& world,
+           const std::vector<const Member*>& sources,
+           Outbox& outbox) {
+  ConfigSync& sync = world.config_sync;
+  const Member& source = *sources[sync.failed_fetches % sources.size()];
+  sync.fetching = source.id;
+  outbox.config_fetches.push_back(FetchConfig{
+      source.id, source.address, sync.based ? world.config.next : Offset{}});
+}
+
+void ChooseSources(World& world, TimePoint now, Outbox& outbox) {
+  ConfigSync& sync = world.config_sync;
+  const auto sources = Sources(world, now);
+  FollowOrNot(WantsSnapshots(sync, sources.size(), now), sync.follows_snapshots,
+              FollowStream{SnapshotStream(), Offset{}}, outbox);
+  const bool reads = RelayOrder(world, now).front() == world.self.id;
+  // A new follow reports anew when it has reached the end of the stream.
+  if (sync.follows_log && reads && sync.started == now) {
+    FollowOrNot(false, sync.follows_log, {ConfigStream(), Offset{}}, outbox);
+  }
+  FollowOrNot(sync.based && reads, sync.follows_log,
+              FollowStream{ConfigStream(), world.config.next}, outbox);
+  if (sync.fetching.empty() && !sources.empty() && now >= sync.next_fetch &&
+      NeedsFetch(world, now)) {
+    Fetch(world, sources, outbox);
+  }
+}
+
+// Tells the processes behind this one in the relay tree of new records.
+void TellNext(const World& world, TimePoint now, Outbox& outbox) {
+  const std::vector<EntryId> order = RelayOrder(world, now);
+  const auto self = static_cast<std::size_t>(
+      std::find(order.begin(), order.end(), world.self.id) - order.begin());
+  const std::size_t first = kRelayFanout * self + 1;
+  for (std::size_t i = first; i < std::min(first + kRelayFanout, order.size());
+       ++i) {
+    if (const Member* member = world.members.table.find(order[i])) {
+      outbox.heartbeats.push_back(
+          SendHeartbeat{member->address, OwnHeartbeat(world)});
+    }
+  }
+}
+
+void UpdateReadiness(World& world, TimePoint now) {
+  ConfigSync& sync = world.config_sync;
+  if (sync.shown <= world.config.next) {
+    sync.behind_since = kNever;
+  } else if (sync.behind_since == kNever) {
+    sync.behind_since = now;
+  }
+  const bool too_old =
+      sync.behind_since != kNever && now - sync.behind_since > kBehindGrace;
+  const bool ready =
+      sync.based && sync.caught_up && !too_old && now >= sync.unsettled_until;
+  if (std::exchange(world.config_ready, ready) != ready) {
+    Log(LogLevel::kInfo, ready ? "config_ready" : "config_not_ready",
+        {{"next", world.config.next.value}, {"shown", sync.shown.value}});
+  }
+}
+
+}  // namespace impl
+
+std::vector<EntryId> RelayOrder(const World& world, TimePoint now) {
+  using Ranked = std::tuple<bool, bool, std::uint64_t, EntryId>;
+  const auto rank = [](bool stopping, bool failing, const EntryId& id) {
+    return Ranked(stopping, failing, ~RendezvousWeight("config-reader", id),
+                  id);
+  };
+  std::vector<Ranked> ranked = {
+      rank(world.stopping, world.config_sync.log_failing, world.self.id)};
+  for (const Member& member : world.members.table.rows) {
+    if (member.region == world.self.region &&
+        IsAlive(member, world.self, now)) {
+      ranked.push_back(rank(false, member.log_failing, member.id));
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<EntryId> order;
+  for (Ranked& entry : ranked) {
+    order.push_back(std::move(std::get<EntryId>(entry)));
+  }
+  return order;
+}
+
+ConfigAnswer AnswerConfigFetch(const World& world, Offset from) {
+  const ConfigSync& sync = world.config_sync;
+  ConfigAnswer answer{.ready = world.config_ready, .next = world.config.next};
+  if (!sync.based || from >= world.config.next) {
+    return answer;
+  }
+  if (from < sync.recent_from) {
+    answer.snapshot = EncodeSnapshot(world.config);
+    return answer;
+  }
+  Bytes size;
+  for (const LogRecord& record : sync.recent) {
+    if (record.offset >= from) {
+      answer.records.push_back(record);
+      size += Bytes{static_cast<std::int64_t>(record.data.size())};
+    }
+    if (answer.records.size() >= impl::kMaxAnswerRecords ||
+        size >= impl::kMaxAnswer) {
+      break;
+    }
+  }
+  return answer;
+}
+
+void SyncConfig(World& world,
+                const Inbox& inbox,
+                TimePoint now,
+                Outbox& outbox) {
+  ConfigSync& sync = world.config_sync;
+  const Offset before = world.config.next;
+  impl::NoticePause(world, now);
+  impl::NoticeLogState(sync, inbox, now);
+  for (const Heartbeat& beat : inbox.heartbeats) {
+    sync.shown = std::max(sync.shown, beat.config_next);
+  }
+  impl::ApplySnapshots(world, inbox);
+  ApplyConfigBatches(world, inbox);
+  for (const ConfigFetched& fetched : inbox.configs_fetched) {
+    impl::ApplyFetched(world, fetched, now);
+  }
+  impl::UpdateReadiness(world, now);
+  impl::ChooseSources(world, now, outbox);
+  if (world.config.next > before) {
+    impl::TellNext(world, now, outbox);
+  }
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/membership.cc
+++ b/chicorystep/systems/membership.cc
@@ -1,10 +1,28 @@
 #include "chicorystep/systems/membership.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <unordered_set>
+#include <vector>
 
 namespace chicorystep {
 namespace impl {
 
+MemberHash HashOf(const EntryId& id) {
+  return MemberHash(static_cast<std::uint32_t>(
+      XXH3_64bits(id.value.data(), id.value.size())));
+}
+
+Member& FindOrInsert(Members& members, const EntryId& id) {
+  if (Member* known = members.table.find(id)) {
+    return *known;
+  }
+  return members.table.insert(id, Member{.id = id, .hash = HashOf(id)});
+}
+
 void ListEntries(World& world, const InstanceList& list) {
   for (Member& member : world.members.table.rows) {
     member.listed = false;
@@ -13,15 +31,12 @@
     if (entry.id == world.self.id) {
       continue;
     }
-    Member* member = world.members.table.find(entry.id);
-    if (member == nullptr) {
-      member = &world.members.table.insert(entry.id, Member{.id = entry.id});
-    }
-    member->address = entry.address;
-    member->zone = entry.zone;
-    member->region = entry.region;
-    member->listed = true;
-    member->leaving = entry.state == InstanceState::kLeaving;
+    Member& member = FindOrInsert(world.members, entry.id);
+    member.address = entry.address;
+    member.zone = entry.zone;
+    member.region = entry.region;
+    member.listed = true;
+    member.leaving = entry.state == InstanceState::kLeaving;
   }
 }
 
@@ -47,6 +62,84 @@
   }
 }
 
+// Heartbeats sent in one interval, and members named in each: with both the
+// bytes of a process do not grow with the number of members. Each heartbeat is
+// answered with one.
+inline constexpr std::size_t kHeartbeatsPerInterval = 4;
+inline constexpr std::size_t kMaxSeen = 24;
+// A member that is neither listed nor heard for this many timeouts is
+// forgotten.
+inline constexpr int kForgetTimeouts = 10;
+
+void TakeSeen(Members& members, const Seen& seen, TimePoint now) {
+  for (Member& member : members.table.rows) {
+    if (member.hash == seen.member) {
+      member.heard = std::max(member.heard, now - seen.age);
+    }
+  }
+}
+
+void TakeHeartbeat(World& world, const Heartbeat& beat, TimePoint now) {
+  if (beat.id == world.self.id) {
+    return;
+  }
+  Member& member = FindOrInsert(world.members, beat.id);
+  // A late heartbeat of an earlier life; but the clocks that number the lives
+  // may disagree, so a silent member's new life is believed.
+  if (beat.incarnation < member.incarnation &&
+      IsAlive(member, world.self, now)) {
+    return;
+  }
+  member.incarnation = beat.incarnation;
+  member.address = beat.address;
+  member.zone = beat.zone;
+  member.region = beat.region;
+  member.config_next = beat.config_next;
+  member.stopping = beat.stopping;
+  member.log_failing = beat.log_failing;
+  member.heard = now;
+  for (const Seen& seen : beat.seen) {
+    TakeSeen(world.members, seen, now);
+  }
+}
+
+void ForgetGone(World& world, TimePoint now) {
+  world.members.table.EraseIf([&](const EntryId&, const Member& member) {
+    return !member.listed &&
+           (member.heard == TimePoint::min() ||
+            now - member.heard > kForgetTimeouts * world.self.member_timeout);
+  });
+}
+
+// Some of the members alive; the rotation names all in turn.
+std::vector<Seen> SomeSeen(World& world, TimePoint now) {
+  const auto& rows = world.members.table.rows;
+  std::vector<Seen> seen;
+  for (std::size_t i = 0; i < rows.size() && seen.size() < kMaxSeen; ++i) {
+    const Member& member = rows[world.members.next_seen++ % rows.size()];
+    if (IsAlive(member, world.self, now)) {
+      seen.push_back(Seen{member.hash, now - member.heard});
+    }
+  }
+  return seen;
+}
+
+// A process that stops tells everyone; else the members get their turns.
+void SendHeartbeats(World& world, TimePoint now, Outbox& outbox) {
+  const auto& rows = world.members.table.rows;
+  const std::size_t count = world.stopping
+                                ? rows.size()
+                                : std::min(rows.size(), kHeartbeatsPerInterval);
+  Heartbeat own = OwnHeartbeat(world);
+  if (rows.size() > kHeartbeatsPerInterval) {
+    own.seen = SomeSeen(world, now);
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    const Member& member = rows[world.members.next_target++ % rows.size()];
+    outbox.heartbeats.push_back(SendHeartbeat{member.address, own});
+  }
+}
+
 }  // namespace impl
 
 void ApplyInstanceLists(World& world, const Inbox& inbox) {
@@ -58,35 +151,30 @@
   impl::ListExecutors(world, world.instances);
 }
 
+Heartbeat OwnHeartbeat(const World& world) {
+  return Heartbeat{.id = world.self.id,
+                   .incarnation = world.self.incarnation,
+                   .zone = world.self.zone,
+                   .region = world.self.region,
+                   .config_next = world.config.next,
+                   .stopping = world.stopping,
+                   .address = world.self.address,
+                   .log_failing = world.config_sync.log_failing};
+}
+
 void ExchangeHeartbeats(World& world,
                         const Inbox& inbox,
                         TimePoint now,
                         Outbox& outbox) {
   for (const Heartbeat& beat : inbox.heartbeats) {
-    Member* member = world.members.table.find(beat.id);
-    if (member == nullptr) {
-      continue;
-    }
-    member->incarnation = beat.incarnation;
-    member->config_next = beat.config_next;
-    member->stopping = beat.stopping;
-    member->heard = now;
+    impl::TakeHeartbeat(world, beat, now);
   }
   if (now < world.members.next_heartbeat) {
     return;
   }
   world.members.next_heartbeat = now + world.self.heartbeat_interval;
-  const Heartbeat own{.id = world.self.id,
-                      .incarnation = world.self.incarnation,
-                      .zone = world.self.zone,
-                      .region = world.self.region,
-                      .config_next = world.config.next,
-                      .stopping = world.stopping};
-  for (const Member& member : world.members.table.rows) {
-    if (member.listed) {
-      outbox.heartbeats.push_back(SendHeartbeat{member.address, own});
-    }
-  }
+  impl::ForgetGone(world, now);
+  impl::SendHeartbeats(world, now, outbox);
 }
 
 bool IsAlive(const Member& member, const Self& self, TimePoint now) noexcept {
--- a/chicorystep/systems/membership.h
+++ b/chicorystep/systems/membership.h
@@ -15,6 +15,9 @@
                         TimePoint now,
                         Outbox& outbox);
 
+// This process's heartbeat as of now, without a digest of others.
+[[nodiscard]] Heartbeat OwnHeartbeat(const World& world);
+
 // Whether heartbeats show `member` alive and staying.
 [[nodiscard]] bool IsAlive(const Member& member,
                            const Self& self,
--- /dev/null
+++ b/chicorystep/systems/rendezvous.h
@@ -0,0 +1,24 @@
+#ifndef CHICORYSTEP_SYSTEMS_RENDEZVOUS_H_
+#define CHICORYSTEP_SYSTEMS_RENDEZVOUS_H_
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "chicorystep/core/ids.h"
+
+namespace chicorystep {
+
+// The weight of `entry` for `role` in rendezvous hashing; the heaviest of those
+// that are alive has the role.
+[[nodiscard]] inline std::uint64_t RendezvousWeight(std::string_view role,
+                                                    const EntryId& entry) {
+  const std::string key = std::string(role) + '\0' + entry.value;
+  return XXH3_64bits(key.data(), key.size());
+}
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_RENDEZVOUS_H_
--- a/chicorystep/tables/log.h
+++ b/chicorystep/tables/log.h
@@ -21,6 +21,15 @@
   Stream stream;
   std::vector<LogRecord> records;
   Offset next;
+  // The offset that was read from; beyond what the reader asked for when older
+  // records are no longer kept.
+  Offset from;
+};
+
+// That reads of a stream have begun to fail, or succeed again.
+struct LogReadState {
+  Stream stream;
+  bool failing = false;
 };
 
 // Appends one record; the client repeats it until it is acknowledged or its
@@ -37,6 +46,8 @@
   Stream stream;
   RecordId id;
   bool acknowledged = false;
+  // Whether the record certainly is not in the stream.
+  bool certainly_absent = false;
 };
 
 // Begins or stops reading a stream.
--- a/chicorystep/traffic/peers.cc
+++ b/chicorystep/traffic/peers.cc
@@ -14,12 +14,17 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/peer_messages.h"
+#include "chicorystep/systems/config_sync.h"
 
 namespace chicorystep {
 namespace impl {
 
+// A peer that has not answered a fetch by then is left for another.
+inline constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+
 // A message that waits to be sent by the loop's thread.
-using PeerMessage = std::variant<SendHeartbeat, ForwardJobOperation>;
+using PeerMessage =
+    std::variant<SendHeartbeat, ForwardJobOperation, FetchConfig>;
 
 // What the interface's server and the loop share.
 struct PeerState {
@@ -46,6 +51,21 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> records(RecordsContext context) override {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<ConfigAnswer>();
+    auto fulfiller = std::make_shared<
+        kj::Own<kj::CrossThreadPromiseFulfiller<ConfigAnswer>>>(
+        kj::mv(pair.fulfiller));
+    this->state.control.Inspect(
+        [fulfiller, from = Offset(context.getParams().getFrom())](
+            const World& world, TimePoint) {
+          (*fulfiller)->fulfill(AnswerConfigFetch(world, from));
+        });
+    return pair.promise.then([context](const ConfigAnswer& answer) mutable {
+      WriteConfigAnswer(answer, context.getResults().initAnswer());
+    });
+  }
+
   kj::Promise<void> job(JobContext context) override {
     auto operation = ReadJobOperation(context.getParams().getOperation());
     if (!operation) {
@@ -114,6 +134,7 @@
   std::shared_ptr<PeerConnection> ConnectionTo(const Address& address);
   void CarryOut(const SendHeartbeat& message);
   void CarryOut(const ForwardJobOperation& message);
+  void CarryOut(const FetchConfig& message);
 
   Peers::Options options;
   PeerState state;
@@ -227,10 +248,18 @@
   const auto connection = this->ConnectionTo(message.address);
   auto call = connection->peer->heartbeatRequest();
   WriteHeartbeat(message.heartbeat, call.initBeat());
+  auto answered = call.send().then([this](auto response) {
+    if (response.hasBeat()) {
+      this->state.control.Post(
+          [beat = ReadHeartbeat(response.getBeat())](Inbox& inbox) {
+            inbox.heartbeats.push_back(beat);
+          });
+    }
+  });
   this->tasks->add(
       this->io->provider->getTimer()
           .timeoutAfter(this->options.call_timeout.count() * kj::MICROSECONDS,
-                        call.send().ignoreResult())
+                        kj::mv(answered))
           .catch_(
               [connection](kj::Exception&&) { connection->failed = true; }));
 }
@@ -263,6 +292,29 @@
           }));
 }
 
+void PeerLoop::CarryOut(const FetchConfig& message) {
+  const auto connection = this->ConnectionTo(message.address);
+  auto call = connection->peer->recordsRequest();
+  call.setFrom(message.from.value);
+  const auto report = [this](ConfigFetched fetched) {
+    this->state.control.Post([&](Inbox& inbox) {
+      inbox.configs_fetched.push_back(std::move(fetched));
+    });
+  };
+  auto answered = call.send().then([report,
+                                    peer = message.peer](auto response) {
+    report(ConfigFetched{peer, true, ReadConfigAnswer(response.getAnswer())});
+  });
+  this->tasks->add(
+      this->io->provider->getTimer()
+          .timeoutAfter(kFetchTimeout.count() * kj::MICROSECONDS,
+                        kj::mv(answered))
+          .catch_([connection, report, peer = message.peer](kj::Exception&&) {
+            connection->failed = true;
+            report(ConfigFetched{.peer = peer});
+          }));
+}
+
 }  // namespace impl
 
 Peers::Peers(Options options, ControlLoop& control, ExchangeDesk& desk)
@@ -290,4 +342,8 @@
   this->loop->Send(std::move(message));
 }
 
+void Peers::Send(FetchConfig message) {
+  this->loop->Send(std::move(message));
+}
+
 }  // namespace chicorystep
--- a/chicorystep/traffic/peers.h
+++ b/chicorystep/traffic/peers.h
@@ -36,11 +36,12 @@
   // Whether the address could be bound; if not, nothing is sent either.
   [[nodiscard]] bool IsListening() const noexcept { return this->listening; }
 
-  // Both are safe from any thread and do not block. The answering heartbeat
-  // and the answer of the job operation reach the control loop and the
-  // exchange that waits.
+  // All are safe from any thread and do not block. The answering heartbeat,
+  // the configuration that was fetched and the answer of the job operation
+  // reach the control loop and the exchange that waits.
   void Send(SendHeartbeat message);
   void Send(ForwardJobOperation message);
+  void Send(FetchConfig message);
 
  private:
   std::unique_ptr<impl::PeerLoop> loop;
