Refuse bad input clearly; let idle connections block

Cause, found by a table of broken requests against a real entry process: - a job with a negative or huge shape.pieces ended the process with std::length_error, and the accepted record would have ended each next holder; - the library looked at each idle connection every 10 ms, had no limit on the size of all headers or on the time for a request to arrive, gave a caller that had shut down its sending side no answer, took multipart bodies apart (the executor got an empty body), limited form bodies to 8 KiB, unpacked encoded bodies and cut answers to the caller's Range. Ruled out: raising the library's limits, as none of these is a setting of it.

Change: CheckJob refuses unsound jobs before they are written and skips such records on reading; GuardedServer gives the library a connection of its own that blocks until bytes come or the server stops, bounds head and arrival time, and leaves bodies whole; heads with an unclear length or a repeated field are refused before the body is read. New settings callers.max_head, callers.receive_timeout, jobs.max_pieces, jobs.max_command.

--- /dev/null
+++ b/bench/idle_bench.cc
@@ -0,0 +1,98 @@
+// Processor time of an entry process that has nothing to do, by the number of
+// callers that hold an idle connection.
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/support/cluster.h"
+#include "tests/support/raw_http.h"
+
+namespace chicorystep::testing {
+namespace {
+
+constexpr auto kSettle = std::chrono::seconds(3);
+constexpr auto kIdle = std::chrono::seconds(10);
+
+// Processor seconds that a process has used, of its own and in the kernel.
+double ProcessorSeconds(pid_t pid) {
+  std::ifstream stat(fmt::format("/proc/{}/stat", pid));
+  std::string word;
+  // The times are the 14th and 15th words; the 2nd has no space in it here.
+  for (int i = 0; i < 13; ++i) {
+    stat >> word;
+  }
+  double user = 0;
+  double system = 0;
+  stat >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+std::string ResidentMemory(pid_t pid) {
+  std::ifstream status(fmt::format("/proc/{}/status", pid));
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with("VmRSS:")) {
+      return line.substr(line.find_first_of("0123456789"));
+    }
+  }
+  return "?";
+}
+
+using Connections = std::vector<std::unique_ptr<RawConnection>>;
+
+// Opens connections that each have been served once and then idle.
+bool ConnectIdle(const Cluster& cluster, std::size_t count, Connections& open) {
+  while (open.size() < count) {
+    auto connection =
+        std::make_unique<RawConnection>(Address(cluster.addresses[0].callers));
+    if (!connection->Send("GET /v1/jobs/z1.0 HTTP/1.1\r\nHost: e\r\n"
+                          "Workspace: w1\r\n\r\n")) {
+      return false;
+    }
+    open.push_back(std::move(connection));
+  }
+  return true;
+}
+
+int Main() {
+  Cluster cluster(3, 3, 2);
+  cluster.caller_threads = 1200;
+  cluster.StartAll();
+  if (!Eventually([&] { return cluster.AllReady(); }) ||
+      cluster.Publish(kTables) != 0) {
+    fmt::print(stderr, "idle_bench: the cluster did not get ready\n");
+    return 1;
+  }
+  fmt::print("{:>14}  {:>12}  {:>10}  {}\n", "idle callers", "cpu s / 10 s",
+             "% of core", "resident");
+  Connections open;
+  for (const std::size_t callers : {0, 200, 1000}) {
+    if (!ConnectIdle(cluster, callers, open)) {
+      fmt::print(stderr, "idle_bench: a connection failed\n");
+      return 1;
+    }
+    std::this_thread::sleep_for(kSettle);
+    const pid_t pid = cluster.entries[0]->Pid();
+    const double before = ProcessorSeconds(pid);
+    std::this_thread::sleep_for(kIdle);
+    const double used = ProcessorSeconds(pid) - before;
+    fmt::print("{:>14}  {:>12.2f}  {:>10.2f}  {}\n", callers, used,
+               100 * used / static_cast<double>(kIdle.count()),
+               ResidentMemory(pid));
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace chicorystep::testing
+
+int main() {
+  return chicorystep::testing::Main();
+}
--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -5,6 +5,7 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/systems/job_check.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/instances.h"
 #include "chicorystep/tables/jobs.h"
@@ -32,6 +33,7 @@
   Duration drain_time{};
   std::size_t max_waiting_requests = 0;
   std::size_t max_waiting_jobs = 0;
+  JobLimits job_limits;
 };
 
 // All control state of one entry process. Only the control thread touches it.
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -52,7 +52,9 @@
       .drain_time = settings.drain_time,
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
-      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs)};
+      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .job_limits = {.max_pieces = settings.max_pieces,
+                     .max_command = settings.max_command}};
   return world;
 }
 
@@ -142,6 +144,8 @@
                         .keep_alive_requests = settings.keep_alive_requests,
                         .keep_alive_time = settings.keep_alive_time,
                         .read_timeout = settings.read_timeout,
+                        .receive_timeout = settings.receive_timeout,
+                        .max_head = settings.max_head,
                         .max_body = settings.max_body});
   AddCallerRoutes(process.callers->Routes(), process.caller_context);
 
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -39,12 +39,16 @@
   std::int64_t keep_alive_requests = 1'000'000;
   Duration keep_alive_time = std::chrono::seconds(60);
   Duration read_timeout = std::chrono::seconds(10);
+  Duration receive_timeout = std::chrono::seconds(60);
+  Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
   // [jobs]
   std::int64_t max_waiting_jobs = 20'000;
+  std::int64_t max_pieces = 1024;
+  Bytes max_command{64 << 10};
   Duration lease_time = std::chrono::seconds(10);
   Duration worker_poll_interval = std::chrono::seconds(1);
   std::int64_t worker_threads = 8;
--- a/chicorystep/standin/executor_standin.cc
+++ b/chicorystep/standin/executor_standin.cc
@@ -97,8 +97,7 @@
   } else if (plan.cut_answer) {
     CutAnswer(response, request.body);
   } else {
-    response.set_content(request.body,
-                         request.get_header_value("Content-Type"));
+    response.set_content(request.body, ContentTypeOf(request));
   }
 }
 
--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells.cc
@@ -10,6 +10,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/job_record.h"
+#include "chicorystep/systems/job_check.h"
 #include "chicorystep/systems/membership.h"
 
 namespace chicorystep {
@@ -89,12 +90,22 @@
   }
 }
 
+// A record may come from a process with other settings, so only what no
+// setting allows is skipped.
+inline constexpr JobLimits kRecordLimits{.max_pieces = kMostPieces,
+                                         .max_command = kMostCommand};
+
 void ApplyCellRecord(World& world,
                      Cell& cell,
                      const LogRecord& record,
                      TimePoint now,
                      Outbox& outbox) {
-  const auto decoded = DecodeCellRecord(record.data);
+  auto decoded = DecodeCellRecord(record.data);
+  if (decoded && decoded.value().kind == CellRecordKind::kJobAccepted) {
+    if (auto refusal = CheckJob(decoded.value().job, kRecordLimits)) {
+      decoded = failure(EncodingError{std::move(refusal->detail)});
+    }
+  }
   if (!decoded) {
     Log(LogLevel::kWarn, "cell_record_skipped",
         {{"zone", cell.zone.value},
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/job_check.h"
 #include "chicorystep/systems/job_records.h"
 
 namespace chicorystep {
@@ -61,6 +62,11 @@
                        JobOperation& operation,
                        Outbox& outbox) {
   JobSpec& spec = operation.spec;
+  if (auto refusal = CheckJob(spec, world.self.job_limits)) {
+    outbox.ended_job_operations.push_back(
+        EndJobOperation{operation.exchange, std::move(refusal), JobStatus{}});
+    return false;
+  }
   const auto route = world.config.routes.find(spec.kind);
   if (route == world.config.routes.end()) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownKind,
--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -104,6 +104,47 @@
   const ExchangeId id;
 };
 
+// Whether the length of the body is told once, by one method.
+bool HasClearLength(const httplib::Request& request) {
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const std::size_t codings =
+      request.get_header_value_count("Transfer-Encoding");
+  if (lengths == 0) {
+    return codings <= 1;
+  }
+  return lengths == 1 && codings == 0 &&
+         ParseCount(request.get_header_value("Content-Length")).has_value();
+}
+
+// Refuses, before the body is read, what cannot be understood in one way only;
+// empty when the request may go on.
+std::optional<Refusal> CheckHead(const httplib::Request& request,
+                                 Bytes max_body) {
+  const auto bad = [](Reason reason, std::string detail) {
+    return Refusal{Execution::kNotRun, reason, std::move(detail), Duration{}};
+  };
+  if (!HasClearLength(request)) {
+    return bad(Reason::kBadRequest,
+               "expected one whole Content-Length or a chunked body");
+  }
+  if (Bytes(
+          ParseCount(request.get_header_value("Content-Length")).value_or(0)) >
+      max_body) {
+    return bad(Reason::kTooLarge,
+               fmt::format("a body has at most {} bytes", max_body.value));
+  }
+  if (request.has_header("Content-Encoding")) {
+    return bad(Reason::kBadRequest, "Content-Encoding: expected none");
+  }
+  for (const char* field :
+       {kRequestIdHeader, kWorkspaceHeader, kDeadlineHeader}) {
+    if (request.get_header_value_count(field) > 1) {
+      return bad(Reason::kBadRequest, fmt::format("{}: expected once", field));
+    }
+  }
+  return std::nullopt;
+}
+
 void WriteAnswer(httplib::Response& response, const AttemptAnswer& answer) {
   response.status = 200;
   response.set_header(kOutcomeHeader, std::string(NameOf(Execution::kRan)));
@@ -152,12 +193,11 @@
     WriteRefusal(response, header.error());
     return;
   }
-  const RequestBytes bytes{
-      .id = header.value().id,
-      .workspace = header.value().workspace,
-      .kind = Kind(request.matches[1]),
-      .body = request.body,
-      .content_type = request.get_header_value("Content-Type")};
+  const RequestBytes bytes{.id = header.value().id,
+                           .workspace = header.value().workspace,
+                           .kind = Kind(request.matches[1]),
+                           .body = request.body,
+                           .content_type = ContentTypeOf(request)};
   response.set_header(kRequestIdHeader, bytes.id.value);
 
   const OpenExchange exchange(context.desk);
@@ -212,6 +252,13 @@
                                    spec.error().detail, Duration{}});
     return;
   }
+  if (!IsName(spec.value().kind.value)) {
+    WriteRefusal(
+        response,
+        Refusal{Execution::kNotRun, Reason::kBadRequest,
+                fmt::format("kind: expected {}", kNameFormat), Duration{}});
+    return;
+  }
   JobOperation operation{.kind = JobOperationKind::kSubmit,
                          .spec = std::move(spec.value())};
   operation.spec.request_id = header.value().id;
@@ -261,6 +308,16 @@
                   impl::HandleJob(context, JobOperationKind::kCancel, request,
                                   response);
                 });
+  server.set_pre_routing_handler([&context](const Request& request,
+                                            Response& response) {
+    const auto refusal = impl::CheckHead(request, context.settings.max_body);
+    if (!refusal) {
+      return httplib::Server::HandlerResponse::Unhandled;
+    }
+    impl::WriteRefusal(response, *refusal);
+    CloseAfter(response);
+    return httplib::Server::HandlerResponse::Handled;
+  });
   server.set_error_handler([](const Request&, Response& response) {
     if (response.body.empty()) {
       const Reason reason =
@@ -270,12 +327,13 @@
                          Refusal{Execution::kNotRun, reason,
                                  "the request was not understood", Duration{}});
       response.status = status;
+      CloseAfter(response);
     }
   });
   server.set_post_routing_handler(
       [&context](const Request&, Response& response) {
         if (context.loop.CurrentView()->stopping) {
-          response.set_header("Connection", "close");
+          CloseAfter(response);
         }
       });
 }
--- /dev/null
+++ b/chicorystep/traffic/guarded_server.cc
@@ -0,0 +1,254 @@
+#include "chicorystep/traffic/guarded_server.h"
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <string>
+
+#include "chicorystep/traffic/headers.h"
+
+namespace chicorystep::impl {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// How long, and for how many bytes, a closing connection takes in what the
+// caller still sends, so that the answer is not lost in a reset.
+inline constexpr auto kLingerTime = std::chrono::seconds(1);
+inline constexpr std::size_t kLingerBytes = std::size_t{16} << 20;
+
+// Set while an answer is written that ends its connection. The library tells
+// its logger of each answer on the thread that serves the connection.
+thread_local bool answer_closes = false;
+
+int MillisecondsUntil(Clock::time_point end) {
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(end - Clock::now());
+  return static_cast<int>(std::max<std::int64_t>(left.count(), 0));
+}
+
+// Waits until `events` come; false when they do not before `end`.
+bool WaitFor(socket_t socket, short events, Clock::time_point end) {
+  while (true) {
+    pollfd entry{socket, events, 0};
+    const int ready = ::poll(&entry, 1, MillisecondsUntil(end));
+    if (ready >= 0 || errno != EINTR) {
+      return ready > 0;
+    }
+  }
+}
+
+// One connection as the library reads and writes it.
+class GuardedStream final : public httplib::Stream {
+ public:
+  GuardedStream(socket_t connection, const HttpServerOptions& server_options)
+      : connection_socket(connection), options(server_options) {}
+
+  // The next bytes read are those of a new request.
+  void BeginRequest() {
+    this->receive_by = Clock::now() + this->options.receive_timeout;
+    this->head_size = 0;
+    this->line_ends = 0;
+  }
+  // Whether bytes of a further request have been received already.
+  [[nodiscard]] bool HasBufferedBytes() const noexcept {
+    return this->begin != this->end;
+  }
+  // Whether the connection cannot be used for another request.
+  [[nodiscard]] bool IsBroken() const noexcept { return this->broken; }
+
+  [[nodiscard]] bool is_readable() const override {
+    return this->HasBufferedBytes() ||
+           WaitFor(this->connection_socket, POLLIN, this->ReadBy());
+  }
+  [[nodiscard]] bool is_writable() const override {
+    return WaitFor(this->connection_socket, POLLOUT,
+                   Clock::now() + this->options.read_timeout);
+  }
+  ssize_t read(char* target, size_t size) override;
+  ssize_t write(const char* source, size_t size) override;
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    ip.clear();
+    port = 0;
+  }
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    ip.clear();
+    port = 0;
+  }
+  [[nodiscard]] socket_t socket() const override {
+    return this->connection_socket;
+  }
+
+ private:
+  static constexpr std::size_t kBufferSize = std::size_t{16} << 10;
+  // Two ends of line, one right after the other, end the head.
+  static constexpr int kHeadEnd = 2;
+
+  [[nodiscard]] Clock::time_point ReadBy() const {
+    return std::min(this->receive_by,
+                    Clock::now() + this->options.read_timeout);
+  }
+  // Fills the empty buffer; what `recv` returns, or -1 when it took too long.
+  ssize_t Fill();
+  // Counts a byte of the head; false when the head is too large.
+  [[nodiscard]] bool CountHeadByte(char byte);
+  ssize_t Fail() {
+    this->broken = true;
+    return -1;
+  }
+
+  socket_t connection_socket;
+  const HttpServerOptions& options;
+  std::array<char, kBufferSize> buffer{};
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  Clock::time_point receive_by;
+  std::int64_t head_size = 0;
+  int line_ends = 0;
+  bool broken = false;
+};
+
+bool GuardedStream::CountHeadByte(char byte) {
+  if (byte == '\n') {
+    ++this->line_ends;
+  } else if (byte != '\r') {
+    this->line_ends = 0;
+  }
+  return Bytes(++this->head_size) <= this->options.max_head;
+}
+
+ssize_t GuardedStream::Fill() {
+  if (!WaitFor(this->connection_socket, POLLIN, this->ReadBy())) {
+    return this->Fail();
+  }
+  ssize_t received = 0;
+  do {
+    received = ::recv(this->connection_socket, this->buffer.data(),
+                      this->buffer.size(), 0);
+  } while (received < 0 && errno == EINTR);
+  this->begin = 0;
+  this->end = received > 0 ? static_cast<std::size_t>(received) : 0;
+  this->broken |= received <= 0;
+  return received;
+}
+
+ssize_t GuardedStream::read(char* target, size_t size) {
+  if (!this->HasBufferedBytes()) {
+    if (const ssize_t received = this->Fill(); received <= 0) {
+      return received;
+    }
+  }
+  std::size_t copied = 0;
+  while (copied < size && this->HasBufferedBytes()) {
+    const char byte = this->buffer.at(this->begin);
+    if (this->line_ends < kHeadEnd && !this->CountHeadByte(byte)) {
+      // As if the stream ended here, so that the library still answers.
+      this->broken = true;
+      return 0;
+    }
+    target[copied++] = byte;
+    ++this->begin;
+  }
+  return static_cast<ssize_t>(copied);
+}
+
+ssize_t GuardedStream::write(const char* source, size_t size) {
+  if (!this->is_writable()) {
+    return this->Fail();
+  }
+  ssize_t sent = 0;
+  do {
+    sent = ::send(this->connection_socket, source, size, MSG_NOSIGNAL);
+  } while (sent < 0 && errno == EINTR);
+  this->broken |= sent < 0;
+  return sent;
+}
+
+// Lets the caller read the answer before the connection is gone.
+void CloseGracefully(socket_t socket) {
+  ::shutdown(socket, SHUT_WR);
+  const auto end = Clock::now() + kLingerTime;
+  std::array<char, std::size_t{16} << 10> rest{};
+  std::size_t taken = 0;
+  while (taken < kLingerBytes && WaitFor(socket, POLLIN, end)) {
+    const ssize_t received = ::recv(socket, rest.data(), rest.size(), 0);
+    if (received <= 0) {
+      break;
+    }
+    taken += static_cast<std::size_t>(received);
+  }
+  ::close(socket);
+}
+
+// Keeps the library from taking a body apart or cutting an answer to a range.
+void KeepWhole(httplib::Request& request) {
+  const std::string type = request.get_header_value("Content-Type");
+  for (const char* field : {"Content-Type", kBodyTypeHeader, "Range"}) {
+    request.headers.erase(field);
+  }
+  request.ranges.clear();
+  if (!type.empty()) {
+    request.headers.emplace(kBodyTypeHeader, type);
+  }
+}
+
+}  // namespace
+
+GuardedServer::GuardedServer(const HttpServerOptions& server_options)
+    : options(server_options), stop_event(::eventfd(0, EFD_CLOEXEC)) {
+  this->set_logger(
+      [](const httplib::Request&, const httplib::Response& response) {
+        answer_closes = response.get_header_value("Connection") == "close";
+      });
+}
+
+GuardedServer::~GuardedServer() {
+  ::close(this->stop_event);
+}
+
+void GuardedServer::EndIdleConnections() const {
+  ::eventfd_write(this->stop_event, 1);
+}
+
+bool GuardedServer::AwaitRequest(socket_t socket) const {
+  const auto end = Clock::now() + this->options.keep_alive_time;
+  std::array<pollfd, 2> entries = {pollfd{socket, POLLIN, 0},
+                                   pollfd{this->stop_event, POLLIN, 0}};
+  int ready = 0;
+  do {
+    ready = ::poll(entries.data(), entries.size(), MillisecondsUntil(end));
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0 && entries[0].revents != 0;
+}
+
+void GuardedServer::ServeConnection(socket_t socket) {
+  GuardedStream stream(socket, this->options);
+  for (std::int64_t left = this->options.keep_alive_requests; left > 0;
+       --left) {
+    if (!stream.HasBufferedBytes() && !this->AwaitRequest(socket)) {
+      return;
+    }
+    stream.BeginRequest();
+    answer_closes = false;
+    bool caller_closes = false;
+    if (!this->process_request(stream, left == 1, caller_closes, KeepWhole) ||
+        caller_closes || answer_closes || stream.IsBroken()) {
+      return;
+    }
+  }
+}
+
+bool GuardedServer::process_and_close_socket(socket_t socket) {
+  this->ServeConnection(socket);
+  CloseGracefully(socket);
+  return true;
+}
+
+}  // namespace chicorystep::impl
--- a/chicorystep/traffic/headers.h
+++ b/chicorystep/traffic/headers.h
@@ -11,6 +11,9 @@
 inline constexpr const char* kOutcomeHeader = "Outcome";
 inline constexpr const char* kBusySlotsHeader = "Busy-Slots";
 
+// Where a listener keeps the content type that the caller sent.
+inline constexpr const char* kBodyTypeHeader = "Body-Content-Type";
+
 inline constexpr const char* kJsonType = "application/json";
 
 }  // namespace chicorystep
