--- a/chicorystep/standin/executor_standin.cc
+++ b/chicorystep/standin/executor_standin.cc
@@ -131,8 +131,7 @@
   } else if (plan.swap_answer) {
     response.set_content("other " + request.body, "text/plain");
   } else {
-    response.set_content(request.body,
-                         request.get_header_value("Content-Type"));
+    response.set_content(request.body, ContentTypeOf(request));
   }
 }
 
