Run a request that is not idempotent at most once, by claims in the log

Cause: nothing kept a repeat of a dispatch through another entry, or after a crash, from running again.

Ruled out: a claim for repeats only (an entry cannot tell a repeat from a first attempt), and a home entry by hashing (its takeover would need the log all the same). The answer to the append is not enough either: only a read up to the claim shows that no other came first.

Change: the stream `claims` holds a claim for each such request, and its outcome. Every entry folds it by one rule: the first claim wins, an end as not run releases it, a repeated append changes nothing. A request is sent after its own claim was read back. A claim that is not read back in time is refused as not run, and released when it shows up late. While the log fails, one claim at a time probes it. Claims are dropped after the setting claims.window, and the table is bounded by claims.max.

--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/systems/config_stream.h"
 #include "chicorystep/systems/gangs.h"
 #include "chicorystep/systems/job_operations.h"
@@ -21,6 +22,8 @@
   ExchangeHeartbeats(world, inbox, now, outbox);
 
   EndAttempts(world, inbox, now, outbox);
+  ApplyClaimBatches(world, inbox, now, outbox);
+  ExpireClaims(world, inbox, now, outbox);
   AdmitRequests(world, inbox, now, outbox);
   ExpireRequests(world, now, outbox);
   RouteRequests(world, now, outbox);
@@ -39,7 +42,8 @@
 
 TimePoint NextDue(const World& world, TimePoint now) {
   return std::min({world.members.next_heartbeat, NextRequestDue(world),
-                   NextPollDue(world), NextStopDue(world, now)});
+                   NextClaimDue(world), NextPollDue(world),
+                   NextStopDue(world, now)});
 }
 
 }  // namespace chicorystep
--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -5,6 +5,7 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/claims.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/instances.h"
 #include "chicorystep/tables/jobs.h"
@@ -32,6 +33,12 @@
   Duration drain_time{};
   std::size_t max_waiting_requests = 0;
   std::size_t max_waiting_jobs = 0;
+  // Claims held in memory; beyond it requests that need one are refused.
+  std::size_t max_claims = 0;
+  // For how long a claim holds; shorter than the log's retention.
+  Duration claim_window{};
+  // How long a request waits for its claim to be read back.
+  Duration claim_timeout{};
 };
 
 // All control state of one entry process. Only the control thread touches it.
@@ -46,6 +53,7 @@
   InstanceList instances;
   Members members;
   Requests requests;
+  Claims claims;
   Jobs jobs;
 };
 
--- /dev/null
+++ b/chicorystep/encoding/claim_record.cc
@@ -0,0 +1,24 @@
+#include "chicorystep/encoding/claim_record.h"
+
+namespace chicorystep {
+
+// The names are short because every entry reads every record, some of them
+// across the link between regions.
+template <typename Archive>
+void VisitFields(Archive& archive, ClaimRecord& record) {
+  archive("op", record.kind);
+  archive("ws", record.workspace);
+  archive("rq", record.request);
+  archive("at", record.claim);
+  archive("out", record.outcome);
+}
+
+std::string EncodeClaimRecord(const ClaimRecord& record) {
+  return EncodeJson(record);
+}
+
+Result<ClaimRecord, EncodingError> DecodeClaimRecord(std::string_view data) {
+  return DecodeJson<ClaimRecord>(data);
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/encoding/claim_record.h
@@ -0,0 +1,20 @@
+#ifndef CHICORYSTEP_ENCODING_CLAIM_RECORD_H_
+#define CHICORYSTEP_ENCODING_CLAIM_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "chicorystep/core/result.h"
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/tables/claims.h"
+
+namespace chicorystep {
+
+// A record of the stream of claims.
+[[nodiscard]] std::string EncodeClaimRecord(const ClaimRecord& record);
+[[nodiscard]] Result<ClaimRecord, EncodingError> DecodeClaimRecord(
+    std::string_view data);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_ENCODING_CLAIM_RECORD_H_
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -118,6 +118,11 @@
                      {"requests",
                       {{"open", world.requests.table.size()},
                        {"waiting", world.requests.waiting.size()}}},
+                     {"claims",
+                      {{"ready", world.claims.ready},
+                       {"held", world.claims.table.size()},
+                       {"pending", world.claims.pending.size()},
+                       {"log_failing", world.claims.log_failing}}},
                      {"cells", std::move(cells)}};
   return dump.dump(2, ' ', false, Json::error_handler_t::replace);
 }
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,6 +19,7 @@
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/systems/config_stream.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
@@ -52,7 +53,10 @@
       .drain_time = settings.drain_time,
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
-      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs)};
+      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .max_claims = static_cast<std::size_t>(settings.max_claims),
+      .claim_window = settings.claim_window,
+      .claim_timeout = settings.claim_timeout};
   return world;
 }
 
@@ -168,6 +172,7 @@
                 });
               }});
   process.log->Follow(FollowStream{ConfigStream(), Offset{}});
+  process.log->Follow(FollowStream{ClaimStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
       [&control](WorkerAnswered answered) {
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -43,6 +43,11 @@
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
+  // [claims]
+  std::int64_t max_claims = 200'000;
+  Duration claim_window = std::chrono::hours(1);
+  Duration claim_timeout = std::chrono::seconds(2);
+
   // [jobs]
   std::int64_t max_waiting_jobs = 20'000;
   Duration lease_time = std::chrono::seconds(10);
--- a/chicorystep/systems/routing.cc
+++ b/chicorystep/systems/routing.cc
@@ -6,20 +6,13 @@
 #include <utility>
 #include <vector>
 
+#include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/request_end.h"
 #include "chicorystep/systems/stopping.h"
 
 namespace chicorystep {
 namespace impl {
 
-void Refuse(Outbox& outbox,
-            ExchangeId exchange,
-            Execution execution,
-            Reason reason,
-            std::string detail) {
-  outbox.ended_exchanges.push_back(EndExchange{
-      exchange, Refusal{execution, reason, std::move(detail), Duration{}}});
-}
-
 std::optional<Refusal> CheckArrival(const World& world,
                                     const RequestArrived& arrived,
                                     TimePoint now) {
@@ -46,6 +39,9 @@
   if (world.requests.waiting.size() >= world.self.max_waiting_requests) {
     return refuse(Reason::kOverloaded, "the queue is full");
   }
+  if (!route->second.idempotent) {
+    return CheckClaim(world, ClaimKey{arrived.workspace, arrived.id});
+  }
   return std::nullopt;
 }
 
@@ -86,8 +82,7 @@
 }
 
 Refusal DescribeFailure(const Request& request, AttemptResult result) {
-  const Execution execution =
-      request.may_have_run ? Execution::kUnknown : Execution::kNotRun;
+  const Execution execution = ExecutionOf(request);
   switch (result) {
     case AttemptResult::kCutShort:
       return {execution, Reason::kAnswerCutShort, "the answer was cut short",
@@ -122,8 +117,7 @@
   }
   request->executor = ExecutorId{};
   if (ended.result == AttemptResult::kAnswered) {
-    outbox.ended_exchanges.push_back(EndExchange{ended.exchange, std::nullopt});
-    world.requests.table.erase(ended.exchange);
+    EndRequest(world, ended.exchange, std::nullopt, outbox);
     return;
   }
   request->may_have_run |= ended.result != AttemptResult::kRefused &&
@@ -132,9 +126,8 @@
     world.requests.waiting.push_back(ended.exchange);
     return;
   }
-  outbox.ended_exchanges.push_back(
-      EndExchange{ended.exchange, DescribeFailure(*request, ended.result)});
-  world.requests.table.erase(ended.exchange);
+  EndRequest(world, ended.exchange, DescribeFailure(*request, ended.result),
+             outbox);
 }
 
 // Sends one waiting request if an executor is free.
@@ -176,7 +169,7 @@
       continue;
     }
     const Route& route = world.config.routes.at(arrived.kind);
-    world.requests.table.insert(
+    const Request& request = world.requests.table.insert(
         arrived.exchange,
         Request{.exchange = arrived.exchange,
                 .id = arrived.id,
@@ -187,7 +180,11 @@
                 .max_attempts = route.max_attempts,
                 .arrived = now,
                 .deadline = now + arrived.deadline.value_or(route.deadline)});
-    world.requests.waiting.push_back(arrived.exchange);
+    if (request.idempotent) {
+      world.requests.waiting.push_back(arrived.exchange);
+    } else {
+      AppendClaim(world, request, now, outbox);
+    }
   }
 }
 
@@ -209,11 +206,10 @@
     if (now < request->deadline) {
       return false;
     }
-    impl::Refuse(
-        outbox, exchange,
-        request->may_have_run ? Execution::kUnknown : Execution::kNotRun,
-        Reason::kDeadlinePassed, "no executor was free before the deadline");
-    world.requests.table.erase(exchange);
+    EndRequest(world, exchange,
+               Refusal{ExecutionOf(*request), Reason::kDeadlinePassed,
+                       "no executor was free before the deadline", Duration{}},
+               outbox);
     return true;
   });
 }
--- a/chicorystep/systems/stopping.cc
+++ b/chicorystep/systems/stopping.cc
@@ -30,7 +30,8 @@
       world.jobs.cells.begin(), world.jobs.cells.end(),
       [](const auto& entry) { return !entry.second.pending.empty(); });
   return now >= world.drain_until ||
-         (world.requests.table.empty() && !acceptances_pending);
+         (world.requests.table.empty() &&
+          world.claims.unacknowledged_ends.empty() && !acceptances_pending);
 }
 
 TimePoint NextStopDue(const World& world, TimePoint now) noexcept {
--- a/chicorystep/tables/requests.h
+++ b/chicorystep/tables/requests.h
@@ -37,6 +37,8 @@
   Attempt attempts;
   // Where the attempt under way was sent; empty while the request waits.
   ExecutorId executor;
+  // The offset of the claim in force, once it was read back.
+  std::optional<Offset> claim;
   // Whether any attempt may have run.
   bool may_have_run = false;
 };
