Admit, queue and retry requests by learnt capacity and budgets

Cause: every tick sorted and scanned all waiting requests and each choice scanned all executors; the queue had one bound and one order, a retry had no budget, a failing executor was chosen again at once, long requests could fill every slot, and the far region was used without a limit.

Change: systems/routing.cc is split. queues: by service, class, workspace and kind, strict by class, weighted fair over slot time within one. admission: refused at once when the learnt wait and run time exceed the deadline; full queues shed from bulk up, first from the workspace that waits most for its weight. executor_choice: nearest distance, the better of two below a learnt limit for each executor, the link by a token bucket of bytes. executor_health: limits that grow with answers and shrink with refusals, pauses, ejection with a part of its time of its own for each executor, one attempt at a time after it, no ejection when fewer than half would be left. retries: a tenth of the first attempts, by process and by executor, with a reserve for urgent work. Long kinds by learnt run time hold at most three quarters of the slots.

--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "chicorystep/systems/admission.h"
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/claims.h"
 #include "chicorystep/systems/config_stream.h"
--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -33,6 +33,9 @@
   Duration drain_time{};
   std::size_t max_waiting_requests = 0;
   std::size_t max_waiting_jobs = 0;
+  SlotPolicy slot_policy = SlotPolicy::kLearntLimit;
+  // Bytes a second that this process may spend on requests to other regions.
+  Bytes link_bytes_per_second;
   // Claims held in memory; beyond it requests that need one are refused.
   std::size_t max_claims = 0;
   // For how long a claim holds; shorter than the log's retention.
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -56,6 +56,9 @@
                          {"zone", executor.listed.zone.value},
                          {"state", NameOf(executor.listed.state)},
                          {"in_flight", executor.in_flight.value},
+                         {"limit", executor.limit.value},
+                         {"failures", executor.failures},
+                         {"ejections", executor.ejections},
                          {"slots", executor.listed.slots.value}});
   }
   return executors;
@@ -117,7 +120,7 @@
                      {"executors", impl::DumpExecutors(world.requests)},
                      {"requests",
                       {{"open", world.requests.table.size()},
-                       {"waiting", world.requests.waiting.size()}}},
+                       {"waiting", world.requests.due.size()}}},
                      {"claims",
                       {{"ready", world.claims.ready},
                        {"held", world.claims.table.size()},
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -54,9 +54,12 @@
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
       .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .link_bytes_per_second = settings.link_bytes_per_second,
       .max_claims = static_cast<std::size_t>(settings.max_claims),
       .claim_window = settings.claim_window,
       .claim_timeout = settings.claim_timeout};
+  world.requests.random.seed(
+      static_cast<std::uint32_t>(world.self.incarnation.value));
   return world;
 }
 
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -131,6 +131,7 @@
                  10'000'000),
       DurationField("callers", "max_deadline", &S::max_deadline,
                     milliseconds(1)),
+      BytesField("callers", "link_bytes_per_second", &S::link_bytes_per_second),
       CountField("claims", "max", &S::max_claims, 1, 10'000'000),
       DurationField("claims", "window", &S::claim_window, milliseconds(100)),
       DurationField("claims", "timeout", &S::claim_timeout, milliseconds(10)),
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -43,6 +43,8 @@
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
+  Bytes link_bytes_per_second{256 << 10};
+
   // [claims]
   std::int64_t max_claims = 200'000;
   Duration claim_window = std::chrono::hours(1);
--- a/chicorystep/systems/claims.cc
+++ b/chicorystep/systems/claims.cc
@@ -8,6 +8,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/claim_record.h"
+#include "chicorystep/systems/queues.h"
 #include "chicorystep/systems/request_end.h"
 
 namespace chicorystep {
@@ -78,7 +79,7 @@
     return;
   }
   request->claim = record.offset;
-  world.requests.waiting.push_back(request->exchange);
+  EnqueueRequest(world, *request, QueueEnd::kBack);
 }
 
 void LoseClaim(World& world,
--- /dev/null
+++ b/chicorystep/systems/executor_health.cc
@@ -0,0 +1,115 @@
+#include "chicorystep/systems/executor_health.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "chicorystep/core/logging.h"
+
+namespace chicorystep {
+namespace impl {
+
+inline constexpr std::int64_t kFailuresToEject = 3;
+inline constexpr Duration kFirstEjection = std::chrono::seconds(1);
+inline constexpr std::int64_t kMaxDoublings = 5;
+// Part of the ejection time by which executors differ, so that they are not
+// tried again together.
+inline constexpr std::size_t kJitterSteps = 256;
+inline constexpr Duration kShortestPause = std::chrono::milliseconds(1);
+inline constexpr Duration kLongestPause = std::chrono::milliseconds(100);
+// Answers for each unit of the limit before it grows by one.
+inline constexpr std::int64_t kAnswersToGrow = 4;
+// Weight of the newest run time is one in this many.
+inline constexpr std::int64_t kSmoothing = 8;
+inline constexpr Duration kRatePeriod = std::chrono::milliseconds(250);
+
+void Eject(Executor& executor, TimePoint now) {
+  const auto doublings = std::min(executor.ejections, kMaxDoublings);
+  const Duration time = kFirstEjection * (std::int64_t{1} << doublings);
+  const auto step = static_cast<std::int64_t>(
+      std::hash<ExecutorId>{}(executor.listed.id) % kJitterSteps);
+  executor.ejected_until =
+      now + time + time * step / (2 * static_cast<std::int64_t>(kJitterSteps));
+  ++executor.ejections;
+  // One more failure after the ejection ejects it again.
+  executor.failures = kFailuresToEject - 1;
+  Log(LogLevel::kWarn, "executor_ejected",
+      {{"executor", executor.listed.id.value},
+       {"ejections", executor.ejections}});
+}
+
+void ShrinkLimit(Executor& executor, Duration run_time, TimePoint now) {
+  executor.limit = std::max(Slots{1}, executor.in_flight);
+  executor.limit_found = true;
+  executor.answers_at_limit = 0;
+  executor.paused_until =
+      now + std::clamp(run_time / std::max<std::int64_t>(
+                                      1, executor.listed.slots.value),
+                       kShortestPause, kLongestPause);
+}
+
+void GrowLimit(Executor& executor) {
+  // The attempt that ended is no longer counted in flight.
+  if (executor.in_flight + Slots{1} < executor.limit) {
+    return;
+  }
+  ++executor.answers_at_limit;
+  const std::int64_t needed =
+      executor.limit_found ? kAnswersToGrow * executor.limit.value : 1;
+  if (executor.answers_at_limit >= needed &&
+      executor.limit < executor.listed.slots) {
+    executor.limit += Slots{1};
+    executor.answers_at_limit = 0;
+  }
+}
+
+}  // namespace impl
+
+void LearnFromAttempt(Executor& executor,
+                      const AttemptEnded& ended,
+                      Duration run_time,
+                      TimePoint now) {
+  executor.reported_busy = ended.reported_busy.value_or(executor.reported_busy);
+  switch (ended.result) {
+    case AttemptResult::kAnswered:
+      executor.failures = 0;
+      executor.ejections = 0;
+      impl::GrowLimit(executor);
+      return;
+    case AttemptResult::kRefused:
+      impl::ShrinkLimit(executor, run_time, now);
+      return;
+    case AttemptResult::kNotSent:
+    case AttemptResult::kLost:
+    case AttemptResult::kCutShort:
+    case AttemptResult::kMismatched:
+      break;
+  }
+  ++executor.failures;
+  if (executor.failures >= impl::kFailuresToEject &&
+      executor.ejected_until <= now) {
+    impl::Eject(executor, now);
+  }
+}
+
+void LearnRunTime(ServiceTraffic& service,
+                  const Kind& kind,
+                  Duration run_time,
+                  TimePoint now) {
+  RunTime& known = service.run_times[kind];
+  known.mean = known.samples == 0
+                   ? run_time
+                   : known.mean + (run_time - known.mean) / impl::kSmoothing;
+  ++known.samples;
+  known.last = now;
+  ++service.answers_in_period;
+  const Duration elapsed = now - service.period_start;
+  if (elapsed < impl::kRatePeriod) {
+    return;
+  }
+  service.answers_per_second = static_cast<double>(service.answers_in_period) /
+                               std::chrono::duration<double>(elapsed).count();
+  service.answers_in_period = 0;
+  service.period_start = now;
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/membership.cc
+++ b/chicorystep/systems/membership.cc
@@ -1,7 +1,11 @@
 #include "chicorystep/systems/membership.h"
 
+#include <algorithm>
+#include <iterator>
 #include <unordered_set>
 
+#include "chicorystep/systems/executor_choice.h"
+
 namespace chicorystep {
 namespace impl {
 
@@ -25,6 +29,15 @@
   }
 }
 
+// A new executor begins with an equal part of its slots, so that a starting
+// entry does not take them all.
+Executor NewExecutor(const ListedExecutor& executor, const InstanceList& list) {
+  const auto entries = std::max<std::int64_t>(1, std::ssize(list.entries));
+  const auto part = (executor.slots.value + entries - 1) / entries;
+  return Executor{.listed = executor,
+                  .limit = Slots(std::max<std::int64_t>(1, part))};
+}
+
 void ListExecutors(World& world, const InstanceList& list) {
   std::unordered_set<ExecutorId> listed;
   for (const ListedExecutor& executor : list.executors) {
@@ -33,7 +46,7 @@
       known->listed = executor;
     } else {
       world.requests.executors.insert(executor.id,
-                                      Executor{.listed = executor});
+                                      impl::NewExecutor(executor, list));
     }
   }
   world.requests.executors.EraseIf(
@@ -45,6 +58,7 @@
       executor.listed.state = InstanceState::kLeaving;
     }
   }
+  IndexExecutors(world);
 }
 
 }  // namespace impl
--- a/chicorystep/systems/request_end.cc
+++ b/chicorystep/systems/request_end.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/queues.h"
 
 namespace chicorystep {
 
@@ -14,6 +15,7 @@
   if (request == nullptr) {
     return;
   }
+  ForgetWaiting(world, *request);
   if (request->claim) {
     AppendClaimEnd(world, ClaimKey{request->workspace, request->id},
                    *request->claim,
--- /dev/null
+++ b/chicorystep/systems/retries.cc
@@ -0,0 +1,76 @@
+#include "chicorystep/systems/retries.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <utility>
+
+#include "chicorystep/systems/request_end.h"
+
+namespace chicorystep {
+namespace impl {
+
+inline constexpr RetryTokens kRetryCost{1000};
+// What a first attempt adds: a tenth of a retry.
+inline constexpr RetryTokens kEarned{100};
+inline constexpr RetryTokens kMostForProcess{10'000};
+inline constexpr RetryTokens kMostForExecutor{3000};
+// What a class leaves in the process's budget for the more urgent ones.
+inline constexpr std::array<RetryTokens, kPriorityCount> kReserved = {
+    RetryTokens{0}, RetryTokens{2000}, RetryTokens{5000}};
+
+}  // namespace impl
+
+void CountAttempt(Requests& requests,
+                  const Request& request,
+                  Executor& executor) {
+  if (request.attempts.value > 1) {
+    requests.retry_tokens -= impl::kRetryCost;
+    executor.retry_tokens -= impl::kRetryCost;
+    return;
+  }
+  requests.retry_tokens =
+      std::min(requests.retry_tokens + impl::kEarned, impl::kMostForProcess);
+  executor.retry_tokens =
+      std::min(executor.retry_tokens + impl::kEarned, impl::kMostForExecutor);
+}
+
+bool HasRetryTokens(const Executor& executor) noexcept {
+  return executor.retry_tokens >= impl::kRetryCost;
+}
+
+bool MayRetry(const Requests& requests,
+              const Request& request,
+              AttemptResult result) {
+  const bool certainly_not_run =
+      result == AttemptResult::kRefused || result == AttemptResult::kNotSent;
+  const RetryTokens needed =
+      impl::kRetryCost +
+      impl::kReserved[static_cast<std::size_t>(request.priority)];
+  return (certainly_not_run || request.idempotent) &&
+         std::cmp_less(request.attempts.value, request.max_attempts) &&
+         requests.retry_tokens >= needed;
+}
+
+Refusal DescribeFailure(const Request& request, AttemptResult result) {
+  const Execution execution = ExecutionOf(request);
+  switch (result) {
+    case AttemptResult::kCutShort:
+      return {execution, Reason::kAnswerCutShort, "the answer was cut short",
+              Duration{}};
+    case AttemptResult::kMismatched:
+      return {execution, Reason::kAnswerMismatched,
+              "the executor answered another request", Duration{}};
+    case AttemptResult::kRefused:
+      return {execution, Reason::kOverloaded, "the executors refused",
+              Duration{}};
+    case AttemptResult::kAnswered:
+    case AttemptResult::kNotSent:
+    case AttemptResult::kLost:
+      break;
+  }
+  return {execution, Reason::kExecutorFailed, "the executor failed",
+          Duration{}};
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/routing.cc
+++ b/chicorystep/systems/routing.cc
@@ -2,104 +2,47 @@
 
 #include <algorithm>
 #include <optional>
-#include <string>
 #include <utility>
-#include <vector>
 
-#include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/executor_choice.h"
+#include "chicorystep/systems/executor_health.h"
+#include "chicorystep/systems/queues.h"
 #include "chicorystep/systems/request_end.h"
-#include "chicorystep/systems/stopping.h"
+#include "chicorystep/systems/retries.h"
 
 namespace chicorystep {
 namespace impl {
 
-std::optional<Refusal> CheckArrival(const World& world,
-                                    const RequestArrived& arrived,
-                                    TimePoint now) {
-  const auto refuse = [](Reason reason, std::string detail) {
-    return Refusal{Execution::kNotRun, reason, std::move(detail), Duration{}};
-  };
-  if (!IsAccepting(world, now)) {
-    return refuse(Reason::kStopping, "this instance is stopping");
-  }
-  if (!world.config_ready) {
-    return refuse(Reason::kNotReady, "the tables have not been read yet");
-  }
-  const auto route = world.config.routes.find(arrived.kind);
-  if (route == world.config.routes.end()) {
-    return refuse(Reason::kUnknownKind, arrived.kind.value);
-  }
-  if (!world.config.pools.contains(
-          PoolKey{route->second.pool, arrived.workspace})) {
-    return refuse(Reason::kUnknownWorkspace, arrived.workspace.value);
-  }
-  if (arrived.size > route->second.max_request) {
-    return refuse(Reason::kTooLarge, "the body exceeds the route's limit");
-  }
-  if (world.requests.waiting.size() >= world.self.max_waiting_requests) {
-    return refuse(Reason::kOverloaded, "the queue is full");
-  }
-  if (!route->second.idempotent) {
-    return CheckClaim(world, ClaimKey{arrived.workspace, arrived.id});
-  }
-  return std::nullopt;
-}
+// Long kinds take at most this part of the slots that the process may use.
+inline constexpr std::int64_t kLongNumerator = 3;
+inline constexpr std::int64_t kLongDenominator = 4;
 
-// Lower is nearer: the same zone, then the same region, then elsewhere.
-int Distance(const Self& self, const ListedExecutor& executor) {
-  if (executor.zone == self.zone) {
-    return 0;
-  }
-  return executor.region == self.region ? 1 : 2;
+bool IsFarAway(const World& world, const Executor& executor) {
+  return executor.listed.region != world.self.region;
 }
 
-// The nearest executor of `service` with a free slot, among equals the one
-// with the fewest requests of this process; null when there is none.
-Executor* ChooseExecutor(World& world, const Service& service) {
-  Executor* best = nullptr;
-  std::pair<int, Slots> best_rank;
-  for (Executor& executor : world.requests.executors.rows) {
-    if (executor.listed.service != service ||
-        executor.listed.state != InstanceState::kLive ||
-        executor.in_flight >= executor.listed.slots) {
-      continue;
-    }
-    const std::pair rank(Distance(world.self, executor.listed),
-                         executor.in_flight);
-    if (best == nullptr || rank < best_rank) {
-      best = &executor;
-      best_rank = rank;
-    }
+// Takes the end of the attempt into the tables of executors and services.
+void SettleAttempt(World& world,
+                   Request& request,
+                   const AttemptEnded& ended,
+                   TimePoint now) {
+  ServiceTraffic& service = world.requests.services[request.service];
+  service.in_flight -= Slots{1};
+  service.long_in_flight -= Slots{request.long_running ? 1 : 0};
+  request.long_running = false;
+  if (ended.result == AttemptResult::kAnswered) {
+    LearnRunTime(service, request.kind, now - request.sent, now);
   }
-  return best;
-}
-
-bool MayRetry(const Request& request, AttemptResult result) {
-  const bool certainly_not_run =
-      result == AttemptResult::kRefused || result == AttemptResult::kNotSent;
-  return (certainly_not_run || request.idempotent) &&
-         std::cmp_less(request.attempts.value, request.max_attempts);
-}
-
-Refusal DescribeFailure(const Request& request, AttemptResult result) {
-  const Execution execution = ExecutionOf(request);
-  switch (result) {
-    case AttemptResult::kCutShort:
-      return {execution, Reason::kAnswerCutShort, "the answer was cut short",
-              Duration{}};
-    case AttemptResult::kMismatched:
-      return {execution, Reason::kAnswerMismatched,
-              "the executor answered another request", Duration{}};
-    case AttemptResult::kRefused:
-      return {execution, Reason::kOverloaded, "the executors refused",
-              Duration{}};
-    case AttemptResult::kAnswered:
-    case AttemptResult::kNotSent:
-    case AttemptResult::kLost:
-      break;
+  if (Executor* executor = world.requests.executors.find(request.executor)) {
+    executor->in_flight -= Slots{1};
+    LearnFromAttempt(*executor, ended,
+                     ExpectedRunTime(service, request.kind, now), now);
+    if (IsFarAway(world, *executor)) {
+      world.requests.link_allowance -= ended.answer_size;
+    }
   }
-  return {execution, Reason::kExecutorFailed, "the executor failed",
-          Duration{}};
+  request.last_result = ended.result;
+  request.last_executor = std::exchange(request.executor, ExecutorId{});
 }
 
 void EndAttempt(World& world,
@@ -107,87 +50,118 @@
                 TimePoint now,
                 Outbox& outbox) {
   Request* request = world.requests.table.find(ended.exchange);
-  if (request == nullptr || request->attempts != ended.attempt) {
+  if (request == nullptr || request->attempts != ended.attempt ||
+      request->executor.empty()) {
     return;
   }
-  if (Executor* executor = world.requests.executors.find(request->executor)) {
-    executor->in_flight -= Slots{1};
-    executor->reported_busy =
-        ended.reported_busy.value_or(executor->reported_busy);
-  }
-  request->executor = ExecutorId{};
+  SettleAttempt(world, *request, ended, now);
   if (ended.result == AttemptResult::kAnswered) {
     EndRequest(world, ended.exchange, std::nullopt, outbox);
     return;
   }
   request->may_have_run |= ended.result != AttemptResult::kRefused &&
                            ended.result != AttemptResult::kNotSent;
-  if (MayRetry(*request, ended.result) && now < request->deadline) {
-    world.requests.waiting.push_back(ended.exchange);
+  if (now < request->deadline &&
+      MayRetry(world.requests, *request, ended.result)) {
+    EnqueueRequest(world, *request, QueueEnd::kFront);
     return;
   }
   EndRequest(world, ended.exchange, DescribeFailure(*request, ended.result),
              outbox);
 }
 
-// Sends one waiting request if an executor is free.
-bool SendRequest(World& world,
-                 Request& request,
-                 TimePoint now,
-                 Outbox& outbox) {
-  const auto route = world.config.routes.find(request.kind);
-  if (route == world.config.routes.end()) {
-    return false;
-  }
-  Executor* executor = ChooseExecutor(world, route->second.service);
-  if (executor == nullptr) {
-    return false;
-  }
-  executor->in_flight += Slots{1};
-  request.executor = executor->listed.id;
+void Send(World& world,
+          ServiceTraffic& service,
+          Request& request,
+          Executor& executor,
+          TimePoint now,
+          Outbox& outbox) {
+  TakeRequest(world, service, request);
+  request.executor = executor.listed.id;
+  request.sent = now;
   request.attempts = Attempt(request.attempts.value + 1);
+  request.long_running = IsLongKind(service, request.kind);
+  service.in_flight += Slots{1};
+  service.long_in_flight += Slots{request.long_running ? 1 : 0};
+  executor.in_flight += Slots{1};
+  CountAttempt(world.requests, request, executor);
+  if (IsFarAway(world, executor)) {
+    world.requests.link_allowance -= request.size;
+  }
+  const auto route = world.config.routes.find(request.kind);
   outbox.attempts.push_back(
       SendAttempt{.exchange = request.exchange,
                   .attempt = request.attempts,
-                  .service = route->second.service,
-                  .address = executor->listed.address,
+                  .service = request.service,
+                  .address = executor.listed.address,
                   .timeout = request.deadline - now,
-                  .max_answer = route->second.max_answer});
-  return true;
+                  .max_answer = route == world.config.routes.end()
+                                    ? Bytes{}
+                                    : route->second.max_answer});
 }
 
-}  // namespace impl
+bool MaySendLong(const World& world, const ServiceTraffic& service) {
+  if (service.long_in_flight == Slots{0}) {
+    return true;
+  }
+  return service.long_in_flight.value * kLongDenominator <
+         std::max<std::int64_t>(
+             kLongDenominator,
+             ServiceLimit(world, service).value * kLongNumerator);
+}
+
+// A retry prefers another executor; it takes the same one rather than hold up
+// the queue.
+Executor* ChooseFor(World& world,
+                    ServiceTraffic& service,
+                    const Request& request,
+                    TimePoint now) {
+  if (request.attempts.value > 0) {
+    if (Executor* other =
+            ChooseExecutor(world, service, request, Eligibility::kRetry, now)) {
+      return other;
+    }
+  }
+  return ChooseExecutor(world, service, request, Eligibility::kAny, now);
+}
 
-void AdmitRequests(World& world,
-                   const Inbox& inbox,
-                   TimePoint now,
-                   Outbox& outbox) {
-  for (const RequestArrived& arrived : inbox.requests) {
-    if (auto refusal = impl::CheckArrival(world, arrived, now)) {
-      outbox.ended_exchanges.push_back(
-          EndExchange{arrived.exchange, std::move(refusal)});
+// Sends what it can of one service.
+void RouteService(World& world,
+                  ServiceTraffic& service,
+                  TimePoint now,
+                  Outbox& outbox) {
+  service.unblocked = kNever;
+  while (const auto next =
+             PeekRequest(world, service, MaySendLong(world, service))) {
+    Request& request = *world.requests.table.find(*next);
+    if (now + ExpectedRunTime(service, request.kind, now) > request.deadline) {
+      EndRequest(world, *next,
+                 Refusal{ExecutionOf(request), Reason::kDeadlineUnreachable,
+                         "too little time is left for the expected run time",
+                         Duration{}},
+                 outbox);
       continue;
     }
-    const Route& route = world.config.routes.at(arrived.kind);
-    const Request& request = world.requests.table.insert(
-        arrived.exchange,
-        Request{.exchange = arrived.exchange,
-                .id = arrived.id,
-                .workspace = arrived.workspace,
-                .kind = arrived.kind,
-                .priority = route.priority,
-                .idempotent = route.idempotent,
-                .max_attempts = route.max_attempts,
-                .arrived = now,
-                .deadline = now + arrived.deadline.value_or(route.deadline)});
-    if (request.idempotent) {
-      world.requests.waiting.push_back(arrived.exchange);
-    } else {
-      AppendClaim(world, request, now, outbox);
+    Executor* executor = ChooseFor(world, service, request, now);
+    if (executor == nullptr) {
+      return;
     }
+    if (request.attempts.value > 0 && !HasRetryTokens(*executor)) {
+      EndRequest(world, *next, DescribeFailure(request, request.last_result),
+                 outbox);
+      continue;
+    }
+    Send(world, service, request, *executor, now, outbox);
   }
 }
 
+bool HasWaiting(const ServiceTraffic& service) {
+  return std::any_of(service.classes.begin(), service.classes.end(),
+                     [](const ClassQueue& queue) { return queue.waiting > 0; });
+}
+
+}  // namespace impl
+
 void EndAttempts(World& world,
                  const Inbox& inbox,
                  TimePoint now,
@@ -198,42 +172,31 @@
 }
 
 void ExpireRequests(World& world, TimePoint now, Outbox& outbox) {
-  std::erase_if(world.requests.waiting, [&](ExchangeId exchange) {
-    const Request* request = world.requests.table.find(exchange);
-    if (request == nullptr) {
-      return true;
-    }
-    if (now < request->deadline) {
-      return false;
-    }
+  auto& due = world.requests.due;
+  while (!due.empty() && due.begin()->first <= now) {
+    const ExchangeId exchange = due.begin()->second;
+    const Request& request = *world.requests.table.find(exchange);
     EndRequest(world, exchange,
-               Refusal{ExecutionOf(*request), Reason::kDeadlinePassed,
+               Refusal{ExecutionOf(request), Reason::kDeadlinePassed,
                        "no executor was free before the deadline", Duration{}},
                outbox);
-    return true;
-  });
+  }
 }
 
 void RouteRequests(World& world, TimePoint now, Outbox& outbox) {
-  if (world.requests.waiting.empty()) {
-    return;
+  for (auto& [name, service] : world.requests.services) {
+    if (impl::HasWaiting(service)) {
+      impl::RouteService(world, service, now, outbox);
+    }
   }
-  std::stable_sort(world.requests.waiting.begin(), world.requests.waiting.end(),
-                   [&](ExchangeId a, ExchangeId b) {
-                     return world.requests.table.find(a)->priority <
-                            world.requests.table.find(b)->priority;
-                   });
-  std::erase_if(world.requests.waiting, [&](ExchangeId exchange) {
-    return impl::SendRequest(world, *world.requests.table.find(exchange), now,
-                             outbox);
-  });
 }
 
 TimePoint NextRequestDue(const World& world) {
-  TimePoint due = kNever;
-  for (const ExchangeId exchange : world.requests.waiting) {
-    if (const Request* request = world.requests.table.find(exchange)) {
-      due = std::min(due, request->deadline);
+  TimePoint due =
+      world.requests.due.empty() ? kNever : world.requests.due.begin()->first;
+  for (const auto& [name, service] : world.requests.services) {
+    if (impl::HasWaiting(service)) {
+      due = std::min(due, service.unblocked);
     }
   }
   return due;
--- a/chicorystep/systems/routing.h
+++ b/chicorystep/systems/routing.h
@@ -5,12 +5,6 @@
 
 namespace chicorystep {
 
-// Takes new requests in, or refuses them as not run.
-void AdmitRequests(World& world,
-                   const Inbox& inbox,
-                   TimePoint now,
-                   Outbox& outbox);
-
 // Ends requests whose attempt gave the answer; puts those that may be retried
 // back among the waiting.
 void EndAttempts(World& world,
@@ -24,7 +18,7 @@
 // Sends waiting requests to executors with a free slot, urgent ones first.
 void RouteRequests(World& world, TimePoint now, Outbox& outbox);
 
-// When the first waiting request expires.
+// When the first waiting request expires or may be sent again.
 [[nodiscard]] TimePoint NextRequestDue(const World& world);
 
 }  // namespace chicorystep
--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -130,7 +130,8 @@
             AttemptEnded{.exchange = exchange.id,
                          .attempt = send->attempt,
                          .result = answer.result,
-                         .reported_busy = answer.reported_busy});
+                         .reported_busy = answer.reported_busy,
+                         .answer_size = Bytes(std::ssize(answer.body))});
       });
     } else if (const auto* end = std::get_if<EndExchange>(&*next)) {
       if (end->refusal) {
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -9,6 +9,7 @@
 #include "chicorystep/control/tick.h"
 #include "chicorystep/encoding/claim_record.h"
 #include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/executor_choice.h"
 
 namespace chicorystep {
 namespace {
@@ -139,7 +140,9 @@
                                             .zone = Zone("z1"),
                                             .region = Region("r1"),
                                             .service = Service("crews"),
-                                            .slots = Slots(8)}});
+                                            .slots = Slots(8)},
+                                 .limit = Slots(8)});
+  IndexExecutors(world);
   return world;
 }
 
