Merge admission, claims and budgets of requests

Kept from both sides: the synchronised configuration of the state part and the claims of the requests part; the claims stream is followed from offset 0.

--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "chicorystep/systems/admission.h"
 #include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/systems/config_publish.h"
 #include "chicorystep/systems/config_sync.h"
 #include "chicorystep/systems/gangs.h"
@@ -23,6 +25,8 @@
   PublishConfigRecords(world, inbox, now, outbox);
 
   EndAttempts(world, inbox, now, outbox);
+  ApplyClaimBatches(world, inbox, now, outbox);
+  ExpireClaims(world, inbox, now, outbox);
   AdmitRequests(world, inbox, now, outbox);
   ExpireRequests(world, now, outbox);
   RouteRequests(world, now, outbox);
@@ -41,7 +45,8 @@
 
 TimePoint NextDue(const World& world, TimePoint now) {
   return std::min({world.members.next_heartbeat, NextRequestDue(world),
-                   NextPollDue(world), NextStopDue(world, now)});
+                   NextClaimDue(world), NextPollDue(world),
+                   NextStopDue(world, now)});
 }
 
 }  // namespace chicorystep
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,6 +19,7 @@
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
@@ -55,7 +56,13 @@
           static_cast<std::size_t>(settings.max_waiting_requests),
       .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
       .job_limits = {.max_pieces = settings.max_pieces,
-                     .max_command = settings.max_command}};
+                     .max_command = settings.max_command},
+      .link_bytes_per_second = settings.link_bytes_per_second,
+      .max_claims = static_cast<std::size_t>(settings.max_claims),
+      .claim_window = settings.claim_window,
+      .claim_timeout = settings.claim_timeout};
+  world.requests.random.seed(
+      static_cast<std::uint32_t>(world.self.incarnation.value));
   return world;
 }
 
@@ -181,6 +188,7 @@
                   inbox.log_read_states.push_back(std::move(state));
                 });
               }});
+  process.log->Follow(FollowStream{ClaimStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
       [&control](WorkerAnswered answered) {
