--- /dev/null
+++ b/tests/support/fakes.h
@@ -0,0 +1,484 @@
+#ifndef TESTS_SUPPORT_FAKES_H_
+#define TESTS_SUPPORT_FAKES_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "chicorystep/control/tick.h"
+#include "chicorystep/encoding/edit_record.h"
+#include "chicorystep/settings/table_files.h"
+#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/job_records.h"
+#include "proof/check.h"
+#include "proof/recorder.h"
+
+// Several control states and the messages between them and small fakes of the
+// log, executors and workers, for schedules that choose what is delivered.
+namespace chicorystep::testing {
+
+inline constexpr std::size_t kNodes = 3;
+inline constexpr std::size_t kFakeWorkers = 3;
+inline constexpr Duration kFakeLeaseTime = std::chrono::seconds(2);
+
+// One entry process; `life` tells its restarts apart.
+struct Node {
+  World world;
+  Inbox inbox;
+  std::uint64_t life = 0;
+  TimePoint started{};
+  std::map<Stream, Offset> follows;
+};
+
+// A message on its way from a life of a node.
+template <typename Message>
+struct Flight {
+  std::size_t node = 0;
+  std::uint64_t life = 0;
+  Message message;
+};
+
+struct FakeLease {
+  WorkerCommand command;
+  PieceState state = PieceState::kReserved;
+  TimePoint lapses{};
+  TimePoint done = kNever;
+};
+
+struct FakeWorker {
+  Epoch epoch;
+  std::map<LeaseId, FakeLease> leases;
+};
+
+struct Fakes {
+  TimePoint now{std::chrono::seconds(1)};
+  std::vector<Node> nodes{kNodes};
+  std::map<Stream, std::vector<LogRecord>> log;
+  std::map<WorkerId, FakeWorker> workers;
+  std::vector<Flight<AppendRecord>> appends;
+  std::vector<Flight<SendAttempt>> attempts;
+  std::vector<Flight<SendWorkerCommands>> commands;
+  // Sent, given up by the sender, and still to arrive.
+  std::vector<Flight<SendWorkerCommands>> late_commands;
+  std::vector<Flight<SendHeartbeat>> heartbeats;
+  std::vector<Flight<ForwardJobOperation>> forwards;
+  // The caller's request of each exchange.
+  std::map<ExchangeId, RequestId> exchanges;
+  std::uint64_t ids = 0;
+  proof::History history;
+};
+
+inline EntryId NodeName(std::size_t node) {
+  return EntryId("entry-" + std::to_string(node));
+}
+
+inline InstanceList FakeList() {
+  InstanceList list;
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    list.entries.push_back(ListedEntry{.id = NodeName(i),
+                                       .address = Address(NodeName(i).value),
+                                       .zone = Zone("z1"),
+                                       .region = Region("r1")});
+  }
+  list.executors.push_back(ListedExecutor{.id = ExecutorId("executor-0"),
+                                          .address = Address("executor-0"),
+                                          .zone = Zone("z1"),
+                                          .region = Region("r1"),
+                                          .service = Service("echo"),
+                                          .slots = Slots{8},
+                                          .connections = Connections{64}});
+  for (std::size_t i = 0; i < kFakeWorkers; ++i) {
+    list.workers.push_back(
+        ListedWorker{.id = WorkerId("worker-" + std::to_string(i)),
+                     .address = Address("worker-" + std::to_string(i)),
+                     .zone = Zone("z1"),
+                     .rack = Rack("rack-0"),
+                     .accelerators = Accelerators{8},
+                     .processors = Millicores{32'000},
+                     .memory = Mebibytes{65'536}});
+  }
+  return list;
+}
+
+// Starts, or starts again, a node that keeps nothing.
+inline void StartNode(Fakes& fakes, std::size_t index) {
+  Node& node = fakes.nodes[index];
+  const std::uint64_t life = node.life + 1;
+  node = Node{};
+  node.life = life;
+  node.started = fakes.now;
+  node.follows.emplace(ConfigStream(), Offset{});
+  node.world.self = Self{.id = NodeName(index),
+                         .incarnation = Incarnation(life),
+                         .zone = Zone("z1"),
+                         .region = Region("r1"),
+                         .heartbeat_interval = std::chrono::milliseconds(100),
+                         .member_timeout = std::chrono::seconds(1),
+                         .lease_time = kFakeLeaseTime,
+                         .worker_poll_interval = std::chrono::milliseconds(200),
+                         .announce_time = std::chrono::seconds(1),
+                         .drain_time = std::chrono::seconds(10),
+                         .max_waiting_requests = 100,
+                         .max_waiting_jobs = 100};
+  node.inbox.instance_lists.push_back(FakeList());
+}
+
+// Takes messages of one kind out of an outbox.
+template <typename Message>
+void Send(const Fakes& fakes,
+          std::size_t node,
+          std::vector<Message>& from,
+          std::vector<Flight<Message>>& to) {
+  for (Message& message : from) {
+    to.push_back({node, fakes.nodes[node].life, std::move(message)});
+  }
+}
+
+inline void RecordEnds(Fakes& fakes, const Outbox& outbox) {
+  for (const EndExchange& end : outbox.ended_exchanges) {
+    proof::CallEnded ended{.at = fakes.now,
+                           .call = proof::CallId(end.exchange.value),
+                           .outcome = proof::CallOutcome::kAnswered};
+    if (end.refusal) {
+      ended.outcome = end.refusal->execution == Execution::kNotRun
+                          ? proof::CallOutcome::kNotRun
+                          : proof::CallOutcome::kUnknown;
+    }
+    fakes.history.calls_ended.push_back(ended);
+  }
+}
+
+// Runs one tick of a node over what was delivered to it.
+inline void TickNode(Fakes& fakes, std::size_t index) {
+  Node& node = fakes.nodes[index];
+  const Inbox inbox = std::exchange(node.inbox, Inbox{});
+  Outbox outbox = Tick(node.world, inbox, TimePoint(fakes.now - node.started));
+  for (const UnfollowStream& row : outbox.unfollows) {
+    node.follows.erase(row.stream);
+  }
+  for (const FollowStream& row : outbox.follows) {
+    node.follows[row.stream] = row.from;
+  }
+  Send(fakes, index, outbox.appends, fakes.appends);
+  Send(fakes, index, outbox.attempts, fakes.attempts);
+  Send(fakes, index, outbox.worker_commands, fakes.commands);
+  Send(fakes, index, outbox.heartbeats, fakes.heartbeats);
+  Send(fakes, index, outbox.forwards, fakes.forwards);
+  RecordEnds(fakes, outbox);
+  if (node.world.config_ready) {
+    fakes.history.revisions.push_back(
+        {fakes.now, NodeName(index), node.world.config.revision,
+         proof::DigestOf(WriteTables(node.world.config))});
+  }
+}
+
+// Delivers what the node has not read of each stream that it follows.
+inline void ReadLog(Fakes& fakes, std::size_t index) {
+  Node& node = fakes.nodes[index];
+  for (auto& [stream, next] : node.follows) {
+    const std::vector<LogRecord>& records = fakes.log[stream];
+    LogBatch batch{.stream = stream};
+    for (std::size_t i = next.value; i < records.size(); ++i) {
+      batch.records.push_back(records[i]);
+    }
+    next = Offset(std::max(next.value, records.size()));
+    batch.next = next;
+    node.inbox.log_batches.push_back(std::move(batch));
+  }
+}
+
+inline void AppendToLog(Fakes& fakes, const AppendRecord& append) {
+  std::vector<LogRecord>& records = fakes.log[append.stream];
+  records.push_back(LogRecord{Offset(records.size()), append.id, append.data});
+}
+
+// Removes and returns the message `pick` of those of `node`; false when it has
+// none.
+template <typename Message>
+bool TakeFlight(std::vector<Flight<Message>>& flights,
+                std::size_t node,
+                std::size_t pick,
+                Flight<Message>& taken) {
+  std::vector<std::size_t> own;
+  for (std::size_t i = 0; i < flights.size(); ++i) {
+    if (flights[i].node == node) {
+      own.push_back(i);
+    }
+  }
+  if (own.empty()) {
+    return false;
+  }
+  const std::size_t place = own[pick % own.size()];
+  taken = std::move(flights[place]);
+  flights.erase(flights.begin() + static_cast<std::ptrdiff_t>(place));
+  return true;
+}
+
+// The inbox that an answer reaches; null when its node has restarted since.
+template <typename Message>
+Inbox* InboxOf(Fakes& fakes, const Flight<Message>& flight) {
+  Node& node = fakes.nodes[flight.node];
+  return node.life == flight.life ? &node.inbox : nullptr;
+}
+
+inline void EndAppend(Fakes& fakes,
+                      const Flight<AppendRecord>& flight,
+                      bool kept,
+                      bool acknowledged) {
+  if (kept) {
+    AppendToLog(fakes, flight.message);
+  }
+  if (Inbox* inbox = InboxOf(fakes, flight)) {
+    inbox->appends_ended.push_back(
+        {flight.message.stream, flight.message.id, acknowledged});
+  }
+}
+
+inline void EndAttempt(Fakes& fakes,
+                       const Flight<SendAttempt>& flight,
+                       bool executes,
+                       AttemptResult result) {
+  if (executes) {
+    fakes.history.executed.push_back(
+        {fakes.now, proof::TargetId("executor-0"),
+         fakes.exchanges.at(flight.message.exchange)});
+  }
+  if (Inbox* inbox = InboxOf(fakes, flight)) {
+    inbox->attempts_ended.push_back({.exchange = flight.message.exchange,
+                                     .attempt = flight.message.attempt,
+                                     .result = result});
+  }
+}
+
+// "job/try/piece"
+inline proof::Try TryOf(const LeaseId& lease) {
+  const std::size_t last = lease.value.rfind('/');
+  const std::size_t first = lease.value.rfind('/', last - 1);
+  return proof::Try(static_cast<std::uint32_t>(
+      std::stoul(lease.value.substr(first + 1, last - first - 1))));
+}
+
+inline void RecordStop(Fakes& fakes,
+                       const WorkerId& worker,
+                       const FakeLease& lease,
+                       TimePoint at,
+                       bool done) {
+  fakes.history.pieces_stopped.push_back(
+      {at, proof::TargetId(worker.value), lease.command.job,
+       TryOf(lease.command.lease), lease.command.piece, done});
+}
+
+// Ends tasks and leases that are due at the worker.
+inline void PassWorkerTime(Fakes& fakes, const WorkerId& id) {
+  FakeWorker& worker = fakes.workers[id];
+  for (auto& [lease_id, lease] : worker.leases) {
+    if (lease.state == PieceState::kRunning && fakes.now >= lease.done &&
+        lease.done <= lease.lapses) {
+      lease.state = PieceState::kDone;
+      RecordStop(fakes, id, lease, lease.done, true);
+    }
+    if (lease.state == PieceState::kRunning && fakes.now >= lease.lapses) {
+      RecordStop(fakes, id, lease, lease.lapses, false);
+    }
+  }
+  std::erase_if(worker.leases, [&](const auto& entry) {
+    return fakes.now >= entry.second.lapses;
+  });
+}
+
+inline void CarryOut(Fakes& fakes,
+                     const WorkerId& id,
+                     const WorkerCommand& command) {
+  constexpr Duration kRunTime = std::chrono::seconds(3);
+  constexpr std::int64_t kAccelerators = 8;
+  FakeWorker& worker = fakes.workers[id];
+  const auto found = worker.leases.find(command.lease);
+  if (command.kind == WorkerCommandKind::kReserve) {
+    Accelerators used = command.accelerators;
+    for (const auto& [lease_id, lease] : worker.leases) {
+      used += lease.command.accelerators;
+    }
+    if (found == worker.leases.end() && used <= Accelerators{kAccelerators}) {
+      worker.leases.emplace(
+          command.lease,
+          FakeLease{.command = command, .lapses = fakes.now + kFakeLeaseTime});
+    }
+  } else if (found == worker.leases.end()) {
+    return;
+  } else if (command.kind != WorkerCommandKind::kStart) {
+    if (found->second.state == PieceState::kRunning) {
+      RecordStop(fakes, id, found->second, fakes.now, false);
+    }
+    worker.leases.erase(found);
+  } else if (found->second.state == PieceState::kReserved) {
+    found->second.state = PieceState::kRunning;
+    found->second.done = fakes.now + kRunTime;
+    fakes.history.pieces_started.push_back(
+        {fakes.now, proof::TargetId(id.value), command.job,
+         TryOf(command.lease), command.piece});
+  }
+}
+
+// Lets the worker obey one message; its answer.
+inline WorkerAnswered Obey(Fakes& fakes, const SendWorkerCommands& message) {
+  WorkerAnswered answer{.worker = message.worker,
+                        .zone = message.zone,
+                        .epoch = message.epoch,
+                        .answered = true};
+  FakeWorker& worker = fakes.workers[message.worker];
+  PassWorkerTime(fakes, message.worker);
+  if (message.epoch < worker.epoch) {
+    answer.stale_epoch = true;
+    return answer;
+  }
+  worker.epoch = message.epoch;
+  for (auto& [id, lease] : worker.leases) {
+    lease.lapses = fakes.now + message.lease_time;
+  }
+  for (const WorkerCommand& command : message.commands) {
+    CarryOut(fakes, message.worker, command);
+  }
+  for (const auto& [id, lease] : worker.leases) {
+    answer.leases.push_back(
+        {id, lease.command.job, lease.command.piece, lease.state});
+  }
+  return answer;
+}
+
+inline void EndCommands(Fakes& fakes,
+                        const Flight<SendWorkerCommands>& flight,
+                        bool arrives,
+                        bool answered) {
+  WorkerAnswered answer{.worker = flight.message.worker,
+                        .zone = flight.message.zone,
+                        .epoch = flight.message.epoch};
+  if (arrives) {
+    const WorkerAnswered real = Obey(fakes, flight.message);
+    answer = answered ? real : answer;
+  }
+  if (Inbox* inbox = InboxOf(fakes, flight)) {
+    inbox->worker_answers.push_back(std::move(answer));
+  }
+}
+
+// The node that listens at `address`.
+inline std::size_t NodeAt(const Address& address) {
+  return static_cast<std::size_t>(address.value.back() - '0');
+}
+
+// Delivers everything that is on its way, as a quiet network does.
+inline void DeliverAll(Fakes& fakes) {
+  for (const auto& flight : std::exchange(fakes.appends, {})) {
+    EndAppend(fakes, flight, true, true);
+  }
+  for (const auto& flight : std::exchange(fakes.attempts, {})) {
+    EndAttempt(fakes, flight, true, AttemptResult::kAnswered);
+  }
+  for (const auto& flight : std::exchange(fakes.commands, {})) {
+    EndCommands(fakes, flight, true, true);
+  }
+  for (auto& flight : std::exchange(fakes.heartbeats, {})) {
+    fakes.nodes[NodeAt(flight.message.address)].inbox.heartbeats.push_back(
+        flight.message.heartbeat);
+  }
+  for (auto& flight : std::exchange(fakes.forwards, {})) {
+    flight.message.operation.forwarded = true;
+    fakes.nodes[NodeAt(flight.message.address)].inbox.job_operations.push_back(
+        flight.message.operation);
+  }
+}
+
+// Lets `time` pass with everything delivered.
+inline void RunQuietly(Fakes& fakes, Duration time) {
+  constexpr Duration kRound = std::chrono::milliseconds(50);
+  for (const TimePoint end = fakes.now + time; fakes.now < end;
+       fakes.now += kRound) {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      ReadLog(fakes, node);
+      TickNode(fakes, node);
+    }
+    DeliverAll(fakes);
+  }
+}
+
+// Appends an edit of one row, made against revision `base`, as an operator
+// does, who then reads the log to learn whether it was accepted.
+inline void PublishFakeEdit(Fakes& fakes, std::uint64_t weight, bool stale) {
+  Config current;
+  Config before;
+  for (const LogRecord& record : fakes.log[ConfigStream()]) {
+    before = current;
+    (void)ApplyConfigRecord(current, record);
+  }
+  Config wanted = current;
+  for (auto& [key, pool] : wanted.pools) {
+    pool.weight = Weight(static_cast<std::int64_t>(weight));
+  }
+  const Edit edit = DiffConfig(stale ? before : current, wanted);
+  const RecordId id("edit-" + std::to_string(++fakes.ids));
+  AppendToLog(fakes, AppendRecord{ConfigStream(), id, EncodeEdit(edit)});
+  const LogRecord record = fakes.log[ConfigStream()].back();
+  if (const auto verdict = ApplyConfigRecord(current, record)) {
+    fakes.history.edits.push_back({fakes.now, verdict.value()});
+  }
+}
+
+inline void SendFakeRequest(Fakes& fakes,
+                            std::size_t node,
+                            bool idempotent,
+                            std::size_t name) {
+  const ExchangeId exchange(++fakes.ids);
+  const RequestId id((idempotent ? "e" : "d") + std::to_string(name));
+  fakes.exchanges.emplace(exchange, id);
+  fakes.history.calls_begun.push_back({.at = fakes.now,
+                                       .call = proof::CallId(exchange.value),
+                                       .request = id,
+                                       .entry = NodeName(node),
+                                       .idempotent = idempotent});
+  fakes.nodes[node].inbox.requests.push_back(
+      {.exchange = exchange,
+       .id = id,
+       .workspace = Workspace("w1"),
+       .kind = Kind(idempotent ? "echo" : "dispatch"),
+       .size = Bytes{1}});
+}
+
+inline void SubmitFakeJob(Fakes& fakes, std::size_t node, std::size_t name) {
+  JobOperation operation{.exchange = ExchangeId(++fakes.ids),
+                         .kind = JobOperationKind::kSubmit};
+  operation.spec.request_id = RequestId("j" + std::to_string(name));
+  operation.spec.workspace = Workspace("w1");
+  operation.spec.kind = Kind("train");
+  operation.spec.shape = Shape{.pieces = 2,
+                               .accelerators = Accelerators{8},
+                               .processors = Millicores{1000},
+                               .memory = Mebibytes{1024},
+                               .adjacency = Adjacency::kRack};
+  fakes.history.jobs.push_back({fakes.now,
+                                MakeJobId(Zone("z1"), operation.spec.workspace,
+                                          operation.spec.request_id),
+                                2, false});
+  fakes.nodes[node].inbox.job_operations.push_back(std::move(operation));
+}
+
+// Nodes that have read `tables`, know one another and hold the cell.
+inline Fakes MakeFakes(const std::string& tables) {
+  Fakes fakes;
+  const auto document = ParseIni(tables, "tables");
+  const Edit edit = DiffConfig(Config{}, ReadTables(document.value()).value());
+  AppendToLog(fakes, AppendRecord{ConfigStream(), RecordId("edit-0"),
+                                  EncodeEdit(edit)});
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    StartNode(fakes, node);
+  }
+  RunQuietly(fakes, std::chrono::seconds(4));
+  return fakes;
+}
+
+}  // namespace chicorystep::testing
+
+#endif  // TESTS_SUPPORT_FAKES_H_
