Let the tests of claims and routing tick a world that is ready

Cause: the merge brought SyncConfig into the tick, which decides readiness itself; the tests set only the flag it overwrites, and one jumped over the whole claim window, which now counts as a pause. Change: MakeConfigReady in tests/support, and the window is passed in steps.

--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -10,6 +10,7 @@
 #include "chicorystep/encoding/claim_record.h"
 #include "chicorystep/systems/claims.h"
 #include "chicorystep/systems/executor_choice.h"
+#include "tests/support/ready_config.h"
 
 namespace chicorystep {
 namespace {
@@ -124,7 +125,7 @@
                     .max_claims = 4,
                     .claim_window = kWindow,
                     .claim_timeout = seconds(2)};
-  world.config_ready = true;
+  testing::MakeConfigReady(world);
   world.claims.ready = true;
   world.config.routes[Kind("dispatch")] = Route{.kind = Kind("dispatch"),
                                                 .service = Service("crews"),
@@ -297,7 +298,10 @@
   const Outbox full = Tick(world, Arrival(9, "r9"), kStart);
   BOOST_REQUIRE_EQUAL(full.ended_exchanges.size(), 1U);
   BOOST_TEST((full.ended_exchanges[0].refusal->reason == Reason::kOverloaded));
-  (void)Tick(world, Inbox{}, kStart + kWindow);
+  // In steps, as a longer gap between ticks counts as a pause of the process.
+  for (TimePoint now = kStart; now <= kStart + kWindow; now += seconds(1)) {
+    (void)Tick(world, Inbox{}, now);
+  }
   BOOST_TEST(world.claims.table.empty());
   const Outbox open = Tick(world, Arrival(10, "r10"), kStart + kWindow);
   BOOST_TEST(open.appends.size() == 1U);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -9,6 +9,7 @@
 #include "chicorystep/control/tick.h"
 #include "chicorystep/systems/executor_choice.h"
 #include "chicorystep/systems/queues.h"
+#include "tests/support/ready_config.h"
 
 namespace chicorystep {
 namespace {
@@ -40,7 +41,7 @@
                             .max_waiting_requests = 8,
                             .link_bytes_per_second = Bytes(1000),
                             .max_claims = 100};
-    this->world.config_ready = true;
+    testing::MakeConfigReady(this->world);
     this->AddRoute("dispatch", Priority::kUrgent);
     this->AddRoute("verify", Priority::kNormal);
     this->AddRoute("match", Priority::kBulk);
