Let chicorystepctl wait, show history and roll back; test state under failure

Ruled out: asking each entry for its revision (the command line knows one admin address); that entry's members tell what each has confirmed.

--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -26,16 +26,27 @@
   }
   return {{"revision", config.revision.value},
           {"next_offset", config.next.value},
+          {"snapshot_next", config.snapshot_next.value},
           {"routes", std::move(routes)},
           {"pools", std::move(pools)}};
 }
 
+Json DumpConfigSync(const ConfigSync& sync) {
+  return {{"based", sync.based},
+          {"caught_up", sync.caught_up},
+          {"reads_log", sync.follows_log},
+          {"log_failing", sync.log_failing},
+          {"shown_offset", sync.shown.value},
+          {"recent_records", sync.recent.size()}};
+}
+
 Json DumpMembers(const World& world, TimePoint now) {
   Json members = Json::array();
   for (const Member& member : world.members.table.rows) {
     Json row = {{"id", member.id.value},
                 {"address", member.address.value},
                 {"zone", member.zone.value},
+                {"region", member.region.value},
                 {"alive", IsAlive(member, world.self, now)},
                 {"listed", member.listed},
                 {"stopping", member.stopping},
@@ -113,6 +124,7 @@
                      {"stopping", world.stopping},
                      {"up_ms", impl::Milliseconds(now.time_since_epoch())},
                      {"config", impl::DumpConfig(world.config)},
+                     {"config_sync", impl::DumpConfigSync(world.config_sync)},
                      {"members", impl::DumpMembers(world, now)},
                      {"executors", impl::DumpExecutors(world.requests)},
                      {"requests",
--- /dev/null
+++ b/chicorystep/platform/config_reader.cc
@@ -0,0 +1,81 @@
+#include "chicorystep/platform/config_reader.h"
+
+#include <utility>
+
+#include "chicorystep/encoding/config_snapshot.h"
+#include "chicorystep/systems/config_stream.h"
+
+namespace chicorystep {
+namespace impl {
+
+// The oldest offset of `stream` that is kept.
+Result<Offset, LogError> FirstKept(const LogServiceOptions& options,
+                                   const Stream& stream) {
+  auto answer = ReadOnce(options, stream, Offset{}, Duration{});
+  if (answer) {
+    return answer.value().first;
+  }
+  if (answer.error().code == LogErrorCode::kExpired) {
+    return answer.error().first;
+  }
+  return failure(answer.error());
+}
+
+bool IsUsable(const Result<Config, EncodingError>& snapshot,
+              Offset first,
+              Offset limit) {
+  return snapshot && snapshot.value().next >= first &&
+         snapshot.value().next <= limit;
+}
+
+}  // namespace impl
+
+Result<Config, LogError> ReadConfigBase(const LogServiceOptions& options,
+                                        Offset limit) {
+  BOOST_OUTCOME_TRY(first, impl::FirstKept(options, ConfigStream()));
+  if (first == Offset{}) {
+    return Config{};
+  }
+  Config base;
+  BOOST_OUTCOME_TRY(next, impl::FirstKept(options, SnapshotStream()));
+  while (true) {
+    BOOST_OUTCOME_TRY(answer,
+                      ReadOnce(options, SnapshotStream(), next, Duration{}));
+    if (answer.records.empty()) {
+      break;
+    }
+    for (const LogRecord& record : answer.records) {
+      auto snapshot = DecodeSnapshot(record.data);
+      if (impl::IsUsable(snapshot, first, limit) &&
+          snapshot.value().next > base.next) {
+        base = std::move(snapshot.value());
+      }
+    }
+    next = answer.next;
+  }
+  if (base.next == Offset{}) {
+    return failure(LogError{LogErrorCode::kExpired, first});
+  }
+  return base;
+}
+
+Result<void, LogError> ReplayConfig(const LogServiceOptions& options,
+                                    Offset limit,
+                                    Config& config,
+                                    const ConfigVisitor& visit) {
+  while (config.next < limit) {
+    BOOST_OUTCOME_TRY(
+        answer, ReadOnce(options, ConfigStream(), config.next, Duration{}));
+    if (answer.records.empty()) {
+      break;
+    }
+    for (const LogRecord& record : answer.records) {
+      if (record.offset < limit) {
+        visit(record, ApplyConfigRecord(config, record));
+      }
+    }
+  }
+  return success();
+}
+
+}  // namespace chicorystep
--- a/chicorystep/programs/ctl_commands.h
+++ b/chicorystep/programs/ctl_commands.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "chicorystep/core/ids.h"
+
 namespace chicorystep {
 
 // Exit codes of chicorystepctl.
@@ -24,10 +26,16 @@
 
 [[nodiscard]] cxxopts::Options MakeCtlOptions();
 
+// Waits until every entry process has confirmed `revision`, and reports where
+// it is in force and which processes have not confirmed.
+int WaitUntilInForce(const CtlArguments& arguments, Revision revision);
+
 // Each runs one command and returns the exit code.
 int RunCheck(const CtlArguments& arguments);
 int RunPublish(const CtlArguments& arguments);
 int RunShow(const CtlArguments& arguments);
+int RunHistory(const CtlArguments& arguments);
+int RunRollback(const CtlArguments& arguments);
 int RunRequest(const CtlArguments& arguments);
 int RunSubmit(const CtlArguments& arguments);
 int RunJob(const CtlArguments& arguments);
--- a/chicorystep/programs/ctl_options.cc
+++ b/chicorystep/programs/ctl_options.cc
@@ -19,6 +19,9 @@
   add("author", "publish: who makes the edit",
       value<std::string>()->default_value("operator"), "NAME");
   add("dry-run", "publish: only show what would change");
+  add("wait", "publish: wait until it is in force at every entry process");
+  add("wait-ms", "publish: how long to wait",
+      value<std::int64_t>()->default_value("10000"), "MS");
   add("workspace", "The workspace to act for", value<std::string>(), "NAME");
   add("id", "The request id; a repeat with the same id is safe",
       value<std::string>(), "ID");
--- a/chicorystep/programs/ctl_tables.cc
+++ b/chicorystep/programs/ctl_tables.cc
@@ -1,20 +1,26 @@
-// The commands on the two tables: check, publish and show.
+// The commands on the two tables: check, publish, show, history and rollback.
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <chrono>
+#include <cstdio>
+#include <limits>
 #include <optional>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "chicorystep/encoding/edit_record.h"
+#include "chicorystep/platform/backoff.h"
+#include "chicorystep/platform/config_reader.h"
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/programs/ctl_commands.h"
 #include "chicorystep/settings/entry_settings.h"
 #include "chicorystep/settings/table_files.h"
+#include "chicorystep/settings/values.h"
 #include "chicorystep/systems/config_edits.h"
 #include "chicorystep/systems/config_stream.h"
 
@@ -31,36 +37,21 @@
   return kCtlUnreachable;
 }
 
+// Beyond every offset.
+constexpr Offset kNoLimit(std::numeric_limits<std::uint64_t>::max());
+
 void PrintFaults(const std::vector<SettingsFault>& faults) {
   for (const SettingsFault& fault : faults) {
     fmt::print(stderr, "{}\n", ToString(fault));
   }
 }
 
-// The tables as the log gives them, and what became of one record.
-struct ConfigReading {
-  Config config;
-  std::optional<Result<Revision, EditError>> verdict;
-};
-
-// Reads the configuration stream to its end; notes the verdict on the first
-// record with id `watched`.
-Result<ConfigReading, LogError> ReadConfig(const LogServiceOptions& options,
-                                           const RecordId& watched) {
-  ConfigReading reading;
-  while (true) {
-    BOOST_OUTCOME_TRY(answer, ReadOnce(options, ConfigStream(),
-                                       reading.config.next, Duration{}));
-    if (answer.records.empty()) {
-      return reading;
-    }
-    for (const LogRecord& record : answer.records) {
-      auto verdict = ApplyConfigRecord(reading.config, record);
-      if (record.id == watched && !reading.verdict) {
-        reading.verdict = std::move(verdict);
-      }
-    }
-  }
+// Reads the tables to the end of the log.
+Result<Config, LogError> ReadConfig(const LogServiceOptions& options) {
+  BOOST_OUTCOME_TRY(config, ReadConfigBase(options, kNoLimit));
+  BOOST_OUTCOME_TRY(
+      ReplayConfig(options, kNoLimit, config, [](const auto&, const auto&) {}));
+  return config;
 }
 
 bool IsTableFile(const IniDocument& document) {
@@ -100,34 +91,91 @@
   }
 }
 
+// One line for each edit, then its rows.
+void PrintHistory(const LogRecord& record,
+                  const Result<Revision, EditError>& verdict) {
+  const auto decoded = DecodeConfigRecord(record.data);
+  if (!decoded) {
+    fmt::print("{} malformed\n", record.offset.value + 1);
+    return;
+  }
+  if (const auto* edit = std::get_if<Edit>(&decoded.value())) {
+    fmt::print("{} {} author={}\n", record.offset.value + 1,
+               verdict ? "accepted" : NameOf(verdict.error().code),
+               edit->author);
+    PrintEdit(*edit);
+  }
+}
+
 RecordId MakeRecordId() {
   std::random_device random;
   return RecordId(fmt::format("edit-{:08x}{:08x}", random(), random()));
 }
 
-// Appends the edit, again if need be, until it is seen in the log.
-int AppendAndConfirm(const LogServiceOptions& options, const Edit& edit) {
-  constexpr int kAttempts = 5;
+// Appends the edit, again if need be, until it is seen in the log beyond what
+// `config` was read from; the first verdict on its id counts.
+std::optional<Result<Revision, EditError>> AppendAndConfirm(
+    const LogServiceOptions& options,
+    const Edit& edit,
+    Config config) {
+  constexpr int kAttempts = 8;
   const RecordId id = MakeRecordId();
-  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+  Backoff backoff{.random = std::minstd_rand(std::random_device()())};
+  std::optional<Result<Revision, EditError>> verdict;
+  for (int attempt = 0; attempt < kAttempts && !verdict; ++attempt) {
+    if (attempt > 0) {
+      std::this_thread::sleep_for(NextDelay(backoff));
+    }
     // Whether this append is acknowledged does not matter: the log tells.
     (void)AppendOnce(options, ConfigStream(),
                      {LogRecord{Offset{}, id, EncodeEdit(edit)}});
-    const auto reading = ReadConfig(options, id);
-    if (!reading || !reading.value().verdict) {
-      continue;
-    }
-    const auto& verdict = *reading.value().verdict;
-    if (verdict) {
-      fmt::print("accepted revision={}\n", verdict.value().value);
-      return kCtlDone;
-    }
-    fmt::print(stderr, "rejected reason={} {}\n", NameOf(verdict.error().code),
-               verdict.error().detail);
+    (void)ReplayConfig(options, kNoLimit, config,
+                       [&](const LogRecord& record, const auto& result) {
+                         if (record.id == id && !verdict) {
+                           verdict = result;
+                         }
+                       });
+  }
+  return verdict;
+}
+
+// Publishes what turns `current` into `wanted`, and reports.
+int PublishDifference(const CtlArguments& arguments,
+                      const Config& current,
+                      const Config& wanted) {
+  const LogServiceOptions options = LogOptions(arguments);
+  Edit edit = DiffConfig(current, wanted);
+  edit.author = arguments.options["author"].as<std::string>();
+  PrintEdit(edit);
+  if (edit.routes.empty() && edit.pools.empty()) {
+    fmt::print("unchanged revision={}\n", current.revision.value);
+    return kCtlDone;
+  }
+  if (arguments.options.count("dry-run") != 0) {
+    return kCtlDone;
+  }
+  const auto verdict = AppendAndConfirm(options, edit, current);
+  if (!verdict) {
+    return FailUnreachable(
+        "the log did not confirm the edit; it may still come into force");
+  }
+  if (!*verdict) {
+    fmt::print(stderr, "rejected reason={} {}\n", NameOf(verdict->error().code),
+               verdict->error().detail);
     return kCtlFailed;
   }
+  fmt::print("accepted revision={}\n", verdict->value().value);
+  std::fflush(stdout);
+  return arguments.options.count("wait") != 0
+             ? WaitUntilInForce(arguments, verdict->value())
+             : kCtlDone;
+}
+
+int FailReading(const LogError& error) {
   return FailUnreachable(
-      "the log did not confirm the edit; it may still come into force");
+      error.code == LogErrorCode::kExpired
+          ? "the log holds neither the records nor a snapshot of that time"
+          : "the log cannot be read; nothing was published");
 }
 
 }  // namespace
@@ -165,33 +213,61 @@
     PrintFaults(wanted.error());
     return kCtlUsage;
   }
-  const LogServiceOptions options = LogOptions(arguments);
-  const auto current = ReadConfig(options, RecordId{});
+  const auto current = ReadConfig(LogOptions(arguments));
   if (!current) {
-    return FailUnreachable("the log cannot be read; nothing was published");
+    return FailReading(current.error());
   }
-  Edit edit = DiffConfig(current.value().config, wanted.value());
-  edit.author = arguments.options["author"].as<std::string>();
-  PrintEdit(edit);
-  if (edit.routes.empty() && edit.pools.empty()) {
-    fmt::print("unchanged revision={}\n",
-               current.value().config.revision.value);
-    return kCtlDone;
-  }
-  if (arguments.options.count("dry-run") != 0) {
-    return kCtlDone;
-  }
-  return AppendAndConfirm(options, edit);
+  return PublishDifference(arguments, current.value(), wanted.value());
 }
 
 int RunShow(const CtlArguments& arguments) {
-  const auto reading = ReadConfig(LogOptions(arguments), RecordId{});
-  if (!reading) {
+  const auto config = ReadConfig(LogOptions(arguments));
+  if (!config) {
     return FailUnreachable("the log cannot be read");
   }
-  fmt::print("# revision {}\n{}", reading.value().config.revision.value,
-             WriteTables(reading.value().config));
+  fmt::print("# revision {}\n{}", config.value().revision.value,
+             WriteTables(config.value()));
   return kCtlDone;
 }
 
+int RunHistory(const CtlArguments& arguments) {
+  const LogServiceOptions options = LogOptions(arguments);
+  auto config = ReadConfigBase(options, kNoLimit);
+  if (!config) {
+    return FailReading(config.error());
+  }
+  const auto replayed =
+      ReplayConfig(options, kNoLimit, config.value(), PrintHistory);
+  return replayed ? kCtlDone : FailReading(replayed.error());
+}
+
+int RunRollback(const CtlArguments& arguments) {
+  const auto revision = arguments.words.size() == 1
+                            ? ParseCount(arguments.words.front())
+                            : std::nullopt;
+  if (!revision) {
+    fmt::print(stderr, "chicorystepctl: rollback needs one revision\n");
+    return kCtlUsage;
+  }
+  const LogServiceOptions options = LogOptions(arguments);
+  // A revision is the offset of its edit plus 1.
+  const Offset limit(static_cast<std::uint64_t>(*revision));
+  auto then = ReadConfigBase(options, limit);
+  if (!then) {
+    return FailReading(then.error());
+  }
+  const auto replayed = ReplayConfig(options, limit, then.value(),
+                                     [](const auto&, const auto&) {});
+  const auto current = ReadConfig(options);
+  if (!replayed || !current) {
+    return FailReading(replayed ? current.error() : replayed.error());
+  }
+  if (then.value().revision.value != limit.value) {
+    fmt::print(stderr, "rejected: {} is not the revision of an edit\n",
+               limit.value);
+    return kCtlFailed;
+  }
+  return PublishDifference(arguments, current.value(), then.value());
+}
+
 }  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/programs/ctl_wait.cc
@@ -0,0 +1,131 @@
+// Where an accepted edit is in force, as an entry process sees its members.
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "chicorystep/encoding/json.h"
+#include "chicorystep/programs/ctl_commands.h"
+#include "chicorystep/traffic/http_client.h"
+
+namespace chicorystep {
+namespace {
+
+constexpr auto kAskInterval = std::chrono::milliseconds(100);
+constexpr auto kAskTimeout = std::chrono::seconds(2);
+
+// The parts of a state dump that tell how far each process has applied the
+// configuration.
+struct ConfigProgress {
+  Offset next;
+};
+struct MemberProgress {
+  EntryId id;
+  Zone zone;
+  bool alive = false;
+  bool listed = false;
+  Offset next;
+};
+struct Progress {
+  EntryId id;
+  Zone zone;
+  ConfigProgress config;
+  std::vector<MemberProgress> members;
+};
+
+template <typename Archive>
+void VisitFields(Archive& archive, ConfigProgress& progress) {
+  archive.Required("next_offset", progress.next);
+}
+
+template <typename Archive>
+void VisitFields(Archive& archive, MemberProgress& progress) {
+  archive.Required("id", progress.id);
+  archive.Required("zone", progress.zone);
+  archive.Required("alive", progress.alive);
+  archive.Required("listed", progress.listed);
+  archive.Required("config_next", progress.next);
+}
+
+template <typename Archive>
+void VisitFields(Archive& archive, Progress& progress) {
+  archive.Required("id", progress.id);
+  archive.Required("zone", progress.zone);
+  archive.Required("config", progress.config);
+  archive.Required("members", progress.members);
+}
+
+// All processes that are listed or alive, the one asked among them.
+std::optional<std::vector<MemberProgress>> AskProgress(const Address& admin) {
+  const auto client = MakeHttpClient(admin, kAskTimeout);
+  SetExchangeTimeout(*client, kAskTimeout);
+  const auto response = client->Get("/v1/state");
+  if (!response || response->status != 200) {
+    return std::nullopt;
+  }
+  auto progress = DecodeJson<Progress>(response->body);
+  if (!progress) {
+    return std::nullopt;
+  }
+  std::vector<MemberProgress> members = progress.value().members;
+  std::erase_if(members, [](const MemberProgress& member) {
+    return !member.alive && !member.listed;
+  });
+  members.push_back({progress.value().id, progress.value().zone, true, true,
+                     progress.value().config.next});
+  return members;
+}
+
+bool Confirms(const MemberProgress& member, Revision revision) {
+  return member.alive && member.next.value >= revision.value;
+}
+
+void PrintProgress(const std::vector<MemberProgress>& members,
+                   Revision revision) {
+  for (const MemberProgress& member : members) {
+    fmt::print("{} {} zone={}\n",
+               Confirms(member, revision) ? "in_force" : "not_confirmed",
+               member.id.value, member.zone.value);
+  }
+}
+
+}  // namespace
+
+int WaitUntilInForce(const CtlArguments& arguments, Revision revision) {
+  const Address admin(arguments.options["admin"].as<std::string>());
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(
+                       arguments.options["wait-ms"].as<std::int64_t>());
+  while (true) {
+    const auto members = AskProgress(admin);
+    const bool everywhere =
+        members && std::all_of(members->begin(), members->end(),
+                               [&](const MemberProgress& member) {
+                                 return Confirms(member, revision);
+                               });
+    if (everywhere) {
+      PrintProgress(*members, revision);
+      return kCtlDone;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      if (!members) {
+        fmt::print(stderr,
+                   "chicorystepctl: no answer from {}; the edit is accepted, "
+                   "where it is in force is not known\n",
+                   admin.value);
+        return kCtlUnreachable;
+      }
+      PrintProgress(*members, revision);
+      return kCtlFailed;
+    }
+    std::this_thread::sleep_for(kAskInterval);
+  }
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/config_sync.cc
+++ b/chicorystep/systems/config_sync.cc
@@ -279,7 +279,11 @@
     sync.shown = std::max(sync.shown, beat.config_next);
   }
   impl::ApplySnapshots(world, inbox);
+  const bool was_based = sync.based;
   ApplyConfigBatches(world, inbox);
+  if (was_based && !sync.based) {
+    sync.started = now;
+  }
   for (const ConfigFetched& fetched : inbox.configs_fetched) {
     impl::ApplyFetched(world, fetched, now);
   }
--- /dev/null
+++ b/tests/shared_state_test.cc
@@ -0,0 +1,274 @@
+#define BOOST_TEST_MODULE shared_state
+#include <signal.h>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "chicorystep/platform/log_client.h"
+#include "chicorystep/systems/config_stream.h"
+#include "tests/support/cluster.h"
+
+namespace chicorystep::testing {
+namespace {
+
+using nlohmann::json;
+
+const std::string kPool = "[pool main w1]\nweight = 1\nborrows = yes\n";
+
+std::string EchoRoute(const std::string& kind, int attempts) {
+  return fmt::format(
+      "[route {}]\nservice = echo\npool = main\ndeadline = 5s\n"
+      "idempotent = yes\nmax_request = 1MiB\nmax_answer = 1MiB\n"
+      "max_attempts = {}\n",
+      kind, attempts);
+}
+
+// Tables that differ by `version` and hold the route `kind`.
+std::string Tables(int version, const std::string& kind = "echo") {
+  return EchoRoute(kind, version) + kPool;
+}
+
+struct StateCluster : Cluster {
+  explicit StateCluster(int entry_count = 3) : Cluster(entry_count, 3, 0) {}
+
+  void StartReady() {
+    this->StartAll();
+    BOOST_REQUIRE(Eventually([&] { return this->AllReady(); }));
+  }
+
+  [[nodiscard]] std::optional<json> StateOf(std::size_t entry) const {
+    const auto response =
+        MakeHttpClient(chicorystep::Address(this->addresses[entry].admin),
+                       std::chrono::seconds(5))
+            ->Get("/v1/state");
+    return response ? std::optional(json::parse(response->body)) : std::nullopt;
+  }
+
+  // Whether `entry` is ready with the tables of `version` in force.
+  [[nodiscard]] bool Serves(std::size_t entry, int version) const {
+    const auto state = this->StateOf(entry);
+    if (!state || !(*state)["ready"]) {
+      return false;
+    }
+    const json& routes = (*state)["config"]["routes"];
+    return !routes.empty() && routes[0]["max_attempts"] == version;
+  }
+
+  [[nodiscard]] bool AllServe(int version) const {
+    for (std::size_t i = 0; i < this->addresses.size(); ++i) {
+      if (this->entries[i] && !this->Serves(i, version)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  [[nodiscard]] std::vector<std::size_t> Readers() const {
+    std::vector<std::size_t> readers;
+    for (std::size_t i = 0; i < this->addresses.size(); ++i) {
+      const auto state = this->entries[i] ? this->StateOf(i) : std::nullopt;
+      if (state && (*state)["config_sync"]["reads_log"]) {
+        readers.push_back(i);
+      }
+    }
+    return readers;
+  }
+
+  // Waits until one process reads for all; its number.
+  std::size_t OnlyReader() {
+    BOOST_REQUIRE(Eventually([&] { return this->Readers().size() == 1; }));
+    return this->Readers().front();
+  }
+
+  void SetLogFaults(const LogFaults& faults) {
+    const std::scoped_lock lock(this->log.standin.mutex);
+    this->log.standin.faults = faults;
+    this->log.standin.appended.notify_all();
+  }
+
+  [[nodiscard]] int Request(std::size_t entry, const std::string& kind) const {
+    const auto response = this->Caller(entry)->Post(
+        "/v1/requests/" + kind, CallHeaders("r"), "x", "text/plain");
+    return response ? response->status : 0;
+  }
+
+  void Append(const std::string& id, const std::string& data) {
+    BOOST_REQUIRE(AppendOnce(
+        LogServiceOptions{.address = chicorystep::Address(this->log.Address())},
+        ConfigStream(), {LogRecord{Offset{}, RecordId(id), data}}));
+  }
+};
+
+// What fails while edits go on, and what mends it.
+struct EditFault {
+  std::string name;
+  void (*begin)(StateCluster&);
+  void (*end)(StateCluster&);
+};
+
+const std::vector<EditFault> kEditFaults = {
+    {"none", [](StateCluster&) {}, [](StateCluster&) {}},
+    {"answers of two appends lost",
+     [](StateCluster& cluster) {
+       cluster.SetLogFaults({.lose_append_answers = 2});
+     },
+     [](StateCluster&) {}},
+    {"log slow",
+     [](StateCluster& cluster) {
+       cluster.SetLogFaults({.delay = std::chrono::milliseconds(300)});
+     },
+     [](StateCluster& cluster) { cluster.SetLogFaults({}); }},
+    {"records that are not ours",
+     [](StateCluster& cluster) {
+       for (const std::string data : {"", "{}", "\x01\x02", "[[["}) {
+         cluster.Append("foreign", data);
+       }
+     },
+     [](StateCluster&) {}},
+    {"reader killed",
+     [](StateCluster& cluster) {
+       cluster.entries[cluster.OnlyReader()].reset();
+     },
+     [](StateCluster& cluster) {
+       for (std::size_t i = 0; i < cluster.entries.size(); ++i) {
+         if (!cluster.entries[i]) {
+           cluster.StartEntry(i);
+         }
+       }
+     }},
+};
+
+BOOST_AUTO_TEST_CASE(edits_come_into_force_everywhere) {
+  StateCluster cluster;
+  cluster.StartReady();
+  int version = 0;
+  for (const EditFault& fault : kEditFaults) {
+    BOOST_TEST_CONTEXT(fault.name) {
+      fault.begin(cluster);
+      for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(cluster.Publish(Tables(++version)) == 0);
+        BOOST_TEST(Eventually([&] { return cluster.AllServe(version); }));
+      }
+      fault.end(cluster);
+      BOOST_TEST(Eventually([&] { return cluster.AllServe(version); }));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(frozen_reader_is_replaced_and_wakes_up_to_date) {
+  StateCluster cluster;
+  cluster.StartReady();
+  BOOST_REQUIRE(cluster.Publish(Tables(1, "old")) == 0);
+  BOOST_REQUIRE(Eventually([&] { return cluster.AllServe(1); }));
+  const std::size_t frozen = cluster.OnlyReader();
+  BOOST_REQUIRE(
+      Eventually([&] { return cluster.Request(frozen, "old") == 200; }));
+  const std::size_t other = (frozen + 1) % 3;
+
+  cluster.entries[frozen]->Signal(SIGSTOP);
+  for (int version = 2; version < 5; ++version) {
+    BOOST_TEST(cluster.Publish(Tables(version, "new")) == 0);
+    BOOST_TEST(Eventually([&] { return cluster.Serves(other, version); }));
+  }
+  // Longer than the member timeout, so that others hold it for dead.
+  BOOST_REQUIRE(Eventually([&] {
+    const auto state = cluster.StateOf(other);
+    for (const json& member : (*state)["members"]) {
+      if (member["id"] == cluster.addresses[frozen].id && !member["alive"]) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  cluster.entries[frozen]->Signal(SIGCONT);
+  // The route was deleted meanwhile: it must not be served any more.
+  std::set<int> answers;
+  BOOST_TEST(Eventually([&] {
+    answers.insert(cluster.Request(frozen, "old"));
+    return cluster.Serves(frozen, 4);
+  }));
+  BOOST_TEST(!answers.contains(200));
+  BOOST_TEST(Eventually([&] { return cluster.Request(frozen, "new") == 200; }));
+}
+
+// A replacement of processes while the log is up or down.
+struct ReplaceCase {
+  std::string name;
+  bool log_down;
+  bool one_by_one;
+};
+
+const std::vector<ReplaceCase> kReplaceCases = {
+    {"one after another", false, true},
+    {"all but one at once", false, false},
+    {"one after another, log down", true, true},
+    {"all but one at once, log down", true, false},
+};
+
+BOOST_AUTO_TEST_CASE(replaced_processes_get_the_tables) {
+  StateCluster cluster;
+  cluster.StartReady();
+  int version = 0;
+  for (const ReplaceCase& sample : kReplaceCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      BOOST_REQUIRE(cluster.Publish(Tables(++version)) == 0);
+      BOOST_REQUIRE(Eventually([&] { return cluster.AllServe(version); }));
+      cluster.SetLogFaults({.down = sample.log_down});
+      for (std::size_t i = sample.one_by_one ? 0 : 1; i < 3; ++i) {
+        cluster.entries[i].reset();
+        if (sample.one_by_one) {
+          cluster.StartEntry(i);
+          BOOST_TEST(Eventually([&] { return cluster.Serves(i, version); }));
+        }
+      }
+      for (std::size_t i = 0; i < 3; ++i) {
+        if (!cluster.entries[i]) {
+          cluster.StartEntry(i);
+        }
+      }
+      BOOST_TEST(Eventually([&] { return cluster.AllServe(version); }));
+      cluster.SetLogFaults({});
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(expired_records_are_made_good_by_a_snapshot) {
+  StateCluster cluster;
+  // A snapshot every second.
+  cluster.platform_settings = "log_retention = 4s\n";
+  cluster.StartReady();
+  BOOST_REQUIRE(cluster.Publish(Tables(1)) == 0);
+  BOOST_REQUIRE(Eventually([&] { return cluster.AllServe(1); }));
+  std::uint64_t covered = 0;
+  BOOST_REQUIRE(Eventually([&] {
+    covered = (*cluster.StateOf(0))["config"]["snapshot_next"];
+    return covered > 0;
+  }));
+  ExpireRecords(cluster.log.standin, ConfigStream(), Offset(covered));
+  for (auto& entry : cluster.entries) {
+    entry.reset();
+  }
+  cluster.StartAll();
+  BOOST_TEST(Eventually([&] { return cluster.AllServe(1); }));
+  BOOST_TEST(cluster.Publish(Tables(2)) == 0);
+  BOOST_TEST(Eventually([&] { return cluster.AllServe(2); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_records_or_snapshot_no_process_is_ready) {
+  StateCluster cluster(1);
+  cluster.Append("a", "{}");
+  cluster.Append("b", "{}");
+  ExpireRecords(cluster.log.standin, ConfigStream(), Offset(1));
+  cluster.StartAll();
+  BOOST_REQUIRE(Eventually([&] { return cluster.StateOf(0).has_value(); }));
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  BOOST_TEST(!cluster.IsReady(0));
+}
+
+}  // namespace
+}  // namespace chicorystep::testing
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -102,6 +102,8 @@
   std::vector<EntryAddresses> addresses;
   std::vector<std::unique_ptr<ChildProcess>> entries;
   InstanceList list;
+  // Further lines of the entries' section [platform].
+  std::string platform_settings;
 
   // Lists the stand-ins and `entry_count` entries, in zones z1, z2, z3, ...
   Cluster(int entry_count, int executor_count, int worker_count) {
@@ -182,15 +184,15 @@
                     "log_level = warn\n"
                     "[listen]\ncallers = {}\npeers = {}\nadmin = {}\n"
                     "[platform]\nlog = {}\ninstances = {}\n"
-                    "instances_interval = 100ms\ntimeout = 2s\n"
+                    "instances_interval = 100ms\ntimeout = 2s\n{}"
                     "[callers]\nthreads = 64\n"
                     "[jobs]\nlease_time = 2s\nworker_poll_interval = 200ms\n"
                     "[peers]\nheartbeat_interval = 100ms\n"
                     "member_timeout = 1s\n"
                     "[stop]\nannounce_time = 1s\ndrain_time = 10s\n",
                     entry.id, i % 3 + 1, entry.callers, entry.peers,
-                    entry.admin, this->log.Address(),
-                    this->instances.Address()));
+                    entry.admin, this->log.Address(), this->instances.Address(),
+                    this->platform_settings));
     this->entries[i] = std::make_unique<ChildProcess>(std::vector<std::string>{
         Program("chicorystep-entry"), "--settings", settings});
   }
