--- a/chicorystep/platform/log_client.cc
+++ b/chicorystep/platform/log_client.cc
@@ -33,13 +33,29 @@
           Offset{}};
 }
 
-Result<AppendAnswer, LogError> AppendWith(
-    httplib::Client& client,
-    const Stream& stream,
-    const std::vector<LogRecord>& records) {
-  const auto response =
-      client.Post(fmt::format("/v1/streams/{}/append", stream.value),
-                  EncodeAppendBody(AppendBody{records}), kJsonType);
+// What a request without its body takes on the wire.
+inline constexpr std::size_t kRequestOverhead = 200;
+
+LogTraffic TrafficOf(const httplib::Result& response, std::size_t sent) {
+  std::size_t received = 0;
+  if (response) {
+    received = response->body.size();
+    for (const auto& [key, value] : response->headers) {
+      received += key.size() + value.size() + 4;
+    }
+  }
+  return {Bytes{static_cast<std::int64_t>(sent + kRequestOverhead)},
+          Bytes{static_cast<std::int64_t>(received)}};
+}
+
+Result<AppendAnswer, LogError> AppendWith(httplib::Client& client,
+                                          const Stream& stream,
+                                          const std::vector<LogRecord>& records,
+                                          LogTraffic& traffic) {
+  const std::string body = EncodeAppendBody(AppendBody{records});
+  const auto response = client.Post(
+      fmt::format("/v1/streams/{}/append", stream.value), body, kJsonType);
+  traffic = TrafficOf(response, body.size());
   if (!response || response->status != 200) {
     return failure(ErrorOf(response));
   }
@@ -53,12 +69,14 @@
 Result<ReadAnswer, LogError> ReadWith(httplib::Client& client,
                                       const Stream& stream,
                                       Offset from,
-                                      Duration wait) {
+                                      Duration wait,
+                                      LogTraffic& traffic) {
   const auto wait_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   const auto response =
       client.Get(fmt::format("/v1/streams/{}/records?from={}&max={}&wait_ms={}",
                              stream.value, from.value, kMaxBatch, wait_ms));
+  traffic = TrafficOf(response, 0);
   if (!response || response->status != 200) {
     return failure(ErrorOf(response));
   }
@@ -82,14 +100,17 @@
     const LogServiceOptions& options,
     const Stream& stream,
     const std::vector<LogRecord>& records) {
-  return impl::AppendWith(*impl::Connect(options), stream, records);
+  LogTraffic traffic;
+  return impl::AppendWith(*impl::Connect(options), stream, records, traffic);
 }
 
 Result<ReadAnswer, LogError> ReadOnce(const LogServiceOptions& options,
                                       const Stream& stream,
                                       Offset from,
                                       Duration wait) {
-  return impl::ReadWith(*impl::Connect(options, wait), stream, from, wait);
+  LogTraffic traffic;
+  return impl::ReadWith(*impl::Connect(options, wait), stream, from, wait,
+                        traffic);
 }
 
 LogClient::LogClient(LogServiceOptions options, Callbacks callbacks)
@@ -160,8 +181,10 @@
   bool acknowledged = false;
   for (std::int64_t attempt = 1; attempt <= this->options.append_attempts;
        ++attempt) {
-    const auto answer =
-        impl::AppendWith(*impl::Connect(this->options), stream, records);
+    LogTraffic traffic;
+    const auto answer = impl::AppendWith(*impl::Connect(this->options), stream,
+                                         records, traffic);
+    this->callbacks.traffic(traffic);
     if (answer) {
       acknowledged = true;
       break;
@@ -188,9 +211,11 @@
   int failures = 0;
   auto client = impl::Connect(this->options, this->options.read_wait);
   while (!stop.stop_requested()) {
-    auto answer =
-        impl::ReadWith(*client, follow.stream, next,
-                       end_reported ? this->options.read_wait : Duration{});
+    LogTraffic traffic;
+    auto answer = impl::ReadWith(
+        *client, follow.stream, next,
+        end_reported ? this->options.read_wait : Duration{}, traffic);
+    this->callbacks.traffic(traffic);
     if (!answer) {
       Log(LogLevel::kWarn, "read_failed",
           {{"stream", follow.stream.value},
--- a/chicorystep/platform/log_client.h
+++ b/chicorystep/platform/log_client.h
@@ -31,6 +31,12 @@
   std::uint64_t seed = 1;
 };
 
+// Bytes of one exchange with the log service, headers included.
+struct LogTraffic {
+  Bytes sent;
+  Bytes received;
+};
+
 enum class LogErrorCode : std::uint8_t {
   // Nothing was sent.
   kUnreachable,
@@ -69,6 +75,8 @@
     std::function<void(LogBatch)> batch;
     // Called when the reads of a stream begin to fail, or succeed again.
     std::function<void(LogReadState)> read_state;
+    // Called after each exchange with about what it took on the wire.
+    std::function<void(LogTraffic)> traffic;
   };
 
   LogClient(LogServiceOptions options, Callbacks callbacks);
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -176,6 +176,13 @@
                 control.Post([&](Inbox& inbox) {
                   inbox.log_read_states.push_back(std::move(state));
                 });
+              },
+          .traffic =
+              [&metrics = process.metrics](const LogTraffic& traffic) {
+                metrics.log_bytes_sent->Increment(
+                    static_cast<double>(traffic.sent.value));
+                metrics.log_bytes_received->Increment(
+                    static_cast<double>(traffic.received.value));
               }});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -42,6 +42,12 @@
   metrics.appends =
       impl::AddCounter(metrics.registry, "chicorystep_appends_total",
                        "Records given to the log client");
+  metrics.log_bytes_sent =
+      impl::AddCounter(metrics.registry, "chicorystep_log_sent_bytes_total",
+                       "Bytes sent to the log service, headers included");
+  metrics.log_bytes_received =
+      impl::AddCounter(metrics.registry, "chicorystep_log_received_bytes_total",
+                       "Bytes received from the log service, headers included");
   metrics.worker_messages =
       impl::AddCounter(metrics.registry, "chicorystep_worker_messages_total",
                        "Messages sent to workers");
--- a/chicorystep/traffic/metrics.h
+++ b/chicorystep/traffic/metrics.h
@@ -18,6 +18,8 @@
   prometheus::Counter* ticks = nullptr;
   prometheus::Counter* appends = nullptr;
   prometheus::Counter* worker_messages = nullptr;
+  prometheus::Counter* log_bytes_sent = nullptr;
+  prometheus::Counter* log_bytes_received = nullptr;
 };
 
 void RegisterMetrics(Metrics& metrics);
--- a/tests/shared_state_test.cc
+++ b/tests/shared_state_test.cc
@@ -2,108 +2,16 @@
 #include <signal.h>
 
 #include <boost/test/unit_test.hpp>
-#include <nlohmann/json.hpp>
-#include <optional>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "chicorystep/platform/log_client.h"
-#include "chicorystep/systems/config_stream.h"
-#include "tests/support/cluster.h"
+#include "tests/support/state_cluster.h"
 
 namespace chicorystep::testing {
 namespace {
 
-using nlohmann::json;
-
-const std::string kPool = "[pool main w1]\nweight = 1\nborrows = yes\n";
-
-std::string EchoRoute(const std::string& kind, int attempts) {
-  return fmt::format(
-      "[route {}]\nservice = echo\npool = main\ndeadline = 5s\n"
-      "idempotent = yes\nmax_request = 1MiB\nmax_answer = 1MiB\n"
-      "max_attempts = {}\n",
-      kind, attempts);
-}
-
-// Tables that differ by `version` and hold the route `kind`.
-std::string Tables(int version, const std::string& kind = "echo") {
-  return EchoRoute(kind, version) + kPool;
-}
-
-struct StateCluster : Cluster {
-  explicit StateCluster(int entry_count = 3) : Cluster(entry_count, 3, 0) {}
-
-  void StartReady() {
-    this->StartAll();
-    BOOST_REQUIRE(Eventually([&] { return this->AllReady(); }));
-  }
-
-  [[nodiscard]] std::optional<json> StateOf(std::size_t entry) const {
-    const auto response =
-        MakeHttpClient(chicorystep::Address(this->addresses[entry].admin),
-                       std::chrono::seconds(5))
-            ->Get("/v1/state");
-    return response ? std::optional(json::parse(response->body)) : std::nullopt;
-  }
-
-  // Whether `entry` is ready with the tables of `version` in force.
-  [[nodiscard]] bool Serves(std::size_t entry, int version) const {
-    const auto state = this->StateOf(entry);
-    if (!state || !(*state)["ready"]) {
-      return false;
-    }
-    const json& routes = (*state)["config"]["routes"];
-    return !routes.empty() && routes[0]["max_attempts"] == version;
-  }
-
-  [[nodiscard]] bool AllServe(int version) const {
-    for (std::size_t i = 0; i < this->addresses.size(); ++i) {
-      if (this->entries[i] && !this->Serves(i, version)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  [[nodiscard]] std::vector<std::size_t> Readers() const {
-    std::vector<std::size_t> readers;
-    for (std::size_t i = 0; i < this->addresses.size(); ++i) {
-      const auto state = this->entries[i] ? this->StateOf(i) : std::nullopt;
-      if (state && (*state)["config_sync"]["reads_log"]) {
-        readers.push_back(i);
-      }
-    }
-    return readers;
-  }
-
-  // Waits until one process reads for all; its number.
-  std::size_t OnlyReader() {
-    BOOST_REQUIRE(Eventually([&] { return this->Readers().size() == 1; }));
-    return this->Readers().front();
-  }
-
-  void SetLogFaults(const LogFaults& faults) {
-    const std::scoped_lock lock(this->log.standin.mutex);
-    this->log.standin.faults = faults;
-    this->log.standin.appended.notify_all();
-  }
-
-  [[nodiscard]] int Request(std::size_t entry, const std::string& kind) const {
-    const auto response = this->Caller(entry)->Post(
-        "/v1/requests/" + kind, CallHeaders("r"), "x", "text/plain");
-    return response ? response->status : 0;
-  }
-
-  void Append(const std::string& id, const std::string& data) {
-    BOOST_REQUIRE(AppendOnce(
-        LogServiceOptions{.address = chicorystep::Address(this->log.Address())},
-        ConfigStream(), {LogRecord{Offset{}, RecordId(id), data}}));
-  }
-};
-
 // What fails while edits go on, and what mends it.
 struct EditFault {
   std::string name;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -39,6 +39,8 @@
     }
   }
 
+  [[nodiscard]] pid_t Pid() const noexcept { return this->pid; }
+
   void Signal(int number) const { ::kill(this->pid, number); }
 
   // Waits for the end; the exit code, or -1 when a signal ended it.
