--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -5,6 +5,8 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/systems/job_check.h"
+#include "chicorystep/tables/claims.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/config_sync.h"
 #include "chicorystep/tables/instances.h"
@@ -37,6 +39,16 @@
   Duration drain_time{};
   std::size_t max_waiting_requests = 0;
   std::size_t max_waiting_jobs = 0;
+  JobLimits job_limits;
+  SlotPolicy slot_policy = SlotPolicy::kLearntLimit;
+  // Bytes a second that this process may spend on requests to other regions.
+  Bytes link_bytes_per_second;
+  // Claims held in memory; beyond it requests that need one are refused.
+  std::size_t max_claims = 0;
+  // For how long a claim holds; shorter than the log's retention.
+  Duration claim_window{};
+  // How long a request waits for its claim to be read back.
+  Duration claim_timeout{};
 };
 
 // All control state of one entry process. Only the control thread touches it.
@@ -54,6 +66,7 @@
   InstanceList instances;
   Members members;
   Requests requests;
+  Claims claims;
   Jobs jobs;
 };
 
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -67,6 +67,9 @@
                          {"zone", executor.listed.zone.value},
                          {"state", NameOf(executor.listed.state)},
                          {"in_flight", executor.in_flight.value},
+                         {"limit", executor.limit.value},
+                         {"failures", executor.failures},
+                         {"ejections", executor.ejections},
                          {"slots", executor.listed.slots.value}});
   }
   return executors;
@@ -129,7 +132,12 @@
                      {"executors", impl::DumpExecutors(world.requests)},
                      {"requests",
                       {{"open", world.requests.table.size()},
-                       {"waiting", world.requests.waiting.size()}}},
+                       {"waiting", world.requests.due.size()}}},
+                     {"claims",
+                      {{"ready", world.claims.ready},
+                       {"held", world.claims.table.size()},
+                       {"pending", world.claims.pending.size()},
+                       {"log_failing", world.claims.log_failing}}},
                      {"cells", std::move(cells)}};
   return dump.dump(2, ' ', false, Json::error_handler_t::replace);
 }
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,6 +19,7 @@
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
@@ -53,7 +54,15 @@
       .drain_time = settings.drain_time,
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
-      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs)};
+      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .job_limits = {.max_pieces = settings.max_pieces,
+                     .max_command = settings.max_command},
+      .link_bytes_per_second = settings.link_bytes_per_second,
+      .max_claims = static_cast<std::size_t>(settings.max_claims),
+      .claim_window = settings.claim_window,
+      .claim_timeout = settings.claim_timeout};
+  world.requests.random.seed(
+      static_cast<std::uint32_t>(world.self.incarnation.value));
   return world;
 }
 
@@ -146,6 +155,8 @@
                         .keep_alive_requests = settings.keep_alive_requests,
                         .keep_alive_time = settings.keep_alive_time,
                         .read_timeout = settings.read_timeout,
+                        .receive_timeout = settings.receive_timeout,
+                        .max_head = settings.max_head,
                         .max_body = settings.max_body});
   AddCallerRoutes(process.callers->Routes(), process.caller_context);
 
@@ -184,6 +195,7 @@
                 metrics.log_bytes_received->Increment(
                     static_cast<double>(traffic.received.value));
               }});
+  process.log->Follow(FollowStream{ClaimStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
       [&control](WorkerAnswered answered) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <deque>
@@ -86,10 +87,24 @@
   std::string admin;
 };
 
-// A free port of the loopback device.
+// A free port of the loopback device, below those that the kernel gives to
+// outgoing connections, so that it stays free while an entry restarts. Each
+// test process looks in a range of its own.
 inline std::uint16_t FreePort() {
-  HttpServer probe{HttpServerOptions{.threads = 1}};
-  return probe.Start("127.0.0.1", 0) ? probe.Port() : 0;
+  constexpr int kFirst = 10'000;
+  constexpr int kRanges = 100;
+  constexpr int kRangeSize = 200;
+  static int next = 0;
+  const int range = ::getpid() % kRanges;
+  for (int i = 0; i < kRangeSize; ++i) {
+    const auto port = static_cast<std::uint16_t>(kFirst + range * kRangeSize +
+                                                 next++ % kRangeSize);
+    HttpServer probe{HttpServerOptions{.threads = 1}};
+    if (probe.Start("127.0.0.1", port)) {
+      return port;
+    }
+  }
+  return 0;
 }
 
 // The platform's stand-ins in this process, and entry processes of their own.
@@ -104,6 +119,10 @@
   InstanceList list;
   // Further lines of the entries' section [platform].
   std::string platform_settings;
+  // The setting callers.threads of entries started from now on.
+  int caller_threads = 64;
+  // More lines of their section [callers].
+  std::string caller_settings;
 
   // Lists the stand-ins and `entry_count` entries, in zones z1, z2, z3, ...
   Cluster(int entry_count, int executor_count, int worker_count) {
@@ -185,14 +204,15 @@
                     "[listen]\ncallers = {}\npeers = {}\nadmin = {}\n"
                     "[platform]\nlog = {}\ninstances = {}\n"
                     "instances_interval = 100ms\ntimeout = 2s\n{}"
-                    "[callers]\nthreads = 64\n"
+                    "[callers]\nthreads = {}\n{}"
                     "[jobs]\nlease_time = 2s\nworker_poll_interval = 200ms\n"
                     "[peers]\nheartbeat_interval = 100ms\n"
                     "member_timeout = 1s\n"
                     "[stop]\nannounce_time = 1s\ndrain_time = 10s\n",
                     entry.id, i % 3 + 1, entry.callers, entry.peers,
                     entry.admin, this->log.Address(), this->instances.Address(),
-                    this->platform_settings));
+                    this->platform_settings, this->caller_threads,
+                    this->caller_settings));
     this->entries[i] = std::make_unique<ChildProcess>(std::vector<std::string>{
         Program("chicorystep-entry"), "--settings", settings});
   }
