--- a/chicorystep/programs/ctl.cc
+++ b/chicorystep/programs/ctl.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <string>
@@ -14,65 +13,141 @@
 #include "chicorystep/programs/ctl_commands.h"
 
 namespace chicorystep {
-namespace {
 
-// One subcommand: its name, its arguments, what it does, and the function.
-struct Command {
-  std::string_view name;
-  std::string_view arguments;
-  std::string_view help;
-  int (*run)(const CtlArguments&);
-};
+std::span<const CtlCommand> CtlCommands() {
+  static const std::vector<CtlCommand> commands = {
+      {"check",
+       "FILE...",
+       "Check settings or table files offline",
+       {},
+       RunCheck},
+      {"publish",
+       "FILE",
+       "Make the tables equal to a file",
+       {"log", "author", "dry-run"},
+       RunPublish},
+      {"show", "", "Print the tables in force in the log", {"log"}, RunShow},
+      {"request",
+       "KIND",
+       "Send a request and print the answer",
+       {"entry", "workspace", "id", "deadline-ms", "body", "body-file"},
+       RunRequest},
+      {"submit",
+       "KIND",
+       "Submit a job",
+       {"entry", "workspace", "id", "pieces", "accelerators", "cores",
+        "memory-mib", "adjacent", "command", "attach", "json"},
+       RunSubmit},
+      {"job",
+       "JOB",
+       "Print the state of a job",
+       {"entry", "workspace", "json"},
+       RunJob},
+      {"watch",
+       "JOB",
+       "Print the states of a job until it has ended",
+       {"entry", "workspace", "json"},
+       RunWatch},
+      {"cancel",
+       "JOB",
+       "Cancel a job",
+       {"entry", "workspace", "json"},
+       RunCancel},
+      {"state",
+       "",
+       "Print the state of an entry process",
+       {"admin", "json"},
+       RunState},
+      {"explain",
+       "job JOB | request ID",
+       "Print why a job waits, or why a request was refused",
+       {"entry", "admin", "workspace", "json"},
+       RunExplain},
+  };
+  return commands;
+}
 
-constexpr std::array kCommands = {
-    Command{"check", "FILE...", "Check settings or table files offline",
-            RunCheck},
-    Command{"publish", "FILE", "Make the tables equal to a file", RunPublish},
-    Command{"show", "", "Print the tables in force in the log", RunShow},
-    Command{"request", "KIND", "Send a request; the body is read from --body",
-            RunRequest},
-    Command{"submit", "KIND", "Submit a job", RunSubmit},
-    Command{"job", "JOB", "Print the state of a job", RunJob},
-    Command{"watch", "JOB", "Wait until a job has ended", RunWatch},
-    Command{"cancel", "JOB", "Cancel a job", RunCancel},
-    Command{"state", "", "Dump the state of an entry process", RunState},
-};
+namespace {
 
-void PrintHelp(const cxxopts::Options& options) {
-  fmt::print("{}\nCommands:\n", options.help());
-  for (const Command& command : kCommands) {
-    fmt::print("  {:<24}{}\n",
+void PrintHelp() {
+  fmt::print(
+      "Publishes tables, sends work and shows state.\n\n"
+      "Usage:\n  chicorystepctl COMMAND [OPTION...] [ARGUMENT...]\n\n"
+      "Commands:\n");
+  for (const CtlCommand& command : CtlCommands()) {
+    fmt::print("  {:<30}{}\n",
                fmt::format("{} {}", command.name, command.arguments),
                command.help);
   }
+  fmt::print(
+      "\n  --help     Print this help, or that of a command\n"
+      "  --version  Print the version\n\n"
+      "Exit codes: 0 done, 1 refused or failed, 2 wrong command line or file,\n"
+      "3 a service could not be reached.\n");
 }
 
-int Main(int argc, char** argv) {
-  cxxopts::Options options = MakeCtlOptions();
-  try {
-    const auto parsed = options.parse(argc, argv);
+const CtlCommand* FindCommand(std::string_view name) {
+  const auto commands = CtlCommands();
+  const auto found = std::find_if(
+      commands.begin(), commands.end(),
+      [&](const CtlCommand& command) { return command.name == name; });
+  return found == commands.end() ? nullptr : &*found;
+}
+
+// Whether the command takes every option that was given.
+bool TakesOptions(const CtlCommand& command,
+                  const cxxopts::ParseResult& parsed) {
+  for (const auto& given : parsed.arguments()) {
+    if (given.key() != "words" &&
+        std::find(command.options.begin(), command.options.end(),
+                  given.key()) == command.options.end()) {
+      PrintError(fmt::format("{} takes no --{}; see chicorystepctl {} --help",
+                             command.name, given.key(), command.name));
+      return false;
+    }
+  }
+  return true;
+}
+
+int RunCommand(const cxxopts::ParseResult& parsed) {
+  const auto words = parsed.count("words") != 0
+                         ? parsed["words"].as<std::vector<std::string>>()
+                         : std::vector<std::string>();
+  if (words.empty()) {
     if (parsed.count("help") != 0) {
-      PrintHelp(options);
+      PrintHelp();
       return kCtlDone;
     }
+    PrintError("a command is required; see chicorystepctl --help");
+    return kCtlUsage;
+  }
+  const CtlCommand* command = FindCommand(words.front());
+  if (command == nullptr) {
+    PrintError(fmt::format("unknown command {}; see chicorystepctl --help",
+                           words.front()));
+    return kCtlUsage;
+  }
+  if (parsed.count("help") != 0) {
+    fmt::print("{}", HelpOf(*command));
+    return kCtlDone;
+  }
+  if (!TakesOptions(*command, parsed)) {
+    return kCtlUsage;
+  }
+  return command->run(CtlArguments{{words.begin() + 1, words.end()}, parsed});
+}
+
+int Main(int argc, char** argv) {
+  try {
+    cxxopts::Options options = MakeCtlOptions();
+    const auto parsed = options.parse(argc, argv);
     if (parsed.count("version") != 0) {
       fmt::print("chicorystepctl {}\n", kVersion);
       return kCtlDone;
     }
-    const auto words = parsed.count("words") != 0
-                           ? parsed["words"].as<std::vector<std::string>>()
-                           : std::vector<std::string>();
-    const auto* const command = std::find_if(
-        kCommands.begin(), kCommands.end(), [&](const Command& candidate) {
-          return !words.empty() && candidate.name == words.front();
-        });
-    if (command == kCommands.end()) {
-      fmt::print(stderr, "chicorystepctl: a command is required; see --help\n");
-      return kCtlUsage;
-    }
-    return command->run(CtlArguments{{words.begin() + 1, words.end()}, parsed});
+    return RunCommand(parsed);
   } catch (const cxxopts::exceptions::exception& error) {
-    fmt::print(stderr, "chicorystepctl: {}\n", error.what());
+    PrintError(error.what());
     return kCtlUsage;
   }
 }
--- a/chicorystep/programs/ctl_commands.h
+++ b/chicorystep/programs/ctl_commands.h
@@ -2,7 +2,9 @@
 #define CHICORYSTEP_PROGRAMS_CTL_COMMANDS_H_
 
 #include <cxxopts.hpp>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicorystep {
@@ -22,8 +24,31 @@
   const cxxopts::ParseResult& options;
 };
 
+// One subcommand: its name, its arguments, what it does, the options that it
+// takes, and the function, which returns the exit code.
+struct CtlCommand {
+  std::string_view name;
+  std::string_view arguments;
+  std::string_view help;
+  std::vector<std::string_view> options;
+  int (*run)(const CtlArguments&);
+};
+
+[[nodiscard]] std::span<const CtlCommand> CtlCommands();
+
+// Every option, for parsing; defaults come from the environment where the
+// option has a variable.
 [[nodiscard]] cxxopts::Options MakeCtlOptions();
 
+// The options of one command as its help shows them.
+[[nodiscard]] std::string HelpOf(const CtlCommand& command);
+
+// The names of all options.
+[[nodiscard]] std::vector<std::string_view> CtlOptionNames();
+
+// Prints "chicorystepctl: MESSAGE" to standard error.
+void PrintError(std::string_view message);
+
 // Each runs one command and returns the exit code.
 int RunCheck(const CtlArguments& arguments);
 int RunPublish(const CtlArguments& arguments);
@@ -34,6 +59,7 @@
 int RunWatch(const CtlArguments& arguments);
 int RunCancel(const CtlArguments& arguments);
 int RunState(const CtlArguments& arguments);
+int RunExplain(const CtlArguments& arguments);
 
 }  // namespace chicorystep
 
--- a/chicorystep/programs/ctl_work.cc
+++ b/chicorystep/programs/ctl_work.cc
@@ -1,16 +1,24 @@
-// The commands on work and state: request, submit, job, watch, cancel, state.
+// The commands on work and state: request, submit, job, watch, cancel, state,
+// explain.
 
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
 #include <optional>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
 
 #include "chicorystep/encoding/caller_messages.h"
 #include "chicorystep/programs/ctl_commands.h"
+#include "chicorystep/programs/ctl_render.h"
 #include "chicorystep/systems/job_records.h"
 #include "chicorystep/traffic/headers.h"
 #include "chicorystep/traffic/http_client.h"
@@ -56,25 +64,74 @@
   return headers;
 }
 
-// Prints the answer, or why there is none, and returns the exit code.
-int Finish(const httplib::Result& response) {
+bool WantsJson(const CtlArguments& arguments) {
+  return arguments.options.count("json") != 0;
+}
+
+// Prints a refusal for a person, or as it came.
+void PrintRefusal(const CtlArguments& arguments, const std::string& body) {
+  const auto refusal = DecodeRefusal(body);
+  if (!refusal || WantsJson(arguments)) {
+    fmt::print(stderr, "{}\n", body);
+    return;
+  }
+  const Refusal& told = refusal.value();
+  std::string line = fmt::format("refused: {}, outcome {}", NameOf(told.reason),
+                                 NameOf(told.execution));
+  if (!told.detail.empty()) {
+    line += ": " + told.detail;
+  }
+  if (told.retry_after > Duration{}) {
+    line += fmt::format(
+        "; repeat after {} ms",
+        std::chrono::ceil<std::chrono::milliseconds>(told.retry_after).count());
+  }
+  PrintError(line);
+}
+
+// The exit code when there is no answer to print; empty when there is one.
+std::optional<int> FailureOf(const CtlArguments& arguments,
+                             const httplib::Result& response) {
   if (!response) {
-    fmt::print(stderr, "chicorystepctl: no answer ({}); outcome unknown\n",
-               httplib::to_string(response.error()));
+    PrintError(fmt::format("no answer ({}); outcome unknown",
+                           httplib::to_string(response.error())));
     return kCtlUnreachable;
   }
   if (response->status >= 300) {
-    fmt::print(stderr, "{}\n", response->body);
+    PrintRefusal(arguments, response->body);
+    return kCtlFailed;
+  }
+  return std::nullopt;
+}
+
+void PrintStatus(const JobStatus& status) {
+  fmt::print("{} {}{}{}\n", status.id.value, NameOf(status.state),
+             status.detail.empty() ? "" : ": ", status.detail);
+  std::fflush(stdout);
+}
+
+// Prints the status that an answer holds, and returns the exit code.
+int FinishJob(const CtlArguments& arguments, const httplib::Result& response) {
+  if (const auto code = FailureOf(arguments, response)) {
+    return *code;
+  }
+  if (WantsJson(arguments)) {
+    fmt::print("{}\n", response->body);
+    return kCtlDone;
+  }
+  const auto status = DecodeJobStatus(response->body);
+  if (!status) {
+    PrintError(status.error().detail);
     return kCtlFailed;
   }
-  fmt::print("{}\n", response->body);
+  PrintStatus(status.value());
   return kCtlDone;
 }
 
 std::optional<std::string> OneWord(const CtlArguments& arguments,
                                    std::string_view what) {
   if (arguments.words.size() != 1) {
-    fmt::print(stderr, "chicorystepctl: expected one {}\n", what);
+    PrintError(fmt::format("expected one {}", what));
     return std::nullopt;
   }
   return arguments.words.front();
@@ -86,9 +143,7 @@
   const auto adjacency =
       FromName<Adjacency>(options["adjacent"].as<std::string>());
   if (!adjacency) {
-    fmt::print(stderr,
-               "chicorystepctl: --adjacent: expected none, rack or "
-               "worker\n");
+    PrintError("--adjacent: expected none, rack or worker");
     return std::nullopt;
   }
   constexpr std::int64_t kMillicoresInCore = 1000;
@@ -105,17 +160,105 @@
       .command = options["command"].as<std::string>()};
 }
 
+// Prints a document that the admin interface gave, and returns the exit code.
+int FinishDocument(const CtlArguments& arguments,
+                   const httplib::Result& response) {
+  if (const auto code = FailureOf(arguments, response)) {
+    return *code;
+  }
+  const Json document = Json::parse(response->body, nullptr, false);
+  if (WantsJson(arguments) || !document.is_object()) {
+    fmt::print("{}\n", response->body);
+  } else {
+    fmt::print("{}", RenderForPerson(document));
+  }
+  return kCtlDone;
+}
+
+// Prints the refusals of one request; a failure when there are none.
+int FinishRefusals(const CtlArguments& arguments,
+                   const httplib::Result& response) {
+  if (response && response->status == 200) {
+    const Json document = Json::parse(response->body, nullptr, false);
+    if (document.is_object() && document.value("refusals", Json()).empty()) {
+      PrintError("the entry process keeps no refusal of this request");
+      return kCtlFailed;
+    }
+  }
+  return FinishDocument(arguments, response);
+}
+
+// The body from --body, --body-file or standard input.
+std::optional<std::string> ReadBody(const CtlArguments& arguments) {
+  const auto& options = arguments.options;
+  if (options.count("body") != 0 && options.count("body-file") != 0) {
+    PrintError("--body and --body-file exclude each other");
+    return std::nullopt;
+  }
+  if (options.count("body-file") == 0) {
+    return options.count("body") != 0 ? options["body"].as<std::string>() : "";
+  }
+  const auto name = options["body-file"].as<std::string>();
+  std::ostringstream text;
+  if (name == "-") {
+    text << std::cin.rdbuf();
+    return text.str();
+  }
+  const std::ifstream file(name, std::ios::binary);
+  if (!file) {
+    PrintError(fmt::format("--body-file: cannot read {}", name));
+    return std::nullopt;
+  }
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Prints each new state of a job until it has ended.
+int Watch(const CtlArguments& arguments,
+          httplib::Client& client,
+          const std::string& job) {
+  std::optional<JobState> last;
+  while (true) {
+    const auto response = client.Get("/v1/jobs/" + job, MakeHeaders(arguments));
+    if (const auto code = FailureOf(arguments, response)) {
+      return *code;
+    }
+    const auto status = DecodeJobStatus(response->body);
+    if (!status) {
+      PrintError(status.error().detail);
+      return kCtlFailed;
+    }
+    if (const JobState state = status.value().state; state != last) {
+      last = state;
+      (void)FinishJob(arguments, response);
+      if (HasEnded(state)) {
+        return state == JobState::kDone ? kCtlDone : kCtlFailed;
+      }
+    }
+    std::this_thread::sleep_for(kWatchInterval);
+  }
+}
+
 }  // namespace
 
 int RunRequest(const CtlArguments& arguments) {
   const auto kind = OneWord(arguments, "kind");
-  if (!kind) {
+  const auto body = kind ? ReadBody(arguments) : std::nullopt;
+  if (!body) {
     return kCtlUsage;
   }
-  return Finish(ConnectTo(arguments, "entry")
-                    ->Post("/v1/requests/" + *kind, MakeHeaders(arguments),
-                           arguments.options["body"].as<std::string>(),
-                           "application/octet-stream"));
+  const auto response =
+      ConnectTo(arguments, "entry")
+          ->Post("/v1/requests/" + *kind, MakeHeaders(arguments), *body,
+                 "application/octet-stream");
+  if (const auto code = FailureOf(arguments, response)) {
+    return *code;
+  }
+  std::fwrite(response->body.data(), 1, response->body.size(), stdout);
+  if (::isatty(STDOUT_FILENO) != 0) {
+    fmt::print("\n");
+  }
+  return std::fflush(stdout) == 0 ? kCtlDone : kCtlFailed;
 }
 
 int RunSubmit(const CtlArguments& arguments) {
@@ -124,9 +267,16 @@
   if (!spec) {
     return kCtlUsage;
   }
-  return Finish(ConnectTo(arguments, "entry")
-                    ->Post("/v1/jobs", MakeHeaders(arguments),
-                           EncodeJobSpec(*spec), kJsonType));
+  const auto client = ConnectTo(arguments, "entry");
+  const auto response = client->Post("/v1/jobs", MakeHeaders(arguments),
+                                     EncodeJobSpec(*spec), kJsonType);
+  const int code = FinishJob(arguments, response);
+  if (code != kCtlDone || arguments.options.count("attach") == 0) {
+    return code;
+  }
+  const auto status = DecodeJobStatus(response->body);
+  return status ? Watch(arguments, *client, status.value().id.value)
+                : kCtlFailed;
 }
 
 int RunJob(const CtlArguments& arguments) {
@@ -134,8 +284,9 @@
   if (!job) {
     return kCtlUsage;
   }
-  return Finish(ConnectTo(arguments, "entry")
-                    ->Get("/v1/jobs/" + *job, MakeHeaders(arguments)));
+  return FinishJob(arguments,
+                   ConnectTo(arguments, "entry")
+                       ->Get("/v1/jobs/" + *job, MakeHeaders(arguments)));
 }
 
 int RunWatch(const CtlArguments& arguments) {
@@ -143,28 +294,7 @@
   if (!job) {
     return kCtlUsage;
   }
-  const auto client = ConnectTo(arguments, "entry");
-  std::optional<JobState> last;
-  while (true) {
-    const auto response =
-        client->Get("/v1/jobs/" + *job, MakeHeaders(arguments));
-    if (!response || response->status >= 300) {
-      return Finish(response);
-    }
-    const auto status = DecodeJobStatus(response->body);
-    if (!status) {
-      fmt::print(stderr, "chicorystepctl: {}\n", status.error().detail);
-      return kCtlFailed;
-    }
-    if (const JobState state = status.value().state; state != last) {
-      last = state;
-      fmt::print("{} {} {}\n", *job, NameOf(state), status.value().detail);
-      if (HasEnded(state)) {
-        return state == JobState::kDone ? kCtlDone : kCtlFailed;
-      }
-    }
-    std::this_thread::sleep_for(kWatchInterval);
-  }
+  return Watch(arguments, *ConnectTo(arguments, "entry"), *job);
 }
 
 int RunCancel(const CtlArguments& arguments) {
@@ -172,12 +302,35 @@
   if (!job) {
     return kCtlUsage;
   }
-  return Finish(ConnectTo(arguments, "entry")
-                    ->Delete("/v1/jobs/" + *job, MakeHeaders(arguments)));
+  return FinishJob(arguments,
+                   ConnectTo(arguments, "entry")
+                       ->Delete("/v1/jobs/" + *job, MakeHeaders(arguments)));
 }
 
 int RunState(const CtlArguments& arguments) {
-  return Finish(ConnectTo(arguments, "admin")->Get("/v1/state"));
+  if (!arguments.words.empty()) {
+    PrintError("state takes no argument");
+    return kCtlUsage;
+  }
+  return FinishDocument(arguments,
+                        ConnectTo(arguments, "admin")->Get("/v1/state"));
+}
+
+int RunExplain(const CtlArguments& arguments) {
+  const std::string what =
+      arguments.words.empty() ? "" : arguments.words.front();
+  if (arguments.words.size() != 2 || (what != "job" && what != "request")) {
+    PrintError("explain needs job JOB or request ID");
+    return kCtlUsage;
+  }
+  const std::string& id = arguments.words.back();
+  if (what == "job") {
+    return FinishDocument(arguments,
+                          ConnectTo(arguments, "entry")
+                              ->Get("/v1/jobs/" + id, MakeHeaders(arguments)));
+  }
+  return FinishRefusals(
+      arguments, ConnectTo(arguments, "admin")->Get("/v1/refusals/" + id));
 }
 
 }  // namespace chicorystep
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -68,8 +68,9 @@
             MakeWorld(entry_settings),
             [this](Outbox&& outbox) { this->CarryOut(std::move(outbox)); },
             [this] { this->StopServing(); }),
-        caller_context{this->control, this->desk, this->executors,
-                       this->settings} {}
+        caller_context{this->control,  this->desk,     this->executors,
+                       this->settings, this->refusals, this->metrics},
+        admin_context{this->control, this->metrics, this->refusals} {}
 
   void CarryOut(Outbox&& outbox);
   // Ends the callers' listener while the control loop still answers those on
@@ -78,10 +79,12 @@
 
   const EntrySettings& settings;
   Metrics metrics;
+  RecentRefusals refusals;
   ExchangeDesk desk;
   HttpClientPool executors;
   ControlLoop control;
   CallerContext caller_context;
+  AdminContext admin_context;
   std::unique_ptr<HttpServer> admin;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<LogClient> log;
@@ -138,7 +141,7 @@
   RegisterMetrics(process.metrics);
 
   process.admin = std::make_unique<HttpServer>(HttpServerOptions{});
-  AddAdminRoutes(process.admin->Routes(), control, process.metrics.registry);
+  AddAdminRoutes(process.admin->Routes(), process.admin_context);
   process.callers = std::make_unique<HttpServer>(
       HttpServerOptions{.threads = settings.caller_threads,
                         .keep_alive_requests = settings.keep_alive_requests,
@@ -160,7 +163,10 @@
                         .seed = MakeIncarnation().value},
       LogClient::Callbacks{
           .append_ended =
-              [&control](AppendEnded ended) {
+              [&control, &process](AppendEnded ended) {
+                if (!ended.acknowledged) {
+                  process.metrics.appends_unconfirmed->Increment();
+                }
                 control.Post([&](Inbox& inbox) {
                   inbox.appends_ended.push_back(std::move(ended));
                 });
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -12,6 +12,7 @@
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/job_check.h"
 #include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/job_status.h"
 
 namespace chicorystep {
 namespace impl {
@@ -115,8 +116,7 @@
   if (const Job* job = cell.jobs.find(operation.spec.id)) {
     if (IsSameJob(job->spec, operation.spec)) {
       outbox.ended_job_operations.push_back(EndJobOperation{
-          operation.exchange, std::nullopt,
-          JobStatus{job->spec.id, job->state, job->end_detail}});
+          operation.exchange, std::nullopt, DescribeJob(cell, *job)});
     } else {
       Refuse(outbox, operation, Execution::kNotRun, Reason::kDuplicateId,
              "the request id names another job");
@@ -147,9 +147,8 @@
                                 .job = JobSpec{.id = job.spec.id}},
                      outbox);
   }
-  outbox.ended_job_operations.push_back(
-      EndJobOperation{operation.exchange, std::nullopt,
-                      JobStatus{job.spec.id, job.state, job.end_detail}});
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      operation.exchange, std::nullopt, DescribeJob(cell, job)});
 }
 
 void HandleOne(World& world,
@@ -184,9 +183,8 @@
     Cancel(world, cell->second, *job, operation, outbox);
     return;
   }
-  outbox.ended_job_operations.push_back(
-      EndJobOperation{operation.exchange, std::nullopt,
-                      JobStatus{job->spec.id, job->state, job->end_detail}});
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      operation.exchange, std::nullopt, DescribeJob(cell->second, *job)});
 }
 
 }  // namespace impl
--- a/chicorystep/traffic/admin_server.cc
+++ b/chicorystep/traffic/admin_server.cc
@@ -28,28 +28,45 @@
   response.set_content(dump.get(), kJsonType);
 }
 
+void HandleMetrics(AdminContext& context, httplib::Response& response) {
+  const auto set = std::make_shared<std::promise<void>>();
+  auto done = set->get_future();
+  context.loop.Inspect([set, &context](const World& world, TimePoint now) {
+    SetGauges(context.metrics, world, now);
+    set->set_value();
+  });
+  // A control thread that does not answer is seen by the gauges standing still.
+  (void)done.wait_for(kDumpTimeout);
+  response.set_content(prometheus::TextSerializer().Serialize(
+                           context.metrics.registry.Collect()),
+                       "text/plain; version=0.0.4");
+}
+
 }  // namespace impl
 
-void AddAdminRoutes(httplib::Server& server,
-                    ControlLoop& loop,
-                    prometheus::Registry& registry) {
+void AddAdminRoutes(httplib::Server& server, AdminContext& context) {
   using httplib::Request;
   using httplib::Response;
   server.Get("/healthz", [](const Request&, Response& response) {
     response.set_content("ok\n", "text/plain");
   });
-  server.Get("/readyz", [&loop](const Request&, Response& response) {
-    const bool ready = loop.CurrentView()->ready;
+  server.Get("/readyz", [&context](const Request&, Response& response) {
+    const bool ready = context.loop.CurrentView()->ready;
     response.status = ready ? 200 : 503;
     response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
   });
-  server.Get("/metrics", [&registry](const Request&, Response& response) {
-    response.set_content(
-        prometheus::TextSerializer().Serialize(registry.Collect()),
-        "text/plain; version=0.0.4");
+  server.Get("/metrics", [&context](const Request&, Response& response) {
+    impl::HandleMetrics(context, response);
   });
-  server.Get("/v1/state", [&loop](const Request&, Response& response) {
-    impl::HandleState(loop, response);
+  server.Get(
+      R"(/v1/refusals/([A-Za-z0-9._-]{1,64}))",
+      [&context](const Request& request, Response& response) {
+        response.set_content(
+            EncodeRefusalsOf(context.refusals, RequestId(request.matches[1])),
+            kJsonType);
+      });
+  server.Get("/v1/state", [&context](const Request&, Response& response) {
+    impl::HandleState(context.loop, response);
   });
 }
 
--- a/chicorystep/traffic/admin_server.h
+++ b/chicorystep/traffic/admin_server.h
@@ -2,16 +2,23 @@
 #define CHICORYSTEP_TRAFFIC_ADMIN_SERVER_H_
 
 #include <httplib.h>
-#include <prometheus/registry.h>
 
 #include "chicorystep/control/loop.h"
+#include "chicorystep/traffic/metrics.h"
+#include "chicorystep/traffic/recent_refusals.h"
 
 namespace chicorystep {
 
-// Adds the operators' interface: /healthz, /readyz, /metrics and /v1/state.
-void AddAdminRoutes(httplib::Server& server,
-                    ControlLoop& loop,
-                    prometheus::Registry& registry);
+// What the operators' handlers need; it outlives the server.
+struct AdminContext {
+  ControlLoop& loop;
+  Metrics& metrics;
+  RecentRefusals& refusals;
+};
+
+// Adds the operators' interface: /healthz, /readyz, /metrics, /v1/state and
+// /v1/refusals/<request id>.
+void AddAdminRoutes(httplib::Server& server, AdminContext& context);
 
 }  // namespace chicorystep
 
--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -151,9 +151,23 @@
   response.set_content(answer.body, answer.content_type);
 }
 
-void WriteNoDecision(httplib::Response& response) {
-  WriteRefusal(response, Refusal{Execution::kUnknown, Reason::kNotReady,
-                                 "no decision in time", Duration{}});
+Refusal NoDecision() {
+  return Refusal{Execution::kUnknown, Reason::kNotReady, "no decision in time",
+                 Duration{}};
+}
+
+// Refuses a request and keeps why.
+void RefuseRequest(CallerContext& context,
+                   const RequestBytes& bytes,
+                   const Refusal& refusal,
+                   httplib::Response& response) {
+  Remember(context.refusals,
+           RefusedRequest{.at = std::chrono::system_clock::now(),
+                          .id = bytes.id,
+                          .workspace = bytes.workspace,
+                          .kind = bytes.kind,
+                          .refusal = refusal});
+  WriteRefusal(response, refusal);
 }
 
 // Carries out the instructions for one request until it ends.
@@ -175,14 +189,14 @@
       });
     } else if (const auto* end = std::get_if<EndExchange>(&*next)) {
       if (end->refusal) {
-        WriteRefusal(response, *end->refusal);
+        RefuseRequest(context, bytes, *end->refusal, response);
       } else {
         WriteAnswer(response, answer);
       }
       return;
     }
   }
-  WriteNoDecision(response);
+  RefuseRequest(context, bytes, NoDecision(), response);
 }
 
 void HandleRequest(CallerContext& context,
@@ -213,7 +227,11 @@
   const Duration patience =
       header.value().deadline.value_or(context.settings.max_deadline) +
       kDecisionMargin;
+  const auto begin = std::chrono::steady_clock::now();
   CarryOut(context, exchange, bytes, patience, response);
+  context.metrics.request_seconds->Observe(
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
+          .count());
 }
 
 void RunJobOperation(CallerContext& context,
@@ -229,7 +247,7 @@
       exchange.id, context.settings.platform_timeout + kDecisionMargin);
   const auto* end = next ? std::get_if<EndJobOperation>(&*next) : nullptr;
   if (end == nullptr) {
-    WriteNoDecision(response);
+    WriteRefusal(response, NoDecision());
   } else if (end->refusal) {
     WriteRefusal(response, *end->refusal);
   } else {
--- a/chicorystep/traffic/caller_server.h
+++ b/chicorystep/traffic/caller_server.h
@@ -6,6 +6,8 @@
 #include "chicorystep/traffic/exchange.h"
 #include "chicorystep/traffic/http_client.h"
 #include "chicorystep/traffic/http_server.h"
+#include "chicorystep/traffic/metrics.h"
+#include "chicorystep/traffic/recent_refusals.h"
 
 namespace chicorystep {
 
@@ -15,6 +17,8 @@
   ExchangeDesk& desk;
   HttpClientPool& executors;
   const EntrySettings& settings;
+  RecentRefusals& refusals;
+  Metrics& metrics;
 };
 
 // Adds the callers' interface to `server`: requests and jobs. The handlers
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -1,8 +1,13 @@
 #include "chicorystep/traffic/metrics.h"
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <string>
 
 #include "chicorystep/core/outcome.h"
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/membership.h"
 
 namespace chicorystep {
 namespace impl {
@@ -17,6 +22,78 @@
               .Add({});
 }
 
+prometheus::Gauge* AddGauge(prometheus::Registry& registry,
+                            const std::string& name,
+                            const std::string& help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+// Bounds of the histogram of request times, in seconds.
+const prometheus::Histogram::BucketBoundaries& TimeBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+      0.5,   1,     2,     5,    10,   30,   60};
+  return buckets;
+}
+
+void RegisterGauges(Metrics& metrics) {
+  prometheus::Registry& registry = metrics.registry;
+  metrics.ready = AddGauge(registry, "chicorystep_ready",
+                           "1 while the balancer may send callers here");
+  metrics.config_revision =
+      AddGauge(registry, "chicorystep_config_revision",
+               "Revision of the newest edit in force in this process");
+  metrics.members_alive = AddGauge(registry, "chicorystep_members_alive",
+                                   "Other entry processes heard in time");
+  metrics.requests_open = AddGauge(registry, "chicorystep_requests_open",
+                                   "Requests whose caller waits");
+  metrics.requests_waiting = AddGauge(registry, "chicorystep_requests_waiting",
+                                      "Requests that wait for an executor");
+  metrics.cells_held = AddGauge(registry, "chicorystep_cells_held",
+                                "Placement cells that this process holds");
+  metrics.workers_heard =
+      AddGauge(registry, "chicorystep_workers_heard",
+               "Workers of the held cells that have answered within a lease");
+  metrics.free_accelerators =
+      AddGauge(registry, "chicorystep_free_accelerators",
+               "Accelerators of the held cells without a placed piece");
+  metrics.jobs = &prometheus::BuildGauge()
+                      .Name("chicorystep_jobs")
+                      .Help("Jobs of the held cells, by state")
+                      .Register(registry);
+}
+
+void SetCellGauges(Metrics& metrics, const World& world, TimePoint now) {
+  std::array<double, kEnumNames<JobState>.size()> jobs{};
+  double held = 0;
+  double heard = 0;
+  double accelerators = 0;
+  for (const auto& [zone, cell] : world.jobs.cells) {
+    if (!IsHeld(cell)) {
+      continue;
+    }
+    ++held;
+    for (const Worker& worker : cell.workers.rows) {
+      heard += worker.heard != TimePoint::min() &&
+                       now - worker.heard <= world.self.lease_time
+                   ? 1
+                   : 0;
+      accelerators += static_cast<double>(worker.free_accelerators.value);
+    }
+    for (const Job& job : cell.jobs.rows) {
+      ++jobs.at(static_cast<std::size_t>(job.state));
+    }
+  }
+  metrics.cells_held->Set(held);
+  metrics.workers_heard->Set(heard);
+  metrics.free_accelerators->Set(accelerators);
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    const std::string state(kEnumNames<JobState>.at(i));
+    metrics.jobs->Add({{"state", state}}).Set(jobs.at(i));
+  }
+}
+
 void CountEnd(Metrics& metrics, const EndExchange& end) {
   const std::string reason =
       end.refusal ? std::string(NameOf(end.refusal->reason)) : "answered";
@@ -42,6 +119,16 @@
   metrics.appends =
       impl::AddCounter(metrics.registry, "chicorystep_appends_total",
                        "Records given to the log client");
+  metrics.appends_unconfirmed = impl::AddCounter(
+      metrics.registry, "chicorystep_appends_unconfirmed_total",
+      "Records whose append was given up without an answer");
+  metrics.request_seconds =
+      &prometheus::BuildHistogram()
+           .Name("chicorystep_request_seconds")
+           .Help("Seconds from a whole request to its whole answer")
+           .Register(metrics.registry)
+           .Add({}, impl::TimeBuckets());
+  impl::RegisterGauges(metrics);
   metrics.worker_messages =
       impl::AddCounter(metrics.registry, "chicorystep_worker_messages_total",
                        "Messages sent to workers");
@@ -58,4 +145,18 @@
   }
 }
 
+void SetGauges(Metrics& metrics, const World& world, TimePoint now) {
+  const auto& members = world.members.table.rows;
+  metrics.ready->Set(world.config_ready && !world.stopping ? 1 : 0);
+  metrics.config_revision->Set(
+      static_cast<double>(world.config.revision.value));
+  metrics.members_alive->Set(static_cast<double>(std::count_if(
+      members.begin(), members.end(),
+      [&](const Member& member) { return IsAlive(member, world.self, now); })));
+  metrics.requests_open->Set(static_cast<double>(world.requests.table.size()));
+  metrics.requests_waiting->Set(
+      static_cast<double>(world.requests.waiting.size()));
+  impl::SetCellGauges(metrics, world, now);
+}
+
 }  // namespace chicorystep
--- a/chicorystep/traffic/metrics.h
+++ b/chicorystep/traffic/metrics.h
@@ -4,6 +4,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include "chicorystep/control/world.h"
@@ -13,11 +14,26 @@
 // The process's metrics; docs/OPERATING.md lists them with their units.
 struct Metrics {
   prometheus::Registry registry;
+
+  // Counted as things happen.
   prometheus::Family<prometheus::Counter>* exchanges_ended = nullptr;
   prometheus::Counter* attempts = nullptr;
   prometheus::Counter* ticks = nullptr;
   prometheus::Counter* appends = nullptr;
+  prometheus::Counter* appends_unconfirmed = nullptr;
   prometheus::Counter* worker_messages = nullptr;
+  prometheus::Histogram* request_seconds = nullptr;
+
+  // Read from the control state when they are asked for.
+  prometheus::Gauge* ready = nullptr;
+  prometheus::Gauge* config_revision = nullptr;
+  prometheus::Gauge* members_alive = nullptr;
+  prometheus::Gauge* requests_open = nullptr;
+  prometheus::Gauge* requests_waiting = nullptr;
+  prometheus::Gauge* cells_held = nullptr;
+  prometheus::Gauge* workers_heard = nullptr;
+  prometheus::Gauge* free_accelerators = nullptr;
+  prometheus::Family<prometheus::Gauge>* jobs = nullptr;
 };
 
 void RegisterMetrics(Metrics& metrics);
@@ -25,6 +41,9 @@
 // Counts what one tick decided.
 void CountOutbox(Metrics& metrics, const Outbox& outbox);
 
+// Sets the gauges to the control state.
+void SetGauges(Metrics& metrics, const World& world, TimePoint now);
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_TRAFFIC_METRICS_H_
