--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -33,6 +33,7 @@
   Duration instances_interval = std::chrono::seconds(1);
   Duration platform_timeout = std::chrono::seconds(5);
   std::int64_t append_attempts = 8;
+  Duration log_retention = std::chrono::hours(24);
 
   // [callers]
   std::int64_t caller_threads = 256;
@@ -45,6 +46,13 @@
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
+  Bytes link_bytes_per_second{256 << 10};
+
+  // [claims]
+  std::int64_t max_claims = 200'000;
+  Duration claim_window = std::chrono::hours(1);
+  Duration claim_timeout = std::chrono::seconds(2);
+
   // [jobs]
   std::int64_t max_waiting_jobs = 20'000;
   std::int64_t max_pieces = 1024;
