--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -238,11 +238,19 @@
   return 0;
 }
 
+void PrintSettings() {
+  for (const auto& [name, default_value, expected] : DescribeEntrySettings()) {
+    fmt::print("{:<32} {:<12} {}\n", name,
+               default_value.empty() ? "required" : default_value, expected);
+  }
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("chicorystep-entry",
                            "Serves callers and holds placement cells.");
   options.add_options()("settings", "INI file with the settings (required)",
                         cxxopts::value<std::string>(), "FILE")(
+      "help-settings", "Print every key of the settings, with its default")(
       "version", "Print the version")("help", "Print this help");
   std::string file;
   try {
@@ -251,6 +259,10 @@
       fmt::print("{}\n", options.help());
       return 0;
     }
+    if (arguments.count("help-settings") != 0) {
+      PrintSettings();
+      return 0;
+    }
     if (arguments.count("version") != 0) {
       fmt::print("chicorystep-entry {}\n", kVersion);
       return 0;
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -25,8 +25,16 @@
   bool required;
   std::string expected;
   std::function<bool(EntrySettings&, std::string_view)> read;
+  // The default as it would be written; empty when there is none.
+  std::string default_value;
 };
 
+// The default of a member that has a unit.
+template <typename Value>
+std::string DefaultOf(Value EntrySettings::*member) {
+  return FormatValue(EntrySettings{}.*member);
+}
+
 template <typename Value>
 auto Store(Value EntrySettings::*member, auto parse, auto is_valid) {
   return [=](EntrySettings& settings, std::string_view text) {
@@ -61,10 +69,13 @@
                     std::string_view key,
                     Duration EntrySettings::*member,
                     Duration least) {
-  return {section, key, false,
+  return {section,
+          key,
+          false,
           fmt::format("{}, at least {}us", kDurationFormat, least.count()),
           Store(member, ParseDuration,
-                [=](Duration value) { return value >= least; })};
+                [=](Duration value) { return value >= least; }),
+          DefaultOf(member)};
 }
 
 Field CountField(std::string_view section,
@@ -72,24 +83,35 @@
                  std::int64_t EntrySettings::*member,
                  std::int64_t least,
                  std::int64_t most) {
-  return {section, key, false,
+  return {section,
+          key,
+          false,
           fmt::format("a whole number from {} to {}", least, most),
-          Store(member, ParseCount, [=](std::int64_t value) {
-            return value >= least && value <= most;
-          })};
+          Store(member, ParseCount,
+                [=](std::int64_t value) {
+                  return value >= least && value <= most;
+                }),
+          std::to_string(EntrySettings{}.*member)};
 }
 
 Field BytesField(std::string_view section,
                  std::string_view key,
                  Bytes EntrySettings::*member) {
   return {
-      section, key, false, std::string(kBytesFormat),
-      Store(member, ParseBytes, [](Bytes value) { return value > Bytes{0}; })};
+      section,
+      key,
+      false,
+      std::string(kBytesFormat),
+      Store(member, ParseBytes, [](Bytes value) { return value > Bytes{0}; }),
+      DefaultOf(member)};
 }
 
 Field LogLevelField() {
   static constexpr std::array kNames = {"debug", "info", "warn", "error"};
-  return {"instance", "log_level", false, "debug, info, warn or error",
+  return {"instance",
+          "log_level",
+          false,
+          "debug, info, warn or error",
           [](EntrySettings& settings, std::string_view text) {
             const auto found = std::find(kNames.begin(), kNames.end(), text);
             if (found == kNames.end()) {
@@ -98,7 +120,8 @@
             settings.log_level =
                 static_cast<LogLevel>(std::distance(kNames.begin(), found));
             return true;
-          }};
+          },
+          kNames.at(static_cast<std::size_t>(EntrySettings{}.log_level))};
 }
 
 const std::vector<Field>& Fields() {
@@ -244,6 +267,16 @@
 
 }  // namespace impl
 
+std::vector<SettingDescription> DescribeEntrySettings() {
+  std::vector<SettingDescription> descriptions;
+  for (const impl::Field& field : impl::Fields()) {
+    descriptions.push_back(
+        SettingDescription{fmt::format("{}.{}", field.section, field.key),
+                           field.default_value, field.expected});
+  }
+  return descriptions;
+}
+
 Result<EntrySettings, std::vector<SettingsFault>> ReadEntrySettings(
     const IniDocument& document) {
   EntrySettings settings;
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -70,6 +70,18 @@
   Duration drain_time = std::chrono::seconds(30);
 };
 
+// One key of the settings file.
+struct SettingDescription {
+  // "section.key".
+  std::string name;
+  // As it would be written; empty for a key without a default.
+  std::string default_value;
+  std::string expected;
+};
+
+// Every key, in the order of the page that documents them.
+[[nodiscard]] std::vector<SettingDescription> DescribeEntrySettings();
+
 // Checks the whole document and reports every fault in it.
 [[nodiscard]] Result<EntrySettings, std::vector<SettingsFault>>
 ReadEntrySettings(const IniDocument& document);
--- a/chicorystep/settings/values.cc
+++ b/chicorystep/settings/values.cc
@@ -5,6 +5,7 @@
 #include <asio/ip/address_v4.hpp>
 #include <cctype>
 #include <charconv>
+#include <iterator>
 #include <limits>
 #include <string>
 #include <system_error>
@@ -46,8 +47,25 @@
   return number * unit->factor;
 }
 
+template <typename Units>
+std::string FormatWithUnit(std::int64_t number, const Units& units) {
+  const auto unit = std::find_if(
+      units.rbegin(), std::prev(units.rend()), [&](const Unit& candidate) {
+        return number != 0 && number % candidate.factor == 0;
+      });
+  return std::to_string(number / unit->factor) + std::string(unit->name);
+}
+
 }  // namespace impl
 
+std::string FormatValue(Duration value) {
+  return impl::FormatWithUnit(value.count(), impl::kDurationUnits);
+}
+
+std::string FormatValue(Bytes value) {
+  return impl::FormatWithUnit(value.value, impl::kByteUnits);
+}
+
 std::optional<Duration> ParseDuration(std::string_view text) {
   if (const auto count = impl::ParseWithUnit(text, impl::kDurationUnits)) {
     return Duration(*count);
--- a/chicorystep/settings/values.h
+++ b/chicorystep/settings/values.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "chicorystep/core/ids.h"
@@ -22,6 +23,10 @@
     "a size with its unit B, KiB, MiB or GiB, such as 64KiB";
 [[nodiscard]] std::optional<Bytes> ParseBytes(std::string_view text);
 
+// A value with the largest unit that divides it, as the parsers read it.
+[[nodiscard]] std::string FormatValue(Duration value);
+[[nodiscard]] std::string FormatValue(Bytes value);
+
 inline constexpr std::string_view kCountFormat =
     "a whole number, 0 or more, without a unit";
 [[nodiscard]] std::optional<std::int64_t> ParseCount(std::string_view text);
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -154,8 +154,7 @@
       members.begin(), members.end(),
       [&](const Member& member) { return IsAlive(member, world.self, now); })));
   metrics.requests_open->Set(static_cast<double>(world.requests.table.size()));
-  metrics.requests_waiting->Set(
-      static_cast<double>(world.requests.waiting.size()));
+  metrics.requests_waiting->Set(static_cast<double>(world.requests.due.size()));
   impl::SetCellGauges(metrics, world, now);
 }
 
