--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -76,8 +76,9 @@
             MakeWorld(entry_settings),
             [this](Outbox&& outbox) { this->CarryOut(std::move(outbox)); },
             [this] { this->StopServing(); }),
-        caller_context{this->control, this->desk, this->executors,
-                       this->settings} {}
+        caller_context{this->control,  this->desk,     this->executors,
+                       this->settings, this->refusals, this->metrics},
+        admin_context{this->control, this->metrics, this->refusals} {}
 
   void CarryOut(Outbox&& outbox);
   // Ends the callers' listener while the control loop still answers those on
@@ -86,10 +87,12 @@
 
   const EntrySettings& settings;
   Metrics metrics;
+  RecentRefusals refusals;
   ExchangeDesk desk;
   HttpClientPool executors;
   ControlLoop control;
   CallerContext caller_context;
+  AdminContext admin_context;
   std::unique_ptr<HttpServer> admin;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<LogClient> log;
@@ -149,7 +152,7 @@
   RegisterMetrics(process.metrics);
 
   process.admin = std::make_unique<HttpServer>(HttpServerOptions{});
-  AddAdminRoutes(process.admin->Routes(), control, process.metrics.registry);
+  AddAdminRoutes(process.admin->Routes(), process.admin_context);
   process.callers = std::make_unique<HttpServer>(
       HttpServerOptions{.threads = settings.caller_threads,
                         .keep_alive_requests = settings.keep_alive_requests,
@@ -171,7 +174,10 @@
                         .seed = MakeIncarnation().value},
       LogClient::Callbacks{
           .append_ended =
-              [&control](AppendEnded ended) {
+              [&control, &process](AppendEnded ended) {
+                if (!ended.acknowledged) {
+                  process.metrics.appends_unconfirmed->Increment();
+                }
                 control.Post([&](Inbox& inbox) {
                   inbox.appends_ended.push_back(std::move(ended));
                 });
@@ -239,11 +245,19 @@
   return 0;
 }
 
+void PrintSettings() {
+  for (const auto& [name, default_value, expected] : DescribeEntrySettings()) {
+    fmt::print("{:<32} {:<12} {}\n", name,
+               default_value.empty() ? "required" : default_value, expected);
+  }
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("chicorystep-entry",
                            "Serves callers and holds placement cells.");
   options.add_options()("settings", "INI file with the settings (required)",
                         cxxopts::value<std::string>(), "FILE")(
+      "help-settings", "Print every key of the settings, with its default")(
       "version", "Print the version")("help", "Print this help");
   std::string file;
   try {
@@ -252,6 +266,10 @@
       fmt::print("{}\n", options.help());
       return 0;
     }
+    if (arguments.count("help-settings") != 0) {
+      PrintSettings();
+      return 0;
+    }
     if (arguments.count("version") != 0) {
       fmt::print("chicorystep-entry {}\n", kVersion);
       return 0;
