--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,7 +19,7 @@
 #include "chicorystep/platform/log_client.h"
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/claims.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
@@ -42,17 +42,27 @@
   world.self = Self{
       .id = settings.id,
       .incarnation = MakeIncarnation(),
+      .address = settings.peers,
       .zone = settings.zone,
       .region = settings.region,
       .heartbeat_interval = settings.heartbeat_interval,
       .member_timeout = settings.member_timeout,
       .lease_time = settings.lease_time,
+      .log_retention = settings.log_retention,
       .worker_poll_interval = settings.worker_poll_interval,
       .announce_time = settings.announce_time,
       .drain_time = settings.drain_time,
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
-      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs)};
+      .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .job_limits = {.max_pieces = settings.max_pieces,
+                     .max_command = settings.max_command},
+      .link_bytes_per_second = settings.link_bytes_per_second,
+      .max_claims = static_cast<std::size_t>(settings.max_claims),
+      .claim_window = settings.claim_window,
+      .claim_timeout = settings.claim_timeout};
+  world.requests.random.seed(
+      static_cast<std::uint32_t>(world.self.incarnation.value));
   return world;
 }
 
@@ -110,6 +120,9 @@
   for (SendHeartbeat& heartbeat : outbox.heartbeats) {
     this->peers->Send(std::move(heartbeat));
   }
+  for (FetchConfig& fetch : outbox.config_fetches) {
+    this->peers->Send(std::move(fetch));
+  }
   for (ForwardJobOperation& forward : outbox.forwards) {
     this->peers->Send(std::move(forward));
   }
@@ -142,6 +155,8 @@
                         .keep_alive_requests = settings.keep_alive_requests,
                         .keep_alive_time = settings.keep_alive_time,
                         .read_timeout = settings.read_timeout,
+                        .receive_timeout = settings.receive_timeout,
+                        .max_head = settings.max_head,
                         .max_body = settings.max_body});
   AddCallerRoutes(process.callers->Routes(), process.caller_context);
 
@@ -166,8 +181,14 @@
                 control.Post([&](Inbox& inbox) {
                   inbox.log_batches.push_back(std::move(batch));
                 });
+              },
+          .read_state =
+              [&control](LogReadState state) {
+                control.Post([&](Inbox& inbox) {
+                  inbox.log_read_states.push_back(std::move(state));
+                });
               }});
-  process.log->Follow(FollowStream{ConfigStream(), Offset{}});
+  process.log->Follow(FollowStream{ClaimStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
       [&control](WorkerAnswered answered) {
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -33,18 +33,30 @@
   Duration instances_interval = std::chrono::seconds(1);
   Duration platform_timeout = std::chrono::seconds(5);
   std::int64_t append_attempts = 8;
+  Duration log_retention = std::chrono::hours(24);
 
   // [callers]
   std::int64_t caller_threads = 256;
   std::int64_t keep_alive_requests = 1'000'000;
   Duration keep_alive_time = std::chrono::seconds(60);
   Duration read_timeout = std::chrono::seconds(10);
+  Duration receive_timeout = std::chrono::seconds(60);
+  Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
+  Bytes link_bytes_per_second{256 << 10};
+
+  // [claims]
+  std::int64_t max_claims = 200'000;
+  Duration claim_window = std::chrono::hours(1);
+  Duration claim_timeout = std::chrono::seconds(2);
+
   // [jobs]
   std::int64_t max_waiting_jobs = 20'000;
+  std::int64_t max_pieces = 1024;
+  Bytes max_command{64 << 10};
   Duration lease_time = std::chrono::seconds(10);
   Duration worker_poll_interval = std::chrono::seconds(1);
   std::int64_t worker_threads = 8;
