--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,436 @@
+// Measures placement in virtual time over the real tick, beside first-fit in
+// arrival order on the same trace. Seeds are fixed.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chicorystep/core/logging.h"
+#include "tests/support/cell_simulation.h"
+
+namespace chicorystep::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// One cell and the work that is sent to it.
+struct BenchCase {
+  std::string_view name;
+  int workers = 0;
+  int per_rack = 8;
+  int workspaces = 0;
+  // Submitted at once at the start, and each second afterwards.
+  int initial_jobs = 0;
+  double jobs_per_second = 0;
+  std::int64_t largest_gang = 0;
+  Duration length{};
+};
+
+const std::vector<BenchCase> kCases = {
+    {"atlas (a zone)", 17, 8, 4, 100, 0.15, 32, minutes(40)},
+    {"bay-state (a zone)", 16, 8, 4, 100, 0.15, 32, minutes(40)},
+    {"target (a cell)", 512, 8, 85, 10'000, 9.0, 1024, minutes(15)},
+};
+
+enum class JobClass { kShort, kLong, kGang, kUrgent };
+
+// A job of the trace.
+struct TraceJob {
+  JobClass job_class = JobClass::kShort;
+  JobSpec spec;
+  TimePoint at{};
+  Duration run_time{};
+  bool checkpoint_hangs = false;
+};
+
+Shape MakeShape(std::int64_t pieces,
+                std::int64_t accelerators,
+                Adjacency adjacency) {
+  return Shape{.pieces = pieces,
+               .accelerators = Accelerators{accelerators},
+               .processors = Millicores{accelerators * 2000},
+               .memory = Mebibytes{accelerators * 4096},
+               .adjacency = adjacency};
+}
+
+// Adds run time and shape of a random class; one in fifty is a straggler.
+void DrawJob(std::mt19937& random, const BenchCase& sample, TraceJob& job) {
+  const auto in_range = [&](std::int64_t low, std::int64_t high) {
+    return std::uniform_int_distribution<std::int64_t>(low, high)(random);
+  };
+  const std::int64_t draw = in_range(0, 99);
+  job.spec.checkpointable = true;
+  std::int64_t run_seconds = 0;
+  if (draw < 4) {
+    job.job_class = JobClass::kUrgent;
+    job.spec.kind = Kind("urgent-repeatable");
+    job.spec.shape = MakeShape(1, 1, Adjacency::kNone);
+    run_seconds = in_range(2, 10);
+  } else if (draw < 76) {
+    job.job_class = JobClass::kShort;
+    job.spec.kind = Kind("normal-repeatable");
+    job.spec.shape = MakeShape(1, in_range(1, 2), Adjacency::kNone);
+    job.spec.checkpointable = in_range(0, 1) == 0;
+    run_seconds = in_range(5, 60);
+  } else if (draw < 96) {
+    job.job_class = JobClass::kLong;
+    job.spec.kind = Kind("bulk-repeatable");
+    job.spec.shape = MakeShape(1, in_range(1, 8), Adjacency::kWorker);
+    run_seconds = in_range(300, 1200);
+  } else {
+    job.job_class = JobClass::kGang;
+    job.spec.kind = Kind("normal-repeatable");
+    const std::int64_t pieces = std::int64_t{1} << in_range(1, 2);
+    job.spec.shape = MakeShape(pieces, 8, Adjacency::kRack);
+    if (in_range(0, 9) == 0) {
+      job.spec.shape =
+          MakeShape(std::min<std::int64_t>(sample.largest_gang,
+                                           std::int64_t{1} << in_range(4, 10)),
+                    1, Adjacency::kNone);
+    }
+    run_seconds = in_range(120, 600);
+  }
+  if (in_range(0, 49) == 0) {
+    run_seconds *= 5;
+  }
+  job.run_time = seconds(run_seconds);
+  job.checkpoint_hangs = in_range(0, 9) == 0;
+}
+
+std::vector<TraceJob> MakeTrace(const BenchCase& sample, TimePoint begin) {
+  std::mt19937 random(20261204);
+  std::exponential_distribution<double> gap(sample.jobs_per_second);
+  std::vector<TraceJob> trace;
+  TimePoint at = begin;
+  const TimePoint end = begin + sample.length;
+  while (true) {
+    if (std::ssize(trace) >= sample.initial_jobs) {
+      at += Duration(static_cast<std::int64_t>(gap(random) * 1e6));
+    }
+    if (at >= end) {
+      return trace;
+    }
+    TraceJob job{.at = at};
+    DrawJob(random, sample, job);
+    job.spec.request_id = RequestId(fmt::format("j{}", trace.size()));
+    job.spec.workspace =
+        Workspace(fmt::format("w{}", std::uniform_int_distribution<int>(
+                                         0, sample.workspaces - 1)(random)));
+    job.spec.command = "run";
+    trace.push_back(std::move(job));
+  }
+}
+
+// The shape that each workspace is guaranteed: four adjacent whole workers, of
+// which half the cell's racks can hold one each.
+Shape GuaranteedShape() {
+  return MakeShape(4, 8, Adjacency::kRack);
+}
+
+int GuaranteedWorkspaces(const BenchCase& sample) {
+  return std::min(sample.workspaces, sample.workers / 8);
+}
+
+// Free accelerators in which no more guaranteed shapes fit, as a share of all.
+double FragmentedShare(const std::vector<std::int64_t>& free, int per_rack) {
+  std::int64_t total = 0;
+  std::int64_t unusable = 0;
+  for (std::size_t first = 0; first < free.size();
+       first += static_cast<std::size_t>(per_rack)) {
+    const std::size_t last =
+        std::min(free.size(), first + static_cast<std::size_t>(per_rack));
+    std::int64_t whole = 0;
+    for (std::size_t i = first; i < last; ++i) {
+      unusable += std::max<std::int64_t>(free[i], 0);
+      whole += free[i] >= 8 ? 1 : 0;
+      total += 8;
+    }
+    unusable -= whole / 4 * 4 * 8;
+  }
+  return static_cast<double>(unusable) / static_cast<double>(total);
+}
+
+// What both policies are measured by.
+struct Outcome {
+  std::map<JobClass, std::vector<double>> completion_seconds;
+  std::map<JobClass, int> unfinished;
+  std::vector<double> urgent_start_seconds;
+  double fragmentation_sum = 0;
+  int fragmentation_samples = 0;
+};
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(values.size())));
+  return values[std::clamp<std::size_t>(rank, 1, values.size()) - 1];
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Jobs that did not end count with the time that they have waited so far.
+void CountJob(Outcome& outcome,
+              const TraceJob& job,
+              std::optional<TimePoint> started,
+              std::optional<TimePoint> ended,
+              TimePoint end) {
+  if (!ended) {
+    ++outcome.unfinished[job.job_class];
+  }
+  outcome.completion_seconds[job.job_class].push_back(
+      Seconds(ended.value_or(end) - job.at));
+  if (job.job_class == JobClass::kUrgent) {
+    outcome.urgent_start_seconds.push_back(
+        Seconds(started.value_or(end) - job.at));
+  }
+}
+
+// First-fit in arrival order: the first job that does not fit blocks the rest.
+struct FirstFit {
+  std::vector<std::int64_t> free;
+  int per_rack = 8;
+  std::deque<std::size_t> waiting;
+  std::multimap<TimePoint, std::pair<std::size_t, std::vector<std::size_t>>>
+      running;
+};
+
+std::optional<std::vector<std::size_t>> FindFirstFit(const FirstFit& cell,
+                                                     const Shape& shape) {
+  std::vector<std::size_t> rows;
+  const std::int64_t each = shape.accelerators.value;
+  for (std::size_t row = 0; row < cell.free.size(); ++row) {
+    const bool new_rack = row % static_cast<std::size_t>(cell.per_rack) == 0;
+    if (shape.adjacency == Adjacency::kWorker ||
+        (shape.adjacency == Adjacency::kRack && new_rack)) {
+      rows.clear();
+    }
+    for (std::int64_t room = cell.free[row];
+         room >= each && std::ssize(rows) < shape.pieces; room -= each) {
+      rows.push_back(row);
+    }
+    if (std::ssize(rows) == shape.pieces) {
+      return rows;
+    }
+  }
+  return std::nullopt;
+}
+
+Outcome RunFirstFit(const BenchCase& sample,
+                    const std::vector<TraceJob>& trace,
+                    TimePoint begin) {
+  Outcome outcome;
+  FirstFit cell{.free = std::vector<std::int64_t>(
+                    static_cast<std::size_t>(sample.workers), 8),
+                .per_rack = sample.per_rack};
+  std::vector<std::optional<TimePoint>> started(trace.size());
+  std::vector<std::optional<TimePoint>> ended(trace.size());
+  const TimePoint end = begin + sample.length;
+  std::size_t next = 0;
+  for (TimePoint now = begin; now < end; now += milliseconds(100)) {
+    for (; next < trace.size() && trace[next].at <= now; ++next) {
+      cell.waiting.push_back(next);
+    }
+    while (!cell.running.empty() && cell.running.begin()->first <= now) {
+      const auto& [job, rows] = cell.running.begin()->second;
+      ended[job] = cell.running.begin()->first;
+      for (const std::size_t row : rows) {
+        cell.free[row] += trace[job].spec.shape.accelerators.value;
+      }
+      cell.running.erase(cell.running.begin());
+    }
+    while (!cell.waiting.empty()) {
+      const std::size_t job = cell.waiting.front();
+      const auto rows = FindFirstFit(cell, trace[job].spec.shape);
+      if (!rows) {
+        break;
+      }
+      for (const std::size_t row : *rows) {
+        cell.free[row] -= trace[job].spec.shape.accelerators.value;
+      }
+      started[job] = now;
+      cell.running.emplace(now + trace[job].run_time, std::pair(job, *rows));
+      cell.waiting.pop_front();
+    }
+    outcome.fragmentation_sum += FragmentedShare(cell.free, sample.per_rack);
+    ++outcome.fragmentation_samples;
+  }
+  for (std::size_t i = 0; i < trace.size(); ++i) {
+    CountJob(outcome, trace[i], started[i], ended[i], end);
+  }
+  return outcome;
+}
+
+CellSimulation MakeBenchCell(const BenchCase& sample) {
+  CellSimulation sim = MakeSimulation(sample.workers, sample.per_rack);
+  for (int i = 0; i < sample.workspaces; ++i) {
+    Pool pool{.key = {PoolName("main"), Workspace(fmt::format("w{}", i))},
+              .weight = Weight{1 + i % 4},
+              .borrows = true};
+    if (i < GuaranteedWorkspaces(sample)) {
+      pool.guarantees.push_back(Guarantee{
+          .zone = kSimulatedZone, .count = 1, .shape = GuaranteedShape()});
+    }
+    AddPool(sim, std::move(pool));
+  }
+  RunSimulation(sim, sim.now + seconds(1));
+  sim.tick_costs.clear();
+  return sim;
+}
+
+void SampleFragmentation(const CellSimulation& sim,
+                         const BenchCase& sample,
+                         Outcome& outcome) {
+  std::vector<std::int64_t> free;
+  for (const Worker& worker : CellOf(sim).workers.rows) {
+    free.push_back(worker.free.accelerators.value);
+  }
+  outcome.fragmentation_sum += FragmentedShare(free, sample.per_rack);
+  ++outcome.fragmentation_samples;
+}
+
+Outcome RunSystems(CellSimulation& sim,
+                   const BenchCase& sample,
+                   const std::vector<TraceJob>& trace) {
+  Outcome outcome;
+  const TimePoint begin = sim.now;
+  const TimePoint end = begin + sample.length;
+  TimePoint next_sample = begin;
+  std::vector<JobId> ids;
+  while (sim.now < end) {
+    while (ids.size() < trace.size() && trace[ids.size()].at <= sim.now) {
+      const TraceJob& job = trace[ids.size()];
+      ids.push_back(Submit(sim, job.spec, job.run_time, job.checkpoint_hangs));
+    }
+    const TimePoint arrival =
+        ids.size() < trace.size() ? trace[ids.size()].at : end;
+    StepSimulation(sim, std::min({end, arrival, next_sample}));
+    if (sim.now >= next_sample) {
+      next_sample += seconds(1);
+      SampleFragmentation(sim, sample, outcome);
+    }
+  }
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    const SimulatedJob& job = sim.jobs[ids[i]];
+    CountJob(outcome, trace[i], job.started, job.ended, end);
+  }
+  return outcome;
+}
+
+void PrintOutcome(std::string_view policy, Outcome& outcome) {
+  const auto line = [&](std::string_view name, JobClass job_class) {
+    const auto& values = outcome.completion_seconds[job_class];
+    fmt::print(
+        "  {:<9} {:<6} n={:<6} median={:.1f}s p99={:.1f}s "
+        "unfinished={}\n",
+        policy, name, values.size(), Percentile(values, 0.5),
+        Percentile(values, 0.99), outcome.unfinished[job_class]);
+  };
+  line("short", JobClass::kShort);
+  line("long", JobClass::kLong);
+  line("gang", JobClass::kGang);
+  line("urgent", JobClass::kUrgent);
+  fmt::print(
+      "  {:<9} urgent start p50={:.3f}s p99={:.3f}s "
+      "fragmentation={:.2f}%\n",
+      policy, Percentile(outcome.urgent_start_seconds, 0.5),
+      Percentile(outcome.urgent_start_seconds, 0.99),
+      100 * outcome.fragmentation_sum / outcome.fragmentation_samples);
+}
+
+void PrintSystemCosts(const CellSimulation& sim, const BenchCase& sample) {
+  std::vector<double> ticks;
+  double total = 0;
+  for (const auto cost : sim.tick_costs) {
+    ticks.push_back(std::chrono::duration<double, std::milli>(cost).count());
+    total += ticks.back();
+  }
+  std::vector<double> starts;
+  for (const GuaranteedStart& start : sim.guaranteed_starts) {
+    starts.push_back(Seconds(start.delay));
+  }
+  const double length = Seconds(sample.length);
+  const double limit = Seconds(sim.world.self.reclaim_grace) + 1;
+  fmt::print(
+      "  guaranteed starts n={} p50={:.3f}s p99={:.3f}s max={:.3f}s "
+      "over grace+1s={}\n",
+      starts.size(), Percentile(starts, 0.5), Percentile(starts, 0.99),
+      Percentile(starts, 1),
+      std::count_if(starts.begin(), starts.end(),
+                    [&](double value) { return value > limit; }));
+  fmt::print(
+      "  ticks n={} p50={:.3f}ms p99={:.3f}ms max={:.3f}ms "
+      "cpu={:.2f}% of a core; {:.1f} worker messages/s "
+      "{:.1f} commands/s {:.1f} records/s\n",
+      ticks.size(), Percentile(ticks, 0.5), Percentile(ticks, 0.99),
+      Percentile(ticks, 1), total / length / 10,
+      static_cast<double>(sim.messages) / length,
+      static_cast<double>(sim.commands) / length,
+      static_cast<double>(sim.records) / length);
+}
+
+void RunCase(const BenchCase& sample) {
+  fmt::print(
+      "{}: {} workers, {} workspaces, {} jobs at once, {} a second, "
+      "{} min\n",
+      sample.name, sample.workers, sample.workspaces, sample.initial_jobs,
+      sample.jobs_per_second,
+      std::chrono::duration_cast<minutes>(sample.length).count());
+  CellSimulation sim = MakeBenchCell(sample);
+  const std::vector<TraceJob> trace = MakeTrace(sample, sim.now);
+  Outcome baseline = RunFirstFit(sample, trace, sim.now);
+  Outcome systems = RunSystems(sim, sample, trace);
+  PrintOutcome("first-fit", baseline);
+  PrintOutcome("systems", systems);
+  PrintSystemCosts(sim, sample);
+}
+
+// How the cost of a tick grows with one dimension, the others being small.
+void RunGrowth(std::string_view name, const std::vector<BenchCase>& cases) {
+  fmt::print("tick cost by {}\n", name);
+  for (const BenchCase& sample : cases) {
+    CellSimulation sim = MakeBenchCell(sample);
+    const std::vector<TraceJob> trace = MakeTrace(sample, sim.now);
+    RunSystems(sim, sample, trace);
+    fmt::print(" {} workers, {} waiting at once, {} shapes:\n", sample.workers,
+               sample.initial_jobs, GuaranteedWorkspaces(sample));
+    PrintSystemCosts(sim, sample);
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::testing
+
+int main() {
+  using namespace chicorystep::testing;
+  using std::chrono::minutes;
+  chicorystep::ConfigureLogging(chicorystep::LogLevel::kError,
+                                "placement_bench");
+  for (const BenchCase& sample : kCases) {
+    RunCase(sample);
+    std::fflush(stdout);
+  }
+  RunGrowth("workers", {{"", 128, 8, 8, 500, 2, 32, minutes(2)},
+                        {"", 512, 8, 8, 500, 2, 32, minutes(2)},
+                        {"", 1930, 8, 8, 500, 2, 32, minutes(2)}});
+  RunGrowth("waiting jobs", {{"", 64, 8, 8, 1'000, 2, 32, minutes(2)},
+                             {"", 64, 8, 8, 10'000, 2, 32, minutes(2)}});
+  RunGrowth("guaranteed shapes", {{"", 512, 8, 8, 500, 2, 32, minutes(2)},
+                                  {"", 512, 8, 64, 500, 2, 32, minutes(2)}});
+}
--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -7,8 +7,11 @@
 #include "chicorystep/systems/gangs.h"
 #include "chicorystep/systems/job_operations.h"
 #include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/packing.h"
 #include "chicorystep/systems/routing.h"
+#include "chicorystep/systems/scheduling.h"
 #include "chicorystep/systems/stopping.h"
+#include "chicorystep/systems/worker_polls.h"
 
 namespace chicorystep {
 
@@ -25,14 +28,15 @@
   ExpireRequests(world, now, outbox);
   RouteRequests(world, now, outbox);
 
-  AssignCells(world, now, outbox);
+  AssignCells(world, inbox, now, outbox);
   ApplyCellBatches(world, inbox, now, outbox);
-  ApplyAppendsEnded(world, inbox, outbox);
+  ApplyAppendsEnded(world, inbox, now, outbox);
   HandleJobOperations(world, inbox, now, outbox);
   ApplyWorkerAnswers(world, inbox, now);
-  RecoverGangs(world, now);
-  AdvanceGangs(world, now, outbox);
+  RecoverGangs(world, now, outbox);
+  PlanGuarantees(world, now);
   PlaceGangs(world, now);
+  AdvanceGangs(world, now, outbox);
   PollWorkers(world, now, outbox);
   return outbox;
 }
--- a/chicorystep/control/world.h
+++ b/chicorystep/control/world.h
@@ -26,6 +26,13 @@
   Duration lease_time{};
   // How often a worker is sent its one message when nothing else is due.
   Duration worker_poll_interval{};
+  // How long a borrower may take to write its checkpoint.
+  Duration reclaim_grace = std::chrono::seconds(5);
+  // A job that has not ended is written to its cell's stream again this often,
+  // before the log service drops its records.
+  Duration keep_interval = std::chrono::minutes(20);
+  // How long an ended job's state can be asked for.
+  Duration ended_kept = std::chrono::minutes(30);
   // For how long a stopping process still accepts, so that the balancer can
   // notice, and how long it then waits for what is under way.
   Duration announce_time{};
--- a/chicorystep/core/ids.h
+++ b/chicorystep/core/ids.h
@@ -51,6 +51,9 @@
 // Orders the holders of a placement cell; workers reject a lower one.
 using Epoch = Id<struct EpochTag, std::uint64_t>;
 
+// Orders the messages of one holder to one worker, which rejects an older one.
+using MessageSequence = Id<struct MessageSequenceTag, std::uint64_t>;
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_CORE_IDS_H_
--- a/chicorystep/encoding/job_fields.h
+++ b/chicorystep/encoding/job_fields.h
@@ -15,6 +15,8 @@
   archive("shape", spec.shape);
   archive("command", spec.command);
   archive("declared_run_time_us", spec.declared_run_time);
+  archive("idempotent", spec.idempotent);
+  archive("checkpointable", spec.checkpointable);
 }
 
 template <typename Archive>
--- a/chicorystep/encoding/job_record.cc
+++ b/chicorystep/encoding/job_record.cc
@@ -4,11 +4,21 @@
 
 namespace chicorystep {
 
+template <typename Archive>
+void VisitFields(Archive& archive, GangTry& gang_try) {
+  archive("epoch", gang_try.epoch);
+  archive("number", gang_try.number);
+}
+
 template <typename Archive>
 void VisitFields(Archive& archive, CellRecord& record) {
   archive("kind", record.kind);
   archive("holder", record.holder);
+  archive("epoch", record.epoch);
   archive("job", record.job);
+  archive("recorded_try", record.recorded_try);
+  archive("accepted", record.accepted);
+  archive("cancel_requested", record.cancel_requested);
   archive("end_state", record.end_state);
   archive("detail", record.detail);
 }
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -6,6 +6,7 @@
 #include "chicorystep/encoding/json.h"
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/packing.h"
 
 namespace chicorystep {
 namespace impl {
@@ -74,7 +75,8 @@
           {"priority", NameOf(job.priority)},
           {"state", NameOf(job.state)},
           {"detail", job.end_detail},
-          {"tries", job.tries},
+          {"guaranteed", job.guaranteed},
+          {"tries", job.last_try.number},
           {"shape", JsonWriter::ToJson(job.spec.shape)},
           {"pieces", std::move(pieces)}};
 }
@@ -85,16 +87,27 @@
     workers.push_back({{"id", worker.listed.id.value},
                        {"rack", worker.listed.rack.value},
                        {"state", NameOf(worker.listed.state)},
-                       {"free_accelerators", worker.free_accelerators.value},
+                       {"free_accelerators", worker.free.accelerators.value},
                        {"leases", worker.reported.size()}});
   }
   Json jobs = Json::array();
   for (const Job& job : cell.jobs.rows) {
     jobs.push_back(DumpJob(job));
   }
+  Json unmet = Json::array();
+  for (const GuaranteeSlot& slot : cell.slots) {
+    if (slot.workers.empty()) {
+      unmet.push_back({{"pool", slot.pool.name.value},
+                       {"workspace", slot.pool.workspace.value},
+                       {"shape", JsonWriter::ToJson(slot.shape)},
+                       {"reason", WhyUnmet(cell, slot.shape)}});
+    }
+  }
   return {{"zone", cell.zone.value},
           {"epoch", cell.epoch.value},
           {"recovered", cell.recovered},
+          {"guaranteed_shapes", cell.slots.size()},
+          {"unmet_guarantees", std::move(unmet)},
           {"workers", std::move(workers)},
           {"jobs", std::move(jobs)}};
 }
--- a/chicorystep/encoding/worker_messages.cc
+++ b/chicorystep/encoding/worker_messages.cc
@@ -18,6 +18,8 @@
 void VisitFields(Archive& archive, WorkerMessage& message) {
   archive("holder", message.holder);
   archive("epoch", message.epoch);
+  archive("sequence", message.sequence);
+  archive("renew", message.renew);
   archive("lease_time_us", message.lease_time);
   archive("commands", message.commands);
 }
--- a/chicorystep/encoding/worker_messages.h
+++ b/chicorystep/encoding/worker_messages.h
@@ -15,6 +15,8 @@
 struct WorkerMessage {
   EntryId holder;
   Epoch epoch;
+  MessageSequence sequence;
+  bool renew = true;
   Duration lease_time{};
   std::vector<WorkerCommand> commands;
 };
--- a/chicorystep/platform/worker_client.cc
+++ b/chicorystep/platform/worker_client.cc
@@ -54,15 +54,18 @@
 }
 
 WorkerAnswered WorkerClient::Exchange(const SendWorkerCommands& message) {
-  WorkerAnswered answer{
-      .worker = message.worker, .zone = message.zone, .epoch = message.epoch};
+  WorkerAnswered answer{.worker = message.worker,
+                        .zone = message.zone,
+                        .epoch = message.epoch,
+                        .sequence = message.sequence};
   auto client = this->clients.Take(message.address);
   SetExchangeTimeout(*client, this->timeout);
-  const auto response = client->Post(
-      "/v1/commands",
-      EncodeWorkerMessage(WorkerMessage{message.holder, message.epoch,
-                                        message.lease_time, message.commands}),
-      kJsonType);
+  const auto response =
+      client->Post("/v1/commands",
+                   EncodeWorkerMessage(WorkerMessage{
+                       message.holder, message.epoch, message.sequence,
+                       message.renew, message.lease_time, message.commands}),
+                   kJsonType);
   if (!response) {
     return answer;
   }
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -48,6 +48,7 @@
       .member_timeout = settings.member_timeout,
       .lease_time = settings.lease_time,
       .worker_poll_interval = settings.worker_poll_interval,
+      .reclaim_grace = settings.reclaim_grace,
       .announce_time = settings.announce_time,
       .drain_time = settings.drain_time,
       .max_waiting_requests =
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -136,6 +136,8 @@
       DurationField("jobs", "worker_poll_interval", &S::worker_poll_interval,
                     milliseconds(10)),
       CountField("jobs", "worker_threads", &S::worker_threads, 1, 1000),
+      DurationField("jobs", "reclaim_grace", &S::reclaim_grace,
+                    milliseconds(0)),
       DurationField("peers", "heartbeat_interval", &S::heartbeat_interval,
                     milliseconds(10)),
       DurationField("peers", "member_timeout", &S::member_timeout,
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -48,6 +48,7 @@
   Duration lease_time = std::chrono::seconds(10);
   Duration worker_poll_interval = std::chrono::seconds(1);
   std::int64_t worker_threads = 8;
+  Duration reclaim_grace = std::chrono::seconds(5);
 
   // [peers]
   Duration heartbeat_interval = std::chrono::milliseconds(500);
--- a/chicorystep/standin/worker_standin.h
+++ b/chicorystep/standin/worker_standin.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "chicorystep/core/ids.h"
@@ -41,18 +42,35 @@
 
 // A small stand-in of a worker. A task's command "run-ms=N" runs for N ms.
 struct WorkerStandin {
+  WorkerStandin() = default;
+  // Copies all but the mutex, so that a checker can branch from a state.
+  WorkerStandin(const WorkerStandin& other);
+  WorkerStandin& operator=(const WorkerStandin&) = delete;
+
   Accelerators accelerators;
   Millicores processors;
   Mebibytes memory;
 
   std::mutex mutex;
   WorkerFaults faults;
-  // Commands of a lower epoch are rejected.
+  // Messages that are not newer are rejected.
   Epoch epoch;
+  MessageSequence sequence;
   std::map<LeaseId, WorkerLease> leases;
   std::vector<TaskEvent> events;
 };
 
+// The worker's rules without any I/O: obeys `message` and reports all leases,
+// or changes nothing and reports nothing when the message is fenced off.
+[[nodiscard]] std::optional<WorkerReport> ObeyMessage(
+    WorkerStandin& standin,
+    const WorkerMessage& message,
+    std::chrono::steady_clock::time_point now);
+
+// Ends the tasks whose time is over and the leases that were not renewed.
+void PassTime(WorkerStandin& standin,
+              std::chrono::steady_clock::time_point now);
+
 // Adds POST /v1/commands and the faults to `server`.
 void AddWorkerRoutes(httplib::Server& server, WorkerStandin& standin);
 
--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells.cc
@@ -4,88 +4,198 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/job_record.h"
+#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/gangs.h"
 #include "chicorystep/systems/membership.h"
 
 namespace chicorystep {
 namespace impl {
 
+// How long a record that was not acknowledged waits for its next append.
+inline constexpr Duration kAppendPause = std::chrono::seconds(1);
+
 std::uint64_t RendezvousWeight(const Zone& zone, const EntryId& entry) {
   const std::string key = zone.value + '\0' + entry.value;
   return XXH3_64bits(key.data(), key.size());
 }
 
-void UpdateWorkers(Cell& cell, const InstanceList& list) {
+// Takes one listed worker into the cell; true when the plan may change by it.
+bool UpdateWorker(Cell& cell, const ListedWorker& listed, TimePoint now) {
+  Worker* known = cell.workers.find(listed.id);
+  if (known == nullptr) {
+    cell.workers.insert(
+        listed.id,
+        Worker{.listed = listed, .free = CapacityOf(listed), .next_poll = now});
+    cell.polls.emplace(now, listed.id);
+    return true;
+  }
+  const Capacity grown = CapacityOf(listed) - CapacityOf(known->listed);
+  const bool changed = grown != Capacity{} ||
+                       known->listed.state != listed.state ||
+                       known->listed.rack != listed.rack;
+  known->free = known->free + grown;
+  known->listed = listed;
+  return changed;
+}
+
+// Numbers the racks, for grouping workers without comparing names.
+void NumberRacks(Cell& cell) {
+  std::map<Rack, std::size_t> racks;
+  for (Worker& worker : cell.workers.rows) {
+    worker.rack = racks.emplace(worker.listed.rack, racks.size()).first->second;
+  }
+  cell.racks = racks.size();
+}
+
+void UpdateWorkers(Cell& cell, const InstanceList& list, TimePoint now) {
   std::set<WorkerId> listed;
+  bool changed = false;
   for (const ListedWorker& worker : list.workers) {
-    if (worker.zone != cell.zone) {
-      continue;
+    if (worker.zone == cell.zone) {
+      listed.insert(worker.id);
+      changed |= UpdateWorker(cell, worker, now);
     }
-    listed.insert(worker.id);
-    if (Worker* known = cell.workers.find(worker.id)) {
-      known->listed = worker;
-    } else {
-      cell.workers.insert(worker.id,
-                          Worker{.listed = worker,
-                                 .free_accelerators = worker.accelerators,
-                                 .free_processors = worker.processors,
-                                 .free_memory = worker.memory});
+  }
+  for (Worker& worker : cell.workers.rows) {
+    if (!listed.contains(worker.listed.id) &&
+        worker.listed.state != InstanceState::kLeaving) {
+      worker.listed.state = InstanceState::kLeaving;
+      changed = true;
     }
   }
   cell.workers.EraseIf([&](const WorkerId& id, const Worker& worker) {
-    return !listed.contains(id) && worker.pieces.empty();
+    const bool gone = !listed.contains(id) && worker.pieces.empty();
+    if (gone) {
+      cell.polls.erase({worker.next_poll, id});
+    }
+    return gone;
   });
+  if (changed) {
+    NumberRacks(cell);
+    cell.plan_stale = true;
+  }
 }
 
-void AcceptJob(World& world,
-               Cell& cell,
-               const CellRecord& record,
-               Offset offset) {
-  if (cell.jobs.find(record.job.id) != nullptr) {
-    return;
-  }
-  Job job{.spec = record.job, .accepted = offset};
-  if (const auto route = world.config.routes.find(record.job.kind);
+void AddJob(const World& world, Cell& cell, Job job, TimePoint now) {
+  if (const auto route = world.config.routes.find(job.spec.kind);
       route != world.config.routes.end()) {
     job.pool = route->second.pool;
     job.priority = route->second.priority;
   }
-  cell.jobs.insert(record.job.id, std::move(job));
+  const JobId id = job.spec.id;
+  Enqueue(cell, cell.jobs.insert(id, std::move(job)), now);
+  cell.keeps.push_back(JobDue{id, now + world.self.keep_interval});
 }
 
-void AnswerPending(Cell& cell, const JobId& id, Outbox& outbox) {
-  const Job* job = cell.jobs.find(id);
-  std::erase_if(cell.pending, [&](const PendingAcceptance& pending) {
-    if (pending.job != id) {
-      return false;
-    }
+void AcceptJob(const World& world,
+               Cell& cell,
+               const CellRecord& record,
+               Offset offset,
+               TimePoint now) {
+  if (cell.jobs.find(record.job.id) == nullptr) {
+    AddJob(world, cell, Job{.spec = record.job, .accepted = offset}, now);
+  }
+}
+
+void KeepJob(const World& world,
+             Cell& cell,
+             const CellRecord& record,
+             TimePoint now) {
+  if (cell.jobs.find(record.job.id) == nullptr) {
+    AddJob(world, cell,
+           Job{.spec = record.job,
+               .accepted = record.accepted,
+               .recorded_try = record.recorded_try,
+               .cancel_requested = record.cancel_requested},
+           now);
+  }
+}
+
+// Tells the caller who waits for the record `id` what has become of the job.
+void AnswerPending(Cell& cell, const RecordId& id, Outbox& outbox) {
+  const auto pending = cell.pending.find(id);
+  if (pending == cell.pending.end()) {
+    return;
+  }
+  if (const Job* job = cell.jobs.find(pending->second.job)) {
     outbox.ended_job_operations.push_back(
-        EndJobOperation{pending.exchange, std::nullopt,
-                        JobStatus{id, job->state, job->end_detail}});
-    return true;
-  });
+        EndJobOperation{pending->second.exchange, std::nullopt,
+                        JobStatus{job->spec.id, job->state, job->end_detail}});
+  } else {
+    outbox.ended_job_operations.push_back(
+        EndJobOperation{pending->second.exchange,
+                        Refusal{Execution::kUnknown, Reason::kUnknownJob,
+                                "the job ended long ago", Duration{}},
+                        JobStatus{}});
+  }
+  cell.pending.erase(pending);
 }
 
-void ApplyClaim(World& world,
+void ApplyClaim(const World& world,
                 Cell& cell,
                 const LogRecord& record,
                 TimePoint now) {
-  if (record.id == cell.claim) {
-    cell.epoch = Epoch(record.offset.value + 1);
-    cell.recovered_by = now + world.self.lease_time;
-    Log(LogLevel::kInfo, "cell_claimed",
-        {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
-  } else if (IsHeld(cell)) {
+  // A repeated append counts once.
+  if (record.id == cell.newest_claim_id) {
+    return;
+  }
+  cell.newest_claim_id = record.id;
+  cell.newest_claim = Epoch(record.offset.value + 1);
+  if (IsHeld(cell)) {
     Log(LogLevel::kInfo, "cell_lost",
         {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
-    cell.epoch = Epoch{};
-    cell.claim = RecordId{};
-    cell.claim_due = now + world.self.member_timeout;
+    LoseCell(cell, now + world.self.member_timeout, now);
+  } else if (record.id == cell.claim) {
+    cell.epoch = cell.newest_claim;
+    cell.recovered_by = now + world.self.lease_time + world.self.lease_time / 2;
+    Log(LogLevel::kInfo, "cell_claimed",
+        {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
+  }
+}
+
+void CancelJob(World& world, Cell& cell, Job& job, TimePoint now, Outbox& out) {
+  if (HasEnded(job.state) || job.state == JobState::kEnding) {
+    return;
+  }
+  job.cancel_requested = true;
+  if (!IsHeld(cell) || !cell.recovered) {
+    return;
+  }
+  if (job.state == JobState::kWaiting) {
+    WriteEnd(world, cell, job, JobState::kCancelled, "", now, out);
+  } else {
+    Touch(cell, job.spec.id);
+  }
+}
+
+// Applies a record about a job that is known. Starts and ends of an earlier
+// holder are void: it has read the newer claim before them and acts on none.
+void ApplyJobRecord(World& world,
+                    Cell& cell,
+                    const CellRecord& record,
+                    TimePoint now,
+                    Outbox& outbox) {
+  Job* job = cell.jobs.find(record.job.id);
+  if (job == nullptr) {
+    return;
+  }
+  const bool is_void = record.epoch < cell.newest_claim;
+  if (record.kind == CellRecordKind::kJobCancelled) {
+    CancelJob(world, cell, *job, now, outbox);
+  } else if (record.kind == CellRecordKind::kJobStarting && !is_void) {
+    job->recorded_try = record.recorded_try;
+    Touch(cell, job->spec.id);
+  } else if (record.kind == CellRecordKind::kJobEnded && !is_void &&
+             !HasEnded(job->state)) {
+    EndJob(cell, *job, record.end_state, record.detail, now);
   }
 }
 
@@ -108,26 +218,42 @@
       ApplyClaim(world, cell, record, now);
       break;
     case CellRecordKind::kJobAccepted:
-      AcceptJob(world, cell, value, record.offset);
-      AnswerPending(cell, value.job.id, outbox);
+      AcceptJob(world, cell, value, record.offset, now);
       break;
-    case CellRecordKind::kJobCancelled:
-      if (Job* job = cell.jobs.find(value.job.id);
-          job != nullptr && !HasEnded(job->state)) {
-        job->end_state = JobState::kCancelled;
-        job->state = JobState::kStopping;
-      }
+    case CellRecordKind::kJobKept:
+      KeepJob(world, cell, value, now);
       break;
-    case CellRecordKind::kJobEnded:
-      if (Job* job = cell.jobs.find(value.job.id);
-          job != nullptr && !HasEnded(job->state)) {
-        job->state = value.end_state;
-        job->end_detail = value.detail;
-        Log(LogLevel::kInfo, "job_ended",
-            {{"job", job->spec.id.value}, {"state", NameOf(job->state)}});
-      }
+    default:
+      ApplyJobRecord(world, cell, value, now, outbox);
       break;
   }
+  cell.unconfirmed.erase(record.id);
+  AnswerPending(cell, record.id, outbox);
+}
+
+// Follows the cells that this process should hold, and drops the others once
+// nobody waits for their records.
+void FollowPreferred(World& world, TimePoint now, Outbox& outbox) {
+  for (const Zone& zone : world.jobs.zones) {
+    const bool preferred =
+        !world.stopping && PreferredHolder(world, zone, now) == world.self.id;
+    const auto known = world.jobs.cells.find(zone);
+    if (known == world.jobs.cells.end()) {
+      if (preferred) {
+        Cell& cell =
+            world.jobs.cells.emplace(zone, Cell{.zone = zone}).first->second;
+        UpdateWorkers(cell, world.instances, now);
+        outbox.follows.push_back(FollowStream{CellStream(zone), Offset{}});
+      }
+      continue;
+    }
+    known->second.leaving = !preferred;
+    if (!preferred && known->second.pending.empty()) {
+      world.jobs.cells.erase(known);
+      outbox.unfollows.push_back(UnfollowStream{CellStream(zone)});
+      Log(LogLevel::kInfo, "cell_dropped", {{"zone", zone.value}});
+    }
+  }
 }
 
 }  // namespace impl
@@ -168,32 +294,44 @@
   return id;
 }
 
-void AssignCells(World& world, TimePoint now, Outbox& outbox) {
+void AppendUntilRead(World& world,
+                     Cell& cell,
+                     const CellRecord& record,
+                     Outbox& outbox) {
+  const RecordId id = AppendCellRecord(world, cell, record, outbox);
+  cell.unconfirmed.emplace(
+      id, UnconfirmedRecord{.data = outbox.appends.back().data});
+}
+
+void LoseCell(Cell& cell, TimePoint claim_due, TimePoint now) {
+  cell.epoch = Epoch{};
+  cell.claim = RecordId{};
+  cell.claim_due = claim_due;
+  ForgetPlacements(cell, now);
+}
+
+void AssignCells(World& world,
+                 const Inbox& inbox,
+                 TimePoint now,
+                 Outbox& outbox) {
+  if (!inbox.instance_lists.empty()) {
+    world.jobs.zones.clear();
+    for (const ListedWorker& worker : world.instances.workers) {
+      world.jobs.zones.insert(worker.zone);
+    }
+    for (auto& [zone, cell] : world.jobs.cells) {
+      impl::UpdateWorkers(cell, world.instances, now);
+    }
+  }
   // A starting process first learns who else is alive.
   if (!world.config_ready ||
       now < TimePoint(Duration::zero()) + world.self.member_timeout) {
     return;
   }
-  std::set<Zone> zones;
-  for (const ListedWorker& worker : world.instances.workers) {
-    zones.insert(worker.zone);
-  }
-  for (const Zone& zone : zones) {
-    const bool preferred =
-        !world.stopping && PreferredHolder(world, zone, now) == world.self.id;
-    const bool known = world.jobs.cells.contains(zone);
-    if (preferred && !known) {
-      world.jobs.cells.emplace(zone, Cell{.zone = zone});
-      outbox.follows.push_back(FollowStream{CellStream(zone), Offset{}});
-    } else if (!preferred && known) {
-      world.jobs.cells.erase(zone);
-      outbox.unfollows.push_back(UnfollowStream{CellStream(zone)});
-      Log(LogLevel::kInfo, "cell_dropped", {{"zone", zone.value}});
-    }
-  }
+  impl::FollowPreferred(world, now, outbox);
   for (auto& [zone, cell] : world.jobs.cells) {
-    impl::UpdateWorkers(cell, world.instances);
-    if (cell.caught_up && cell.claim.empty() && now >= cell.claim_due) {
+    if (cell.caught_up && cell.claim.empty() && !cell.leaving &&
+        now >= cell.claim_due) {
       cell.claim = AppendCellRecord(
           world, cell,
           CellRecord{.kind = CellRecordKind::kClaim, .holder = world.self.id},
@@ -222,7 +360,10 @@
   }
 }
 
-void ApplyAppendsEnded(World& world, const Inbox& inbox, Outbox& outbox) {
+void ApplyAppendsEnded(World& world,
+                       const Inbox& inbox,
+                       TimePoint now,
+                       Outbox& outbox) {
   for (const AppendEnded& ended : inbox.appends_ended) {
     if (ended.acknowledged) {
       continue;
@@ -231,19 +372,21 @@
       if (cell.claim == ended.id && !IsHeld(cell)) {
         cell.claim = RecordId{};
       }
-      std::erase_if(cell.pending, [&](const PendingAcceptance& pending) {
-        if (pending.record != ended.id) {
-          return false;
-        }
+      if (const auto record = cell.unconfirmed.find(ended.id);
+          record != cell.unconfirmed.end()) {
+        record->second.repeat = now + impl::kAppendPause;
+      }
+      if (const auto pending = cell.pending.find(ended.id);
+          pending != cell.pending.end()) {
         outbox.ended_job_operations.push_back(EndJobOperation{
-            pending.exchange,
+            pending->second.exchange,
             Refusal{Execution::kUnknown, Reason::kLogUnavailable,
-                    "the log did not confirm the acceptance; the same request "
-                    "may be repeated",
+                    "the log did not confirm the record; the same call may be "
+                    "repeated",
                     Duration{}},
             JobStatus{}});
-        return true;
-      });
+        cell.pending.erase(pending);
+      }
     }
   }
 }
--- a/chicorystep/systems/cells.h
+++ b/chicorystep/systems/cells.h
@@ -18,7 +18,10 @@
                                       TimePoint now);
 
 // Claims the cells that this process should hold and drops the others.
-void AssignCells(World& world, TimePoint now, Outbox& outbox);
+void AssignCells(World& world,
+                 const Inbox& inbox,
+                 TimePoint now,
+                 Outbox& outbox);
 
 // Applies the records of the cells' streams: claims, acceptances, ends.
 void ApplyCellBatches(World& world,
@@ -26,8 +29,12 @@
                       TimePoint now,
                       Outbox& outbox);
 
-// Handles appends that were not acknowledged.
-void ApplyAppendsEnded(World& world, const Inbox& inbox, Outbox& outbox);
+// Handles appends that were not acknowledged: what must be written is due
+// again, and callers whose work may not have been accepted are told so.
+void ApplyAppendsEnded(World& world,
+                       const Inbox& inbox,
+                       TimePoint now,
+                       Outbox& outbox);
 
 // Appends `record` to the stream of `cell`; returns the id it was given.
 RecordId AppendCellRecord(World& world,
@@ -35,6 +42,16 @@
                           const CellRecord& record,
                           Outbox& outbox);
 
+// The same, and appends it again until it is read back.
+void AppendUntilRead(World& world,
+                     Cell& cell,
+                     const CellRecord& record,
+                     Outbox& outbox);
+
+// Gives up a cell that another process holds; this process may claim it again
+// from `claim_due` on.
+void LoseCell(Cell& cell, TimePoint claim_due, TimePoint now);
+
 // Whether this process may act for `cell`.
 [[nodiscard]] bool IsHeld(const Cell& cell) noexcept;
 
--- /dev/null
+++ b/chicorystep/systems/gang_recovery.cc
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/gangs.h"
+
+namespace chicorystep {
+namespace impl {
+
+// The leases that the workers reported of one job, of its newest try only.
+struct ReportedGang {
+  std::optional<GangTry> gang_try;
+  std::vector<Piece> pieces;
+};
+
+void AddReport(ReportedGang& gang,
+               const Worker& worker,
+               const LeaseReport& report) {
+  const auto gang_try = TryOf(report.lease);
+  if (!gang_try || (gang.gang_try && *gang_try < *gang.gang_try)) {
+    return;
+  }
+  if (gang.gang_try != gang_try) {
+    gang.gang_try = gang_try;
+    gang.pieces.clear();
+  }
+  gang.pieces.push_back(Piece{.index = report.piece,
+                              .worker = worker.listed.id,
+                              .lease = report.lease,
+                              .state = report.state});
+}
+
+bool IsWhole(const ReportedGang& gang, const Job& job) {
+  if (std::ssize(gang.pieces) != job.spec.shape.pieces) {
+    return false;
+  }
+  for (std::size_t i = 0; i < gang.pieces.size(); ++i) {
+    if (gang.pieces[i].index.value != i) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// The state in which the new holder goes on with a whole gang.
+std::optional<JobState> StateToAdopt(const Job& job, const ReportedGang& gang) {
+  const auto count = [&](PieceState state) {
+    return static_cast<std::size_t>(std::count_if(
+        gang.pieces.begin(), gang.pieces.end(),
+        [&](const Piece& piece) { return piece.state == state; }));
+  };
+  const std::size_t started =
+      count(PieceState::kRunning) + count(PieceState::kDone);
+  const std::size_t reserved = count(PieceState::kReserved);
+  if (started == gang.pieces.size()) {
+    return JobState::kRunning;
+  }
+  if (started + reserved != gang.pieces.size()) {
+    return std::nullopt;
+  }
+  if (job.spec.idempotent || job.recorded_try == gang.gang_try) {
+    return JobState::kStarting;
+  }
+  return started == 0 ? std::optional(JobState::kReserving) : std::nullopt;
+}
+
+void AdoptGang(Cell& cell,
+               Job& job,
+               const ReportedGang& gang,
+               JobState state,
+               TimePoint now) {
+  Dequeue(cell, job);
+  job.last_try = *gang.gang_try;
+  job.pieces = gang.pieces;
+  job.placed = now;
+  job.may_have_run = state != JobState::kReserving;
+  if (state == JobState::kRunning) {
+    job.running_since = now;
+  }
+  for (const Piece& piece : job.pieces) {
+    AttachPiece(cell, job, piece);
+  }
+  cell.active.insert(job.spec.id);
+  ChangeState(cell, job, state, now);
+}
+
+void RecoverGang(World& world,
+                 Cell& cell,
+                 Job& job,
+                 ReportedGang gang,
+                 TimePoint now,
+                 Outbox& outbox) {
+  std::sort(gang.pieces.begin(), gang.pieces.end(),
+            [](const Piece& a, const Piece& b) { return a.index < b.index; });
+  job.may_have_run = job.recorded_try != GangTry{};
+  if (gang.gang_try && IsWhole(gang, job)) {
+    if (const auto state = StateToAdopt(job, gang)) {
+      AdoptGang(cell, job, gang, *state, now);
+      return;
+    }
+  }
+  // Leases that belong to no placement are released.
+  if (job.may_have_run && !job.spec.idempotent) {
+    WriteEnd(world, cell, job, JobState::kUnknown,
+             "its start was recorded, and it was not found whole after its "
+             "holder was lost",
+             now, outbox);
+  } else if (job.cancel_requested) {
+    WriteEnd(world, cell, job, JobState::kCancelled, "", now, outbox);
+  }
+}
+
+void RecoverCell(World& world, Cell& cell, TimePoint now, Outbox& outbox) {
+  std::unordered_map<JobId, ReportedGang> gangs;
+  for (const Worker& worker : cell.workers.rows) {
+    for (const LeaseReport& report : worker.reported) {
+      AddReport(gangs[report.job], worker, report);
+    }
+  }
+  for (Job& job : cell.jobs.rows) {
+    if (job.state == JobState::kWaiting) {
+      RecoverGang(world, cell, job, std::move(gangs[job.spec.id]), now, outbox);
+    }
+  }
+  cell.recovered = true;
+  cell.plan_stale = true;
+  cell.keeps.clear();
+  for (const JobId& id : cell.jobs.keys) {
+    cell.keeps.push_back(JobDue{id, now + world.self.keep_interval / 2});
+  }
+  for (Worker& worker : cell.workers.rows) {
+    PollAt(cell, worker, now);
+  }
+  Log(LogLevel::kInfo, "cell_recovered",
+      {{"zone", cell.zone.value},
+       {"workers", cell.workers.size()},
+       {"gangs", cell.active.size()}});
+}
+
+}  // namespace impl
+
+void RecoverGangs(World& world, TimePoint now, Outbox& outbox) {
+  for (auto& [zone, cell] : world.jobs.cells) {
+    if (cell.recovered || !IsHeld(cell)) {
+      continue;
+    }
+    const bool all_heard = std::all_of(
+        cell.workers.rows.begin(), cell.workers.rows.end(),
+        [](const Worker& worker) { return worker.heard != TimePoint::min(); });
+    if (all_heard || now >= cell.recovered_by) {
+      impl::RecoverCell(world, cell, now, outbox);
+    }
+  }
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/gangs.cc
+++ b/chicorystep/systems/gangs.cc
@@ -3,474 +3,354 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cstdint>
-#include <optional>
+#include <chrono>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/cell_state.h"
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/job_records.h"
-#include "chicorystep/systems/placement.h"
+#include "chicorystep/systems/worker_health.h"
+#include "chicorystep/systems/worker_polls.h"
 
 namespace chicorystep {
 namespace impl {
 
-LeaseId MakeLeaseId(const JobId& job, std::uint32_t tries, PieceIndex piece) {
-  return LeaseId(fmt::format("{}/{}/{}", job.value, tries, piece.value));
+// How often all active gangs are looked at for what time alone changes.
+inline constexpr Duration kScanInterval = std::chrono::milliseconds(250);
+// Records of jobs that are written again in one tick.
+inline constexpr std::size_t kKeepsPerTick = 16;
+
+// What one gang's next step is decided on.
+struct GangStep {
+  World& world;
+  Cell& cell;
+  Job& job;
+  TimePoint now{};
+  Outbox& outbox;
+};
+
+bool AllPieces(const Job& job, auto predicate) {
+  return std::all_of(job.pieces.begin(), job.pieces.end(), predicate);
 }
 
-// The try that a lease was taken for; empty when the id is not one of ours.
-std::optional<std::uint32_t> TriesOf(const LeaseId& lease) {
-  const std::string_view text = lease.value;
-  const std::size_t last = text.rfind('/');
-  if (last == std::string_view::npos || last == 0) {
-    return std::nullopt;
-  }
-  const std::size_t first = text.rfind('/', last - 1);
-  if (first == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::uint32_t tries = 0;
-  const char* const begin = text.data() + first + 1;
-  const char* const end = text.data() + last;
-  if (const auto [rest, error] = std::from_chars(begin, end, tries);
-      error != std::errc{} || rest != end) {
-    return std::nullopt;
-  }
-  return tries;
+bool AnyPiece(const Job& job, auto predicate) {
+  return std::any_of(job.pieces.begin(), job.pieces.end(), predicate);
 }
 
-bool IsActive(const Job& job) {
-  return job.state == JobState::kReserving ||
-         job.state == JobState::kStarting || job.state == JobState::kRunning ||
-         job.state == JobState::kStopping;
+bool IsLostPiece(const GangStep& step, const Piece& piece) {
+  const Worker* worker = step.cell.workers.find(piece.worker);
+  return worker == nullptr || HasLapsed(*worker, step.world.self, step.now);
 }
 
-bool IsLost(const Worker* worker, const Self& self, TimePoint now) {
-  return worker == nullptr || (worker->heard != TimePoint::min() &&
-                               now - worker->heard > self.lease_time);
+bool AnyLost(const GangStep& step) {
+  return AnyPiece(step.job,
+                  [&](const Piece& piece) { return IsLostPiece(step, piece); });
 }
 
-void WakeWorkers(Cell& cell, const Job& job, TimePoint now) {
-  for (const Piece& piece : job.pieces) {
-    if (Worker* worker = cell.workers.find(piece.worker)) {
-      worker->next_poll = std::min(worker->next_poll, now);
-    }
-  }
+bool AnyFailed(const Job& job) {
+  return AnyPiece(job, [](const Piece& piece) {
+    return piece.state == PieceState::kFailed;
+  });
 }
 
-void ChangeState(Cell& cell, Job& job, JobState state, TimePoint now) {
-  job.state = state;
-  WakeWorkers(cell, job, now);
-  Log(LogLevel::kDebug, "job_state",
-      {{"job", job.spec.id.value}, {"state", NameOf(state)}});
+// A lease that was held is no longer reported.
+bool AnyReleased(const Job& job) {
+  return AnyPiece(job, [](const Piece& piece) {
+    return piece.state == PieceState::kReleased;
+  });
 }
 
-// Stops every piece; `end_state` follows when all leases are released.
-void StopGang(Cell& cell,
-              Job& job,
-              JobState end_state,
-              std::string detail,
-              TimePoint now) {
-  job.end_state = end_state;
-  job.end_detail = std::move(detail);
-  ChangeState(cell, job, JobState::kStopping, now);
+bool AllDone(const Job& job) {
+  return AllPieces(
+      job, [](const Piece& piece) { return piece.state == PieceState::kDone; });
 }
 
-bool AllPieces(const Job& job, auto predicate) {
-  return std::all_of(job.pieces.begin(), job.pieces.end(), predicate);
+// Whether the newest answers still show that every lease is held.
+bool AllHeld(const GangStep& step) {
+  return AllPieces(step.job, [&](const Piece& piece) {
+    const Worker* worker = step.cell.workers.find(piece.worker);
+    return piece.state == PieceState::kReserved && worker != nullptr &&
+           IsResponsive(*worker, step.world.self, step.now);
+  });
 }
 
-bool AnyPiece(const Job& job, auto predicate) {
-  return std::any_of(job.pieces.begin(), job.pieces.end(), predicate);
+void Stop(const GangStep& step, JobState end_state, std::string detail) {
+  StopGang(step.cell, step.job, end_state, std::move(detail), step.now);
 }
 
-const LeaseReport* FindReport(const Worker& worker, const LeaseId& lease) {
-  const auto found =
-      std::find_if(worker.reported.begin(), worker.reported.end(),
-                   [&](const LeaseReport& row) { return row.lease == lease; });
-  return found == worker.reported.end() ? nullptr : &*found;
+// Stops a gang that broke off, to be tried again if that cannot run it twice.
+void BreakOff(const GangStep& step) {
+  Job& job = step.job;
+  const bool failed = AnyFailed(job);
+  if (job.may_have_run && !job.spec.idempotent) {
+    Stop(step, failed ? JobState::kFailed : JobState::kUnknown,
+         failed ? "a piece failed" : "a worker was lost while it may have run");
+  } else if (job.failed_on.size() >= kMaxFailedWorkers) {
+    Stop(step, JobState::kFailed,
+         fmt::format("a piece failed on each of {} workers",
+                     job.failed_on.size()));
+  } else {
+    Stop(step, JobState::kWaiting, "");
+  }
 }
 
-// Updates one piece from its worker's report.
-void ApplyReport(const Worker& worker, Piece& piece) {
-  if (const LeaseReport* report = FindReport(worker, piece.lease)) {
-    piece.state = report->state;
+void AdvanceReclaiming(const GangStep& step) {
+  if (AnyLost(step)) {
+    Stop(step, JobState::kWaiting, "");
     return;
   }
-  const bool asked = std::find(worker.reserving.begin(), worker.reserving.end(),
-                               piece.lease) != worker.reserving.end();
-  if (piece.state == PieceState::kReserving && asked) {
-    piece.state = PieceState::kFailed;
-  } else if (piece.state != PieceState::kReserving) {
-    piece.state = PieceState::kReleased;
+  const bool room = AllPieces(step.job, [&](const Piece& piece) {
+    return Holds(step.cell.workers.find(piece.worker)->free, Capacity{});
+  });
+  if (room) {
+    ChangeState(step.cell, step.job, JobState::kReserving, step.now);
   }
 }
 
-void ApplyAnswer(Cell& cell, const WorkerAnswered& answer, TimePoint now) {
-  Worker* worker = cell.workers.find(answer.worker);
-  if (worker == nullptr) {
+void AdvanceReserving(const GangStep& step) {
+  Job& job = step.job;
+  if (AnyLost(step) || AnyFailed(job) || AnyReleased(job)) {
+    Stop(step, JobState::kWaiting, "");
     return;
   }
-  worker->exchange_under_way = false;
-  if (!answer.answered || answer.stale_epoch || answer.epoch != cell.epoch) {
-    worker->reserving.clear();
+  if (!AllHeld(step)) {
     return;
   }
-  worker->heard = now;
-  worker->reported = answer.leases;
-  for (const PieceRef& ref : worker->pieces) {
-    if (Job* job = cell.jobs.find(ref.job)) {
-      ApplyReport(*worker, job->pieces.at(ref.piece.value));
-    }
-  }
-  worker->reserving.clear();
-}
-
-bool IsLostPiece(const Cell& cell,
-                 const Piece& piece,
-                 const Self& self,
-                 TimePoint now) {
-  return IsLost(cell.workers.find(piece.worker), self, now);
-}
-
-void RemovePieces(Cell& cell, Job& job) {
-  for (const Piece& piece : job.pieces) {
-    Worker* worker = cell.workers.find(piece.worker);
-    if (worker == nullptr) {
-      continue;
-    }
-    Vacate(*worker, job.spec.shape);
-    std::erase_if(worker->pieces, [&](const PieceRef& ref) {
-      return ref.job == job.spec.id && ref.piece == piece.index;
-    });
+  if (job.spec.idempotent) {
+    job.may_have_run = true;
+    ChangeState(step.cell, job, JobState::kStarting, step.now);
+    return;
   }
-  job.pieces.clear();
+  job.state = JobState::kRecording;
+  AppendUntilRead(step.world, step.cell,
+                  CellRecord{.kind = CellRecordKind::kJobStarting,
+                             .epoch = step.cell.epoch,
+                             .job = JobSpec{.id = job.spec.id},
+                             .recorded_try = job.last_try},
+                  step.outbox);
 }
 
-void FinishStopping(World& world, Cell& cell, Job& job, Outbox& outbox) {
-  RemovePieces(cell, job);
-  if (job.end_state == JobState::kWaiting) {
-    job.state = JobState::kWaiting;
-    return;
+void AdvanceRecording(const GangStep& step) {
+  Job& job = step.job;
+  if (AnyLost(step) || AnyFailed(job) || AnyReleased(job)) {
+    Stop(step, JobState::kWaiting, "");
+  } else if (job.recorded_try == job.last_try && AllHeld(step)) {
+    job.may_have_run = true;
+    ChangeState(step.cell, job, JobState::kStarting, step.now);
   }
-  job.state = JobState::kEnding;
-  AppendCellRecord(world, cell,
-                   CellRecord{.kind = CellRecordKind::kJobEnded,
-                              .job = JobSpec{.id = job.spec.id},
-                              .end_state = job.end_state,
-                              .detail = job.end_detail},
-                   outbox);
 }
 
-void AdvanceGang(World& world,
-                 Cell& cell,
-                 Job& job,
-                 TimePoint now,
-                 Outbox& outbox) {
-  const auto is_lost = [&](const Piece& piece) {
-    return IsLostPiece(cell, piece, world.self, now);
-  };
-  const auto has_failed = [](const Piece& piece) {
-    return piece.state == PieceState::kFailed ||
-           piece.state == PieceState::kReleased;
-  };
-  if (job.state == JobState::kStopping) {
-    if (AllPieces(job, [&](const Piece& piece) {
-          return piece.state == PieceState::kReleased || is_lost(piece);
-        })) {
-      FinishStopping(world, cell, job, outbox);
-    }
-    return;
-  }
-  if (AnyPiece(job, is_lost)) {
-    StopGang(cell, job,
-             job.state == JobState::kReserving ? JobState::kWaiting
-                                               : JobState::kFailed,
-             "a worker was lost", now);
-    return;
-  }
-  if (AnyPiece(job, has_failed)) {
-    StopGang(cell, job,
-             job.state == JobState::kReserving ? JobState::kWaiting
-                                               : JobState::kFailed,
-             "a piece failed", now);
-    return;
-  }
-  if (job.state == JobState::kReserving &&
-      AllPieces(job, [](const Piece& piece) {
-        return piece.state == PieceState::kReserved;
-      })) {
-    ChangeState(cell, job, JobState::kStarting, now);
-  } else if (job.state == JobState::kStarting &&
-             AllPieces(job, [](const Piece& piece) {
+void AdvanceStarting(const GangStep& step) {
+  Job& job = step.job;
+  if (AnyLost(step) || AnyFailed(job) || AnyReleased(job)) {
+    BreakOff(step);
+  } else if (AllPieces(job, [](const Piece& piece) {
                return piece.state == PieceState::kRunning ||
                       piece.state == PieceState::kDone;
              })) {
-    ChangeState(cell, job, JobState::kRunning, now);
-  } else if (job.state == JobState::kRunning &&
-             AllPieces(job, [](const Piece& piece) {
-               return piece.state == PieceState::kDone;
-             })) {
-    StopGang(cell, job, JobState::kDone, "", now);
+    job.running_since = step.now;
+    ChangeState(step.cell, job, JobState::kRunning, step.now);
   }
 }
 
-// Puts the pieces of `job` that the workers reported back into its row.
-void AdoptReports(Cell& cell, Job& job) {
-  const auto wanted = static_cast<std::size_t>(job.spec.shape.pieces);
-  for (Worker& worker : cell.workers.rows) {
-    for (const LeaseReport& report : worker.reported) {
-      if (report.job != job.spec.id || report.piece.value >= wanted) {
-        continue;
-      }
-      job.tries = std::max(job.tries, TriesOf(report.lease).value_or(0));
-      job.pieces.push_back(Piece{.index = report.piece,
-                                 .worker = worker.listed.id,
-                                 .lease = report.lease,
-                                 .state = report.state});
-    }
-  }
-  std::sort(job.pieces.begin(), job.pieces.end(),
-            [](const Piece& a, const Piece& b) { return a.index < b.index; });
+// Whether the platform is about to take a worker of the gang away.
+bool IsOnLeavingWorker(const GangStep& step) {
+  return AnyPiece(step.job, [&](const Piece& piece) {
+    return step.cell.workers.find(piece.worker)->listed.state ==
+           InstanceState::kLeaving;
+  });
 }
 
-bool IsWholeGang(const Job& job) {
-  const bool complete = std::ssize(job.pieces) == job.spec.shape.pieces &&
-                        std::adjacent_find(job.pieces.begin(), job.pieces.end(),
-                                           [](const Piece& a, const Piece& b) {
-                                             return a.index == b.index;
-                                           }) == job.pieces.end();
-  return complete && AllPieces(job, [&](const Piece& piece) {
-           return TriesOf(piece.lease) == job.tries &&
-                  (piece.state == PieceState::kRunning ||
-                   piece.state == PieceState::kDone);
-         });
+void AdvanceRunning(const GangStep& step) {
+  Job& job = step.job;
+  if (AllDone(job)) {
+    WriteEnd(step.world, step.cell, job, JobState::kDone, "", step.now,
+             step.outbox);
+  } else if (AnyLost(step) || AnyFailed(job) || AnyReleased(job)) {
+    BreakOff(step);
+  } else if (job.spec.checkpointable && job.spec.idempotent &&
+             IsOnLeavingWorker(step)) {
+    job.grace_until = step.now + step.world.self.reclaim_grace;
+    ChangeState(step.cell, job, JobState::kCheckpointing, step.now);
+  }
 }
 
-void RecoverGang(Cell& cell, Job& job, TimePoint now) {
-  AdoptReports(cell, job);
-  if (job.pieces.empty()) {
-    return;
+void AdvanceCheckpointing(const GangStep& step) {
+  Job& job = step.job;
+  const bool written = AllPieces(job, [&](const Piece& piece) {
+    return piece.state != PieceState::kRunning || IsLostPiece(step, piece);
+  });
+  if (AllDone(job)) {
+    WriteEnd(step.world, step.cell, job, JobState::kDone, "", step.now,
+             step.outbox);
+  } else if (written || step.now >= job.grace_until) {
+    Stop(step, JobState::kWaiting, "");
   }
-  if (!IsWholeGang(job)) {
-    // The leases belong to no placement and are released as unknown ones.
-    job.pieces.clear();
-    ++job.tries;
-    return;
-  }
-  for (const Piece& piece : job.pieces) {
-    Worker* worker = cell.workers.find(piece.worker);
-    Occupy(*worker, job.spec.shape);
-    worker->pieces.push_back(PieceRef{job.spec.id, piece.index});
-  }
-  ChangeState(cell, job, JobState::kRunning, now);
 }
 
-void PlaceGang(Cell& cell, Job& job, TimePoint now) {
-  const auto chosen = ChooseWorkers(cell, job.spec.shape);
-  if (!chosen) {
+void AdvanceStopping(const GangStep& step) {
+  Job& job = step.job;
+  const bool released = AllPieces(job, [&](const Piece& piece) {
+    return piece.state == PieceState::kReleased || IsLostPiece(step, piece);
+  });
+  if (!released) {
     return;
   }
-  ++job.tries;
-  for (std::uint32_t i = 0; i < chosen->size(); ++i) {
-    const PieceIndex index(i);
-    Worker* worker = cell.workers.find(chosen->at(i));
-    Occupy(*worker, job.spec.shape);
-    worker->pieces.push_back(PieceRef{job.spec.id, index});
-    job.pieces.push_back(Piece{
-        .index = index,
-        .worker = worker->listed.id,
-        .lease = MakeLeaseId(job.spec.id, job.tries, index),
-        .state = PieceState::kReserving,
-    });
+  RemovePieces(step.cell, job, step.now);
+  if (job.end_state == JobState::kWaiting && !job.cancel_requested) {
+    Requeue(step.cell, job, step.now);
+    return;
   }
-  ChangeState(cell, job, JobState::kReserving, now);
+  const JobState end_state = job.end_state == JobState::kWaiting
+                                 ? JobState::kCancelled
+                                 : job.end_state;
+  WriteEnd(step.world, step.cell, job, end_state, job.end_detail, step.now,
+           step.outbox);
 }
 
-// The command that brings one piece nearer to what its gang wants, if any.
-std::optional<WorkerCommandKind> WantedCommand(const Job& job,
-                                               const Piece& piece,
-                                               bool reported) {
+void AdvanceGang(const GangStep& step) {
+  Job& job = step.job;
+  if (job.cancel_requested && job.state != JobState::kStopping &&
+      !AllDone(job)) {
+    Stop(step, JobState::kCancelled, "");
+  }
   switch (job.state) {
+    case JobState::kReclaiming:
+      AdvanceReclaiming(step);
+      break;
     case JobState::kReserving:
-      if (!reported && piece.state == PieceState::kReserving) {
-        return WorkerCommandKind::kReserve;
-      }
+      AdvanceReserving(step);
+      break;
+    case JobState::kRecording:
+      AdvanceRecording(step);
       break;
     case JobState::kStarting:
-      if (piece.state == PieceState::kReserved) {
-        return WorkerCommandKind::kStart;
-      }
+      AdvanceStarting(step);
+      break;
+    case JobState::kRunning:
+      AdvanceRunning(step);
+      break;
+    case JobState::kCheckpointing:
+      AdvanceCheckpointing(step);
       break;
     case JobState::kStopping:
-      if (piece.state != PieceState::kReleased) {
-        return WorkerCommandKind::kRelease;
-      }
+      AdvanceStopping(step);
       break;
     default:
       break;
   }
-  return std::nullopt;
 }
 
-std::vector<WorkerCommand> CommandsFor(const Cell& cell, const Worker& worker) {
-  std::vector<WorkerCommand> commands;
-  for (const PieceRef& ref : worker.pieces) {
-    const Job* job = cell.jobs.find(ref.job);
-    const Piece& piece = job->pieces.at(ref.piece.value);
-    const bool reported = FindReport(worker, piece.lease) != nullptr;
-    if (const auto kind = WantedCommand(*job, piece, reported)) {
-      commands.push_back(
-          WorkerCommand{.kind = *kind,
-                        .lease = piece.lease,
-                        .job = ref.job,
-                        .piece = ref.piece,
-                        .accelerators = job->spec.shape.accelerators,
-                        .processors = job->spec.shape.processors,
-                        .memory = job->spec.shape.memory,
-                        .command = job->spec.command});
+// Appends again what was not acknowledged.
+void RepeatRecords(Cell& cell, TimePoint now, Outbox& outbox) {
+  for (auto& [id, record] : cell.unconfirmed) {
+    if (now >= record.repeat) {
+      record.repeat = kNever;
+      outbox.appends.push_back(
+          AppendRecord{CellStream(cell.zone), id, record.data});
     }
   }
-  if (!cell.recovered) {
-    return commands;
-  }
-  for (const LeaseReport& report : worker.reported) {
-    const bool placed = std::any_of(
-        worker.pieces.begin(), worker.pieces.end(), [&](const PieceRef& ref) {
-          const Job* job = cell.jobs.find(ref.job);
-          return job->pieces.at(ref.piece.value).lease == report.lease;
-        });
-    if (!placed) {
-      commands.push_back(WorkerCommand{.kind = WorkerCommandKind::kRelease,
-                                       .lease = report.lease,
-                                       .job = report.job,
-                                       .piece = report.piece});
-    }
-  }
-  return commands;
 }
 
-void PollWorker(const World& world,
-                const Cell& cell,
-                Worker& worker,
-                TimePoint now,
-                Outbox& outbox) {
-  SendWorkerCommands message{.worker = worker.listed.id,
-                             .address = worker.listed.address,
-                             .zone = cell.zone,
-                             .holder = world.self.id,
-                             .epoch = cell.epoch,
-                             .lease_time = world.self.lease_time,
-                             .commands = CommandsFor(cell, worker)};
-  worker.reserving.clear();
-  for (const WorkerCommand& command : message.commands) {
-    if (command.kind == WorkerCommandKind::kReserve) {
-      worker.reserving.push_back(command.lease);
+// Writes long-lived jobs again before the log service drops their records.
+void KeepJobs(World& world, Cell& cell, TimePoint now, Outbox& outbox) {
+  for (std::size_t i = 0; i < kKeepsPerTick && !cell.keeps.empty() &&
+                          now >= cell.keeps.front().due;
+       ++i) {
+    const JobId id = cell.keeps.front().job;
+    cell.keeps.pop_front();
+    const Job* job = cell.jobs.find(id);
+    if (job == nullptr || HasEnded(job->state)) {
+      continue;
     }
+    AppendCellRecord(world, cell,
+                     CellRecord{.kind = CellRecordKind::kJobKept,
+                                .epoch = cell.epoch,
+                                .job = job->spec,
+                                .recorded_try = job->recorded_try,
+                                .accepted = job->accepted,
+                                .cancel_requested = job->cancel_requested},
+                     outbox);
+    cell.keeps.push_back(JobDue{id, now + world.self.keep_interval});
   }
-  worker.exchange_under_way = true;
-  worker.next_poll = now + world.self.worker_poll_interval;
-  outbox.worker_commands.push_back(std::move(message));
 }
 
-}  // namespace impl
-
-void ApplyWorkerAnswers(World& world, const Inbox& inbox, TimePoint now) {
-  for (const WorkerAnswered& answer : inbox.worker_answers) {
-    if (const auto cell = world.jobs.cells.find(answer.zone);
-        cell != world.jobs.cells.end()) {
-      impl::ApplyAnswer(cell->second, answer, now);
-    }
+void ForgetEndedJobs(const Self& self, Cell& cell, TimePoint now) {
+  while (!cell.ended.empty() &&
+         (now - cell.ended.front().at > self.ended_kept ||
+          cell.ended.size() > self.max_waiting_jobs)) {
+    cell.jobs.erase(cell.ended.front().job);
+    cell.ended.pop_front();
   }
 }
 
-void RecoverGangs(World& world, TimePoint now) {
-  for (auto& [zone, cell] : world.jobs.cells) {
-    if (cell.recovered || !IsHeld(cell)) {
-      continue;
-    }
-    const bool all_heard = std::all_of(
-        cell.workers.rows.begin(), cell.workers.rows.end(),
-        [](const Worker& worker) { return worker.heard != TimePoint::min(); });
-    if (!all_heard && now < cell.recovered_by) {
-      continue;
-    }
-    for (Job& job : cell.jobs.rows) {
-      if (job.state == JobState::kWaiting) {
-        impl::RecoverGang(cell, job, now);
-      }
-    }
-    cell.recovered = true;
-    Log(LogLevel::kInfo, "cell_recovered",
-        {{"zone", zone.value}, {"workers", cell.workers.size()}});
-  }
+// Whether a worker that was taken out may be tried with a waiting gang.
+bool MayTryWorkersAgain(const Cell& cell, TimePoint now) {
+  return !cell.queues.empty() &&
+         std::any_of(cell.workers.rows.begin(), cell.workers.rows.end(),
+                     [&](const Worker& worker) {
+                       return worker.excluded_until != TimePoint::min() &&
+                              IsUsable(worker, now);
+                     });
 }
 
-void AdvanceGangs(World& world, TimePoint now, Outbox& outbox) {
-  for (auto& [zone, cell] : world.jobs.cells) {
-    if (!IsHeld(cell) || !cell.recovered) {
-      continue;
-    }
-    for (Job& job : cell.jobs.rows) {
-      if (impl::IsActive(job)) {
-        impl::AdvanceGang(world, cell, job, now, outbox);
+void AdvanceCell(World& world, Cell& cell, TimePoint now, Outbox& outbox) {
+  if (now >= cell.next_scan) {
+    cell.next_scan = now + kScanInterval;
+    cell.touched.assign(cell.active.begin(), cell.active.end());
+    cell.placement_due |= MayTryWorkersAgain(cell, now);
+    RepeatRecords(cell, now, outbox);
+    KeepJobs(world, cell, now, outbox);
+  }
+  while (!cell.touched.empty()) {
+    for (const JobId& id : std::exchange(cell.touched, {})) {
+      if (Job* job = cell.jobs.find(id);
+          job != nullptr && cell.active.contains(id)) {
+        AdvanceGang(GangStep{world, cell, *job, now, outbox});
       }
     }
   }
 }
 
-void PlaceGangs(World& world, TimePoint now) {
-  for (auto& [zone, cell] : world.jobs.cells) {
-    if (!IsHeld(cell) || !cell.recovered) {
-      continue;
-    }
-    std::vector<Job*> waiting;
-    for (Job& job : cell.jobs.rows) {
-      if (job.state == JobState::kWaiting) {
-        waiting.push_back(&job);
-      }
-    }
-    std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
-      return std::pair(a->priority, a->accepted) <
-             std::pair(b->priority, b->accepted);
-    });
-    for (Job* job : waiting) {
-      impl::PlaceGang(cell, *job, now);
-    }
-  }
-}
+}  // namespace impl
 
-void PollWorkers(World& world, TimePoint now, Outbox& outbox) {
+void AdvanceGangs(World& world, TimePoint now, Outbox& outbox) {
   for (auto& [zone, cell] : world.jobs.cells) {
-    if (!IsHeld(cell)) {
-      continue;
-    }
-    for (Worker& worker : cell.workers.rows) {
-      if (!worker.exchange_under_way && now >= worker.next_poll) {
-        impl::PollWorker(world, cell, worker, now, outbox);
-      }
+    impl::ForgetEndedJobs(world.self, cell, now);
+    if (IsHeld(cell) && cell.recovered) {
+      impl::AdvanceCell(world, cell, now, outbox);
     }
   }
 }
 
-TimePoint NextPollDue(const World& world) {
-  TimePoint due = kNever;
-  for (const auto& [zone, cell] : world.jobs.cells) {
-    if (!IsHeld(cell)) {
-      continue;
-    }
-    for (const Worker& worker : cell.workers.rows) {
-      if (!worker.exchange_under_way) {
-        due = std::min(due, worker.next_poll);
-      }
-    }
+void WriteEnd(World& world,
+              Cell& cell,
+              Job& job,
+              JobState end_state,
+              std::string detail,
+              TimePoint now,
+              Outbox& outbox) {
+  if (job.state == JobState::kWaiting) {
+    Dequeue(cell, job);
   }
-  return due;
+  // The room is free at once; leases of tasks that are done stay until the end
+  // is durable, so that the next holder could still tell it.
+  job.state = JobState::kEnding;
+  RemovePieces(cell, job, now);
+  cell.active.erase(job.spec.id);
+  job.end_state = end_state;
+  job.end_detail = std::move(detail);
+  job.running_since = kNever;
+  AppendUntilRead(world, cell,
+                  CellRecord{.kind = CellRecordKind::kJobEnded,
+                             .epoch = cell.epoch,
+                             .job = JobSpec{.id = job.spec.id},
+                             .end_state = end_state,
+                             .detail = job.end_detail},
+                  outbox);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -11,6 +11,7 @@
 
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/scheduling.h"
 
 namespace chicorystep {
 namespace impl {
@@ -81,6 +82,7 @@
     return false;
   }
   spec.id = MakeJobId(*zone, spec.workspace, spec.request_id);
+  spec.idempotent = route->second.idempotent;
   return true;
 }
 
@@ -102,6 +104,21 @@
   return a.kind == b.kind && a.shape == b.shape && a.command == b.command;
 }
 
+// Why the cell could never run the job; empty while its workers are not known.
+std::string NeverRunnable(const World& world,
+                          const Cell& cell,
+                          const JobSpec& spec) {
+  const auto route = world.config.routes.find(spec.kind);
+  if (route == world.config.routes.end() || cell.workers.empty()) {
+    return "";
+  }
+  const auto pool =
+      world.config.pools.find(PoolKey{route->second.pool, spec.workspace});
+  return pool == world.config.pools.end()
+             ? ""
+             : WhyNeverRunnable(cell, pool->second, spec.shape);
+}
+
 void Submit(World& world,
             Cell& cell,
             const JobOperation& operation,
@@ -117,33 +134,44 @@
     }
     return;
   }
-  if (cell.jobs.size() >= world.self.max_waiting_jobs) {
+  if (cell.jobs.size() - cell.ended.size() >= world.self.max_waiting_jobs) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kOverloaded,
            "the cell's queue is full");
     return;
   }
+  if (std::string why = NeverRunnable(world, cell, operation.spec);
+      !why.empty()) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kNeverRunnable,
+           std::move(why));
+    return;
+  }
   const RecordId record = AppendCellRecord(
       world, cell,
       CellRecord{.kind = CellRecordKind::kJobAccepted, .job = operation.spec},
       outbox);
-  cell.pending.push_back(
-      PendingAcceptance{operation.exchange, operation.spec.id, record});
+  cell.pending.emplace(record,
+                       PendingAnswer{operation.exchange, operation.spec.id});
 }
 
+// Answers at once when the job has ended, else when the cancellation is
+// durable: whichever of it and the end comes first in the stream is true.
 void Cancel(World& world,
             Cell& cell,
             const Job& job,
             const JobOperation& operation,
             Outbox& outbox) {
-  if (!HasEnded(job.state)) {
-    AppendCellRecord(world, cell,
-                     CellRecord{.kind = CellRecordKind::kJobCancelled,
-                                .job = JobSpec{.id = job.spec.id}},
-                     outbox);
+  if (HasEnded(job.state)) {
+    outbox.ended_job_operations.push_back(
+        EndJobOperation{operation.exchange, std::nullopt,
+                        JobStatus{job.spec.id, job.state, job.end_detail}});
+    return;
   }
-  outbox.ended_job_operations.push_back(
-      EndJobOperation{operation.exchange, std::nullopt,
-                      JobStatus{job.spec.id, job.state, job.end_detail}});
+  const RecordId record =
+      AppendCellRecord(world, cell,
+                       CellRecord{.kind = CellRecordKind::kJobCancelled,
+                                  .job = JobSpec{.id = job.spec.id}},
+                       outbox);
+  cell.pending.emplace(record, PendingAnswer{operation.exchange, job.spec.id});
 }
 
 void HandleOne(World& world,
@@ -160,7 +188,8 @@
     return;
   }
   const auto cell = world.jobs.cells.find(ZoneOf(operation.spec.id));
-  if (cell == world.jobs.cells.end() || !IsHeld(cell->second)) {
+  if (cell == world.jobs.cells.end() || !IsHeld(cell->second) ||
+      cell->second.leaving) {
     Forward(world, operation, now, outbox);
     return;
   }
--- a/chicorystep/systems/job_records.h
+++ b/chicorystep/systems/job_records.h
@@ -18,21 +18,32 @@
   kJobAccepted,
   kJobCancelled,
   kJobEnded,
+  // The pieces of a job that is not idempotent are about to be started.
+  kJobStarting,
+  // Repeats a job that has not ended, before its records are no longer kept.
+  kJobKept,
 };
 template <>
 inline constexpr std::array kEnumNames<CellRecordKind> = {
-    std::string_view("claim"),
-    std::string_view("job_accepted"),
-    std::string_view("job_cancelled"),
-    std::string_view("job_ended"),
+    std::string_view("claim"),         std::string_view("job_accepted"),
+    std::string_view("job_cancelled"), std::string_view("job_ended"),
+    std::string_view("job_starting"),  std::string_view("job_kept"),
 };
 
 // A record of a cell's stream. Which members count depends on `kind`.
 struct CellRecord {
   CellRecordKind kind = CellRecordKind::kClaim;
   EntryId holder;
-  // kJobAccepted: the whole description; else only its id counts.
+  // The epoch of the writer, but for kClaim, kJobAccepted and kJobCancelled,
+  // which count whoever wrote them.
+  Epoch epoch;
+  // kJobAccepted and kJobKept: the whole description; else only its id counts.
   JobSpec job;
+  // kJobStarting and kJobKept: the newest try that was recorded.
+  GangTry recorded_try;
+  // kJobKept only.
+  Offset accepted;
+  bool cancel_requested = false;
   // kJobEnded only.
   JobState end_state = JobState::kDone;
   std::string detail;
@@ -41,7 +52,7 @@
 // Whether a job in `state` has ended for good.
 [[nodiscard]] constexpr bool HasEnded(JobState state) noexcept {
   return state == JobState::kDone || state == JobState::kFailed ||
-         state == JobState::kCancelled;
+         state == JobState::kCancelled || state == JobState::kUnknown;
 }
 
 }  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/systems/packing.cc
@@ -0,0 +1,353 @@
+#include "chicorystep/systems/packing.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells.h"
+
+namespace chicorystep {
+namespace impl {
+
+void Reserve(Worker& worker, const PoolKey& pool, const Capacity& amount) {
+  Reservation* held = FindReservation(worker, pool);
+  if (held == nullptr) {
+    held = &worker.reservations.emplace_back(Reservation{.pool = pool});
+  }
+  held->reserved = held->reserved + amount;
+}
+
+// What is left of a worker for further guaranteed shapes.
+Capacity UnreservedOn(const Worker& worker) {
+  if (worker.listed.state != InstanceState::kLive) {
+    return Capacity{};
+  }
+  return NoLessThanZero(CapacityOf(worker.listed) - ReservedOn(worker));
+}
+
+Offers OfferUnreserved(const Cell& cell) {
+  Offers offers;
+  for (const Worker& worker : cell.workers.rows) {
+    offers.room.push_back(UnreservedOn(worker));
+  }
+  return offers;
+}
+
+// Keeps room for `slot` on `workers`, or keeps nothing when it is not there.
+bool TryReserve(Cell& cell,
+                GuaranteeSlot& slot,
+                const std::vector<WorkerId>& workers) {
+  const Capacity piece = CapacityOf(slot.shape);
+  std::map<WorkerId, std::int64_t> pieces;
+  for (const WorkerId& id : workers) {
+    ++pieces[id];
+  }
+  for (const auto& [id, count] : pieces) {
+    const Worker* worker = cell.workers.find(id);
+    Capacity need;
+    for (std::int64_t i = 0; i < count; ++i) {
+      need = need + piece;
+    }
+    if (worker == nullptr || !Holds(UnreservedOn(*worker), need)) {
+      return false;
+    }
+  }
+  for (const WorkerId& id : workers) {
+    Reserve(*cell.workers.find(id), slot.pool, piece);
+  }
+  slot.workers = workers;
+  return true;
+}
+
+void Unreserve(Cell& cell, GuaranteeSlot& slot) {
+  for (const WorkerId& id : slot.workers) {
+    if (Worker* worker = cell.workers.find(id)) {
+      Reservation* held = FindReservation(*worker, slot.pool);
+      held->reserved = held->reserved - CapacityOf(slot.shape);
+    }
+  }
+  slot.workers.clear();
+}
+
+// The slots that the tables ask for in the cell's zone.
+std::vector<GuaranteeSlot> WantedSlots(const Config& config, const Zone& zone) {
+  std::vector<GuaranteeSlot> slots;
+  for (const auto& [key, pool] : config.pools) {
+    for (const Guarantee& guarantee : pool.guarantees) {
+      if (guarantee.zone == zone) {
+        slots.insert(slots.end(), static_cast<std::size_t>(guarantee.count),
+                     GuaranteeSlot{.pool = key, .shape = guarantee.shape});
+      }
+    }
+  }
+  // The largest are the hardest to place.
+  std::stable_sort(slots.begin(), slots.end(),
+                   [](const GuaranteeSlot& a, const GuaranteeSlot& b) {
+                     return AcceleratorsOf(a.shape) > AcceleratorsOf(b.shape);
+                   });
+  return slots;
+}
+
+// Lets slots stay where the last plan had them.
+void KeepSlots(Cell& cell,
+               std::vector<GuaranteeSlot>& slots,
+               std::vector<GuaranteeSlot> before) {
+  for (GuaranteeSlot& slot : slots) {
+    const auto same = std::find_if(
+        before.begin(), before.end(), [&](const GuaranteeSlot& old) {
+          return !old.workers.empty() && old.pool == slot.pool &&
+                 old.shape == slot.shape;
+        });
+    if (same != before.end()) {
+      TryReserve(cell, slot, same->workers);
+      before.erase(same);
+    }
+  }
+}
+
+bool IsCoveredBy(const Shape& piece, const Shape& slot) {
+  return Holds(CapacityOf(slot), CapacityOf(piece));
+}
+
+// Puts slots where a gang of their workspace already runs.
+void KeepSlotsUnderGangs(Cell& cell, std::vector<GuaranteeSlot>& slots) {
+  std::vector<const Job*> gangs;
+  for (const JobId& id : cell.active) {
+    gangs.push_back(cell.jobs.find(id));
+  }
+  std::sort(gangs.begin(), gangs.end(), [](const Job* a, const Job* b) {
+    return a->accepted < b->accepted;
+  });
+  for (const Job* job : gangs) {
+    const PoolKey pool{job->pool, job->spec.workspace};
+    const auto slot = std::find_if(
+        slots.begin(), slots.end(), [&](const GuaranteeSlot& candidate) {
+          return candidate.workers.empty() && candidate.pool == pool &&
+                 candidate.shape.pieces == std::ssize(job->pieces) &&
+                 IsCoveredBy(job->spec.shape, candidate.shape) &&
+                 job->spec.shape.adjacency >= candidate.shape.adjacency;
+        });
+    if (slot != slots.end()) {
+      std::vector<WorkerId> workers;
+      for (const Piece& piece : job->pieces) {
+        workers.push_back(piece.worker);
+      }
+      TryReserve(cell, *slot, workers);
+    }
+  }
+}
+
+void PlaceSlots(Cell& cell, std::vector<GuaranteeSlot>& slots) {
+  for (GuaranteeSlot& slot : slots) {
+    if (!slot.workers.empty()) {
+      continue;
+    }
+    const auto rows = ChooseWorkers(cell, slot.shape, OfferUnreserved(cell));
+    if (!rows) {
+      continue;
+    }
+    for (const std::size_t row : *rows) {
+      slot.workers.push_back(cell.workers.keys[row]);
+      Reserve(cell.workers.rows[row], slot.pool, CapacityOf(slot.shape));
+    }
+  }
+}
+
+void ClearReservations(Cell& cell) {
+  for (Worker& worker : cell.workers.rows) {
+    worker.reservations.clear();
+  }
+}
+
+std::int64_t UnmetAccelerators(const std::vector<GuaranteeSlot>& slots) {
+  std::int64_t unmet = 0;
+  for (const GuaranteeSlot& slot : slots) {
+    if (slot.workers.empty()) {
+      unmet += AcceleratorsOf(slot.shape).value + 1;
+    }
+  }
+  return unmet;
+}
+
+// Gives each running gang its pool's room where it runs, or makes it a
+// borrower.
+void AccountForGangs(Cell& cell) {
+  std::vector<Job*> gangs;
+  for (const JobId& id : cell.active) {
+    gangs.push_back(cell.jobs.find(id));
+  }
+  std::sort(gangs.begin(), gangs.end(), [](const Job* a, const Job* b) {
+    return std::pair(!a->guaranteed, a->accepted) <
+           std::pair(!b->guaranteed, b->accepted);
+  });
+  for (Job* job : gangs) {
+    const PoolKey pool{job->pool, job->spec.workspace};
+    const Capacity need = CapacityOf(job->spec.shape);
+    std::vector<Reservation*> taken;
+    for (const Piece& piece : job->pieces) {
+      Worker* worker = cell.workers.find(piece.worker);
+      Reservation* held =
+          worker == nullptr ? nullptr : FindReservation(*worker, pool);
+      if (held == nullptr || !Holds(held->reserved - held->used, need)) {
+        break;
+      }
+      held->used = held->used + need;
+      taken.push_back(held);
+    }
+    job->guaranteed =
+        !job->pieces.empty() && taken.size() == job->pieces.size();
+    if (!job->guaranteed) {
+      for (Reservation* held : taken) {
+        held->used = held->used - need;
+      }
+    }
+  }
+}
+
+// Tells operators when the set of guarantees that cannot be met has changed.
+void LogUnmet(Cell& cell) {
+  std::string unmet;
+  for (const GuaranteeSlot& slot : cell.slots) {
+    if (slot.workers.empty()) {
+      unmet += fmt::format("{}{}/{}", unmet.empty() ? "" : ",",
+                           slot.pool.name.value, slot.pool.workspace.value);
+    }
+  }
+  if (unmet == cell.unmet_logged) {
+    return;
+  }
+  cell.unmet_logged = unmet;
+  for (const GuaranteeSlot& slot : cell.slots) {
+    if (slot.workers.empty()) {
+      Log(LogLevel::kWarn, "guarantee_unmet",
+          {{"zone", cell.zone.value},
+           {"pool", slot.pool.name.value},
+           {"workspace", slot.pool.workspace.value},
+           {"reason", WhyUnmet(cell, slot.shape)}});
+    }
+  }
+  if (unmet.empty()) {
+    Log(LogLevel::kInfo, "guarantees_met", {{"zone", cell.zone.value}});
+  }
+}
+
+void PlanCell(Cell& cell, const Config& config) {
+  const std::vector<GuaranteeSlot> before = std::move(cell.slots);
+  std::vector<GuaranteeSlot> stable = WantedSlots(config, cell.zone);
+  ClearReservations(cell);
+  KeepSlots(cell, stable, before);
+  KeepSlotsUnderGangs(cell, stable);
+  PlaceSlots(cell, stable);
+  if (const std::int64_t unmet = UnmetAccelerators(stable); unmet > 0) {
+    // Start over: other places may leave room for all.
+    std::vector<GuaranteeSlot> fresh = WantedSlots(config, cell.zone);
+    ClearReservations(cell);
+    PlaceSlots(cell, fresh);
+    if (UnmetAccelerators(fresh) < unmet) {
+      stable = std::move(fresh);
+    } else {
+      ClearReservations(cell);
+      KeepSlots(cell, stable, std::vector(stable));
+    }
+  }
+  cell.slots = std::move(stable);
+  AccountForGangs(cell);
+  LogUnmet(cell);
+}
+
+}  // namespace impl
+
+void PlanGuarantees(World& world, TimePoint now) {
+  for (auto& [zone, cell] : world.jobs.cells) {
+    if (!IsHeld(cell) || !cell.recovered ||
+        (!cell.plan_stale && cell.planned_revision == world.config.revision)) {
+      continue;
+    }
+    impl::PlanCell(cell, world.config);
+    cell.plan_stale = false;
+    cell.planned_revision = world.config.revision;
+    cell.placement_due = true;
+    cell.next_placement = std::min(cell.next_placement, now);
+  }
+}
+
+std::string WhyUnmet(const Cell& cell, const Shape& shape) {
+  Offers whole;
+  for (const Worker& worker : cell.workers.rows) {
+    whole.room.push_back(worker.listed.state == InstanceState::kLive
+                             ? CapacityOf(worker.listed)
+                             : Capacity{});
+  }
+  if (!ChooseWorkers(cell, shape, whole)) {
+    return fmt::format(
+        "no set of {} workers that is adjacent as asked ({}) has {} "
+        "accelerators each",
+        shape.pieces, NameOf(shape.adjacency), shape.accelerators.value);
+  }
+  return "the workers that could hold it are kept for other guarantees";
+}
+
+Capacity ReservedOn(const Worker& worker) noexcept {
+  Capacity sum;
+  for (const Reservation& held : worker.reservations) {
+    sum = sum + held.reserved;
+  }
+  return sum;
+}
+
+Capacity ReservedUseOn(const Worker& worker) noexcept {
+  Capacity sum;
+  for (const Reservation& held : worker.reservations) {
+    sum = sum + held.used;
+  }
+  return sum;
+}
+
+std::optional<std::vector<std::size_t>> MoveSlotToFreeRoom(
+    Cell& cell,
+    const PoolKey& pool,
+    const Shape& shape,
+    const std::vector<bool>& usable) {
+  for (GuaranteeSlot& slot : cell.slots) {
+    const bool suits = slot.pool == pool && !slot.workers.empty() &&
+                       slot.shape.pieces == shape.pieces &&
+                       slot.shape.adjacency <= shape.adjacency &&
+                       impl::IsCoveredBy(shape, slot.shape);
+    const bool in_use =
+        suits && std::any_of(slot.workers.begin(), slot.workers.end(),
+                             [&](const WorkerId& id) {
+                               const Reservation* held = FindReservation(
+                                   *cell.workers.find(id), pool);
+                               return held->used != Capacity{};
+                             });
+    if (!suits || in_use) {
+      continue;
+    }
+    const std::vector<WorkerId> before = slot.workers;
+    impl::Unreserve(cell, slot);
+    Offers offers = impl::OfferUnreserved(cell);
+    for (std::size_t row = 0; row < offers.room.size(); ++row) {
+      offers.room[row] = usable[row]
+                             ? Min(offers.room[row],
+                                   NoLessThanZero(cell.workers.rows[row].free))
+                             : Capacity{};
+    }
+    Shape wanted = slot.shape;
+    wanted.adjacency = std::max(shape.adjacency, slot.shape.adjacency);
+    const auto rows = ChooseWorkers(cell, wanted, offers);
+    std::vector<WorkerId> after;
+    for (const std::size_t row : rows.value_or(std::vector<std::size_t>{})) {
+      after.push_back(cell.workers.keys[row]);
+    }
+    impl::TryReserve(cell, slot, rows ? after : before);
+    return rows;
+  }
+  return std::nullopt;
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/placement.cc
+++ b/chicorystep/systems/placement.cc
@@ -1,99 +1,122 @@
 #include "chicorystep/systems/placement.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <limits>
-#include <map>
-#include <string>
-#include <utility>
+#include <tuple>
+
+#include "chicorystep/systems/cell_state.h"
 
 namespace chicorystep {
 namespace impl {
 
-// How many pieces of `shape` the free capacity of `worker` holds.
-std::int64_t PiecesThatFit(const Worker& worker, const Shape& shape) {
-  if (worker.listed.state != InstanceState::kLive) {
-    return 0;
-  }
-  std::int64_t fit = std::numeric_limits<std::int64_t>::max();
+// How many pieces of `shape` fit into `room`, at most all of them.
+std::int64_t PiecesThatFit(const Capacity& room, const Shape& shape) {
+  std::int64_t fit = shape.pieces;
   const auto limit = [&](std::int64_t free, std::int64_t each) {
-    if (each > 0) {
-      fit = std::min(fit, free / each);
+    if (free < 0 || each > 0) {
+      fit = std::min(fit, free < 0 ? 0 : free / each);
     }
   };
-  limit(worker.free_accelerators.value, shape.accelerators.value);
-  limit(worker.free_processors.value, shape.processors.value);
-  limit(worker.free_memory.value, shape.memory.value);
-  return std::clamp<std::int64_t>(fit, 0, shape.pieces);
+  limit(room.accelerators.value, shape.accelerators.value);
+  limit(room.processors.value, shape.processors.value);
+  limit(room.memory.value, shape.memory.value);
+  return std::max<std::int64_t>(fit, 0);
 }
 
-// Workers that may hold one gang together.
-struct Candidates {
+// Workers among which the pieces of one gang may be spread.
+struct Group {
   std::int64_t fit = 0;
-  std::vector<const Worker*> workers;
+  std::int64_t cost = 0;
 };
 
-// Groups the workers by what `adjacency` asks: all, by rack or one by one.
-std::map<std::string, Candidates> GroupWorkers(const Cell& cell,
-                                               const Shape& shape) {
-  std::map<std::string, Candidates> groups;
-  for (const Worker& worker : cell.workers.rows) {
-    const std::int64_t fit = PiecesThatFit(worker, shape);
-    if (fit == 0) {
+std::size_t GroupCount(const Cell& cell, const Shape& shape) {
+  switch (shape.adjacency) {
+    case Adjacency::kRack:
+      return cell.racks;
+    case Adjacency::kWorker:
+      return cell.workers.size();
+    default:
+      return 1;
+  }
+}
+
+std::size_t GroupOf(const Cell& cell, const Shape& shape, std::size_t row) {
+  switch (shape.adjacency) {
+    case Adjacency::kRack:
+      return cell.workers.rows[row].rack;
+    case Adjacency::kWorker:
+      return row;
+    default:
+      return 0;
+  }
+}
+
+std::int64_t CostOf(const Offers& offers, std::size_t row) {
+  return offers.cost.empty() ? 0 : offers.cost[row];
+}
+
+// The group that holds all pieces at the least cost and with the least left.
+std::optional<std::size_t> ChooseGroup(const Cell& cell,
+                                       const Shape& shape,
+                                       const Offers& offers,
+                                       const std::vector<std::int64_t>& fits) {
+  std::vector<Group> groups(GroupCount(cell, shape));
+  for (std::size_t row = 0; row < fits.size(); ++row) {
+    if (fits[row] > 0) {
+      Group& group = groups[GroupOf(cell, shape, row)];
+      group.fit += fits[row];
+      group.cost += CostOf(offers, row);
+    }
+  }
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    if (groups[i].fit < shape.pieces) {
       continue;
     }
-    std::string group;
-    if (shape.adjacency == Adjacency::kRack) {
-      group = worker.listed.rack.value;
-    } else if (shape.adjacency == Adjacency::kWorker) {
-      group = worker.listed.id.value;
+    if (!best || std::tuple(groups[i].cost, groups[i].fit) <
+                     std::tuple(groups[*best].cost, groups[*best].fit)) {
+      best = i;
     }
-    groups[group].fit += fit;
-    groups[group].workers.push_back(&worker);
   }
-  return groups;
+  return best;
 }
 
 }  // namespace impl
 
-std::optional<std::vector<WorkerId>> ChooseWorkers(const Cell& cell,
-                                                   const Shape& shape) {
-  auto groups = impl::GroupWorkers(cell, shape);
-  impl::Candidates* best = nullptr;
-  for (auto& [name, group] : groups) {
-    if (group.fit >= shape.pieces &&
-        (best == nullptr || group.fit < best->fit)) {
-      best = &group;
-    }
+std::optional<std::vector<std::size_t>> ChooseWorkers(const Cell& cell,
+                                                      const Shape& shape,
+                                                      const Offers& offers) {
+  std::vector<std::int64_t> fits(offers.room.size());
+  std::int64_t total = 0;
+  for (std::size_t row = 0; row < fits.size(); ++row) {
+    fits[row] = impl::PiecesThatFit(offers.room[row], shape);
+    total += fits[row];
   }
-  if (best == nullptr) {
+  if (total < shape.pieces) {
     return std::nullopt;
   }
-  std::sort(best->workers.begin(), best->workers.end(),
-            [](const Worker* a, const Worker* b) {
-              return std::pair(a->free_accelerators, a->listed.id) <
-                     std::pair(b->free_accelerators, b->listed.id);
-            });
-  std::vector<WorkerId> chosen;
-  for (const Worker* worker : best->workers) {
-    const std::int64_t take = std::min<std::int64_t>(
-        impl::PiecesThatFit(*worker, shape), shape.pieces - std::ssize(chosen));
-    chosen.insert(chosen.end(), static_cast<std::size_t>(take),
-                  worker->listed.id);
+  const auto group = impl::ChooseGroup(cell, shape, offers, fits);
+  if (!group) {
+    return std::nullopt;
+  }
+  std::vector<std::size_t> rows;
+  for (std::size_t row = 0; row < fits.size(); ++row) {
+    if (fits[row] > 0 && impl::GroupOf(cell, shape, row) == *group) {
+      rows.push_back(row);
+    }
+  }
+  std::sort(rows.begin(), rows.end(), [&](std::size_t a, std::size_t b) {
+    return std::tuple(impl::CostOf(offers, a), offers.room[a].accelerators, a) <
+           std::tuple(impl::CostOf(offers, b), offers.room[b].accelerators, b);
+  });
+  std::vector<std::size_t> chosen;
+  chosen.reserve(static_cast<std::size_t>(shape.pieces));
+  for (const std::size_t row : rows) {
+    const std::int64_t take =
+        std::min(fits[row], shape.pieces - std::ssize(chosen));
+    chosen.insert(chosen.end(), static_cast<std::size_t>(take), row);
   }
   return chosen;
 }
 
-void Occupy(Worker& worker, const Shape& shape) noexcept {
-  worker.free_accelerators -= shape.accelerators;
-  worker.free_processors -= shape.processors;
-  worker.free_memory -= shape.memory;
-}
-
-void Vacate(Worker& worker, const Shape& shape) noexcept {
-  worker.free_accelerators += shape.accelerators;
-  worker.free_processors += shape.processors;
-  worker.free_memory += shape.memory;
-}
-
 }  // namespace chicorystep
--- a/chicorystep/systems/placement.h
+++ b/chicorystep/systems/placement.h
@@ -1,6 +1,8 @@
 #ifndef CHICORYSTEP_SYSTEMS_PLACEMENT_H_
 #define CHICORYSTEP_SYSTEMS_PLACEMENT_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -8,15 +10,19 @@
 
 namespace chicorystep {
 
-// One worker for each piece of `shape`, by best fit on racks and workers, or
-// nothing when the free capacity of `cell` does not hold all pieces.
-[[nodiscard]] std::optional<std::vector<WorkerId>> ChooseWorkers(
-    const Cell& cell,
-    const Shape& shape);
+// What each worker offers a gang, by its position in the cell's table.
+struct Offers {
+  std::vector<Capacity> room;
+  // The accelerators of others that must be stopped before a gang can run on
+  // the worker; empty when there are none.
+  std::vector<std::int64_t> cost;
+};
 
-// Takes from and returns to a worker what one piece of `shape` occupies.
-void Occupy(Worker& worker, const Shape& shape) noexcept;
-void Vacate(Worker& worker, const Shape& shape) noexcept;
+// The positions of one worker for each piece of `shape`, or nothing when the
+// offers do not hold all pieces. Prefers the least cost, then the rack and the
+// workers that are left with the least room (best fit).
+[[nodiscard]] std::optional<std::vector<std::size_t>>
+ChooseWorkers(const Cell& cell, const Shape& shape, const Offers& offers);
 
 }  // namespace chicorystep
 
--- /dev/null
+++ b/chicorystep/systems/worker_polls.cc
@@ -0,0 +1,274 @@
+#include "chicorystep/systems/worker_polls.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/worker_health.h"
+
+namespace chicorystep {
+namespace impl {
+
+const LeaseReport* FindReport(const Worker& worker, const LeaseId& lease) {
+  const auto found =
+      std::find_if(worker.reported.begin(), worker.reported.end(),
+                   [&](const LeaseReport& row) { return row.lease == lease; });
+  return found == worker.reported.end() ? nullptr : &*found;
+}
+
+// The state of one piece after its worker's report.
+PieceState StateAfterReport(const Worker& worker,
+                            const Job& job,
+                            const Piece& piece) {
+  if (const LeaseReport* report = FindReport(worker, piece.lease)) {
+    return report->state;
+  }
+  if (piece.state != PieceState::kReserving ||
+      job.state == JobState::kStopping) {
+    return PieceState::kReleased;
+  }
+  const bool asked = std::find(worker.reserving.begin(), worker.reserving.end(),
+                               piece.lease) != worker.reserving.end();
+  return asked ? PieceState::kFailed : PieceState::kReserving;
+}
+
+void ApplyReports(Cell& cell, Worker& worker, TimePoint now) {
+  for (const PieceRef& ref : std::vector(worker.pieces)) {
+    Job* job = cell.jobs.find(ref.job);
+    Piece& piece = job->pieces.at(ref.piece.value);
+    const PieceState state = StateAfterReport(worker, *job, piece);
+    if (state == piece.state) {
+      continue;
+    }
+    // A refused reservation is no fault of the worker.
+    if (state == PieceState::kFailed && piece.state != PieceState::kReserving) {
+      job->failed_on.insert(worker.listed.id);
+      NoteFailure(cell, worker, *job, now);
+    } else if (state == PieceState::kDone) {
+      NoteSuccess(worker);
+    }
+    piece.state = state;
+    Touch(cell, ref.job);
+  }
+}
+
+// Another process holds the cell.
+void NoteSuperseded(const World& world, Cell& cell, TimePoint now) {
+  Log(LogLevel::kInfo, "cell_superseded",
+      {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
+  LoseCell(cell, now + world.self.member_timeout, now);
+}
+
+void ApplyAnswer(const World& world,
+                 Cell& cell,
+                 const WorkerAnswered& answer,
+                 TimePoint now) {
+  Worker* worker = cell.workers.find(answer.worker);
+  if (worker == nullptr || answer.sequence != worker->sequence ||
+      answer.epoch != cell.epoch || !worker->exchange_under_way) {
+    return;
+  }
+  worker->exchange_under_way = false;
+  cell.polls.emplace(worker->next_poll, worker->listed.id);
+  if (answer.stale_epoch) {
+    NoteSuperseded(world, cell, now);
+    return;
+  }
+  if (answer.answered) {
+    // It may be given work again.
+    cell.placement_due |= !IsResponsive(*worker, world.self, now);
+    worker->heard = worker->sent;
+    worker->reported = answer.leases;
+    ApplyReports(cell, *worker, now);
+  }
+  worker->reserving.clear();
+}
+
+// The command that brings one piece nearer to what its gang wants, if any.
+std::optional<WorkerCommandKind> WantedCommand(const Job& job,
+                                               const Piece& piece,
+                                               bool reported) {
+  switch (job.state) {
+    case JobState::kReserving:
+      if (!reported && piece.state == PieceState::kReserving) {
+        return WorkerCommandKind::kReserve;
+      }
+      break;
+    case JobState::kStarting:
+      if (piece.state == PieceState::kReserved) {
+        return WorkerCommandKind::kStart;
+      }
+      break;
+    case JobState::kCheckpointing:
+      if (piece.state == PieceState::kRunning) {
+        return WorkerCommandKind::kCheckpoint;
+      }
+      break;
+    case JobState::kStopping:
+      if (piece.state != PieceState::kReleased) {
+        return WorkerCommandKind::kRelease;
+      }
+      break;
+    default:
+      break;
+  }
+  return std::nullopt;
+}
+
+WorkerCommand MakeCommand(WorkerCommandKind kind,
+                          const Job& job,
+                          const Piece& piece) {
+  WorkerCommand command{.kind = kind,
+                        .lease = piece.lease,
+                        .job = job.spec.id,
+                        .piece = piece.index};
+  if (kind == WorkerCommandKind::kReserve) {
+    command.accelerators = job.spec.shape.accelerators;
+    command.processors = job.spec.shape.processors;
+    command.memory = job.spec.shape.memory;
+    command.command = job.spec.command;
+  }
+  return command;
+}
+
+// Whether a lease that belongs to no placement may be released: not while the
+// end that it vouches for is being written.
+bool IsReleasable(const Cell& cell, const LeaseReport& report) {
+  const Job* job = cell.jobs.find(report.job);
+  return job == nullptr || job->state != JobState::kEnding;
+}
+
+void ReleaseUnplaced(const Cell& cell,
+                     const Worker& worker,
+                     std::vector<WorkerCommand>& commands) {
+  for (const LeaseReport& report : worker.reported) {
+    const bool placed = std::any_of(
+        worker.pieces.begin(), worker.pieces.end(), [&](const PieceRef& ref) {
+          const Job* job = cell.jobs.find(ref.job);
+          return job->pieces.at(ref.piece.value).lease == report.lease;
+        });
+    if (!placed && IsReleasable(cell, report)) {
+      commands.push_back(WorkerCommand{.kind = WorkerCommandKind::kRelease,
+                                       .lease = report.lease,
+                                       .job = report.job,
+                                       .piece = report.piece});
+    }
+  }
+}
+
+std::vector<WorkerCommand> CommandsFor(const Cell& cell, const Worker& worker) {
+  std::vector<WorkerCommand> commands;
+  if (!cell.recovered) {
+    return commands;
+  }
+  for (const PieceRef& ref : worker.pieces) {
+    const Job* job = cell.jobs.find(ref.job);
+    const Piece& piece = job->pieces.at(ref.piece.value);
+    const bool reported = FindReport(worker, piece.lease) != nullptr;
+    if (const auto kind = WantedCommand(*job, piece, reported)) {
+      commands.push_back(MakeCommand(*kind, *job, piece));
+    }
+  }
+  ReleaseUnplaced(cell, worker, commands);
+  return commands;
+}
+
+void PollWorker(const World& world,
+                const Cell& cell,
+                Worker& worker,
+                TimePoint now,
+                Outbox& outbox) {
+  worker.sequence = MessageSequence(worker.sequence.value + 1);
+  // Leases on a worker that does not answer are let lapse, so that it is known
+  // when they have.
+  const bool renew =
+      worker.heard == TimePoint::min() || IsResponsive(worker, world.self, now);
+  SendWorkerCommands message{.worker = worker.listed.id,
+                             .address = worker.listed.address,
+                             .zone = cell.zone,
+                             .holder = world.self.id,
+                             .epoch = cell.epoch,
+                             .sequence = worker.sequence,
+                             .renew = renew,
+                             .lease_time = world.self.lease_time,
+                             .commands = CommandsFor(cell, worker)};
+  worker.reserving.clear();
+  for (const WorkerCommand& command : message.commands) {
+    if (command.kind == WorkerCommandKind::kReserve) {
+      worker.reserving.push_back(command.lease);
+    }
+  }
+  worker.sent = now;
+  if (renew || !worker.reserving.empty()) {
+    worker.renewed = now;
+  }
+  worker.exchange_under_way = true;
+  worker.next_poll = now + world.self.worker_poll_interval;
+  outbox.worker_commands.push_back(std::move(message));
+}
+
+}  // namespace impl
+
+void ApplyWorkerAnswers(World& world, const Inbox& inbox, TimePoint now) {
+  for (const WorkerAnswered& answer : inbox.worker_answers) {
+    if (const auto cell = world.jobs.cells.find(answer.zone);
+        cell != world.jobs.cells.end() && IsHeld(cell->second)) {
+      impl::ApplyAnswer(world, cell->second, answer, now);
+    }
+  }
+}
+
+void PollWorkers(World& world, TimePoint now, Outbox& outbox) {
+  for (auto& [zone, cell] : world.jobs.cells) {
+    if (!IsHeld(cell)) {
+      continue;
+    }
+    while (!cell.polls.empty() && cell.polls.begin()->first <= now) {
+      Worker* worker = cell.workers.find(cell.polls.begin()->second);
+      cell.polls.erase(cell.polls.begin());
+      if (worker != nullptr) {
+        impl::PollWorker(world, cell, *worker, now, outbox);
+      }
+    }
+  }
+}
+
+TimePoint NextPollDue(const World& world) {
+  TimePoint due = kNever;
+  for (const auto& [zone, cell] : world.jobs.cells) {
+    if (!IsHeld(cell)) {
+      if (cell.caught_up && cell.claim.empty() && !cell.leaving) {
+        due = std::min(due, cell.claim_due);
+      }
+      continue;
+    }
+    if (!cell.polls.empty()) {
+      due = std::min(due, cell.polls.begin()->first);
+    }
+    if (cell.placement_due) {
+      due = std::min(due, cell.next_placement);
+    }
+    if (!cell.active.empty() || !cell.unconfirmed.empty()) {
+      due = std::min(due, cell.next_scan);
+    }
+  }
+  return due;
+}
+
+bool IsResponsive(const Worker& worker,
+                  const Self& self,
+                  TimePoint now) noexcept {
+  return worker.heard != TimePoint::min() &&
+         now - worker.heard <= self.lease_time / 2;
+}
+
+bool HasLapsed(const Worker& worker, const Self& self, TimePoint now) noexcept {
+  return worker.renewed != TimePoint::min() &&
+         now - worker.renewed > self.lease_time + self.worker_poll_interval;
+}
+
+}  // namespace chicorystep
--- a/chicorystep/tables/jobs.h
+++ b/chicorystep/tables/jobs.h
@@ -2,11 +2,18 @@
 #define CHICORYSTEP_TABLES_JOBS_H_
 
 #include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "chicorystep/core/enum_names.h"
@@ -22,26 +29,36 @@
 enum class JobState : std::uint8_t {
   // Accepted; waits for capacity.
   kWaiting,
+  // Placed; borrowers on its workers are being stopped.
+  kReclaiming,
   // Leases are being taken for all pieces.
   kReserving,
-  // All leases are held; the pieces are being started.
+  // All leases are held; the start is being written to the cell's stream.
+  kRecording,
+  // The pieces are being started.
   kStarting,
   kRunning,
+  // The pieces write checkpoints before they are stopped.
+  kCheckpointing,
   // Pieces are being stopped and leases released.
   kStopping,
-  // Every lease is released; the end is being written to the cell's stream.
+  // The end is being written to the cell's stream.
   kEnding,
   kDone,
   kFailed,
   kCancelled,
+  // May have run; it was not started again because it is not idempotent.
+  kUnknown,
 };
 template <>
 inline constexpr std::array kEnumNames<JobState> = {
-    std::string_view("waiting"),   std::string_view("reserving"),
-    std::string_view("starting"),  std::string_view("running"),
-    std::string_view("stopping"),  std::string_view("ending"),
-    std::string_view("done"),      std::string_view("failed"),
-    std::string_view("cancelled"),
+    std::string_view("waiting"),       std::string_view("reclaiming"),
+    std::string_view("reserving"),     std::string_view("recording"),
+    std::string_view("starting"),      std::string_view("running"),
+    std::string_view("checkpointing"), std::string_view("stopping"),
+    std::string_view("ending"),        std::string_view("done"),
+    std::string_view("failed"),        std::string_view("cancelled"),
+    std::string_view("unknown"),
 };
 
 // A caller's description of a gang.
@@ -54,6 +71,11 @@
   std::string command;
   // What the caller expects; nothing correct rests on it.
   Duration declared_run_time{};
+  // Whether the job may be started again after it may have run. The route says
+  // so; a caller's word does not count.
+  bool idempotent = false;
+  // Whether its tasks can write a checkpoint and go on from it.
+  bool checkpointable = false;
 };
 
 enum class PieceState : std::uint8_t {
@@ -66,6 +88,7 @@
   kFailed,
   kStopping,
   kReleased,
+  kCheckpointed,
 };
 template <>
 inline constexpr std::array kEnumNames<PieceState> = {
@@ -73,7 +96,7 @@
     std::string_view("reserved"), std::string_view("starting"),
     std::string_view("running"),  std::string_view("done"),
     std::string_view("failed"),   std::string_view("stopping"),
-    std::string_view("released"),
+    std::string_view("released"), std::string_view("checkpointed"),
 };
 
 // One piece of a gang and the lease that it runs under.
@@ -84,6 +107,14 @@
   PieceState state = PieceState::kNone;
 };
 
+// One placing of a gang; its leases are told apart from those of another.
+struct GangTry {
+  Epoch epoch;
+  std::uint32_t number = 0;
+
+  friend auto operator<=>(const GangTry&, const GangTry&) = default;
+};
+
 struct Job {
   JobSpec spec;
   PoolName pool;
@@ -94,9 +125,24 @@
   std::string end_detail;
   // Orders waiting jobs: the offset of the acceptance record.
   Offset accepted;
-  // Raised for every try, so that leases of an earlier try are told apart.
-  std::uint32_t tries = 0;
+  GangTry last_try;
+  // The newest try whose start is in the cell's stream.
+  GangTry recorded_try;
+  bool cancel_requested = false;
+  // Whether any piece may have been started in any try.
+  bool may_have_run = false;
+  // Whether the pieces run within the workspace's guarantees.
+  bool guaranteed = false;
   std::vector<Piece> pieces;
+  // When the pieces were placed, and began to run; kNever while they do not.
+  TimePoint placed = kNever;
+  TimePoint running_since = kNever;
+  // When checkpointing pieces are stopped all the same.
+  TimePoint grace_until = kNever;
+  // How long it has run, over all tries that ended.
+  Duration attained{};
+  // Workers on which a piece failed.
+  std::set<WorkerId> failed_on;
 };
 
 // What a worker said of one lease.
@@ -113,28 +159,105 @@
   PieceIndex piece;
 };
 
+// An amount of everything that a piece takes from a worker.
+struct Capacity {
+  Accelerators accelerators;
+  Millicores processors;
+  Mebibytes memory;
+
+  friend auto operator<=>(const Capacity&, const Capacity&) = default;
+};
+
+// What one pool of one workspace holds of a worker.
+struct Reservation {
+  PoolKey pool;
+  Capacity reserved;
+  // Of it, what the workspace's guaranteed gangs take now.
+  Capacity used;
+};
+
 // A worker of a cell that this process holds.
 struct Worker {
   ListedWorker listed;
-  Accelerators free_accelerators;
-  Millicores free_processors;
-  Mebibytes free_memory;
+  // The position of its rack among the cell's racks.
+  std::size_t rack = 0;
+  // What no placed piece takes; negative while borrowers are being stopped.
+  Capacity free;
+  std::vector<Reservation> reservations;
   // Pieces placed here, and the leases that the worker last reported.
   std::vector<PieceRef> pieces;
   std::vector<LeaseReport> reported;
-  // When it last answered, and when its next message is due.
+  // When the newest message that it answered was sent.
   TimePoint heard = TimePoint::min();
+  // When the newest message that may have renewed its leases was sent.
+  TimePoint renewed = TimePoint::min();
+  TimePoint sent = TimePoint::min();
+  MessageSequence sequence;
   TimePoint next_poll{};
   bool exchange_under_way = false;
   // Leases asked for in the message under way.
   std::vector<LeaseId> reserving;
+  // Jobs of which a piece failed here since one last ended well.
+  std::set<JobId> failed_jobs;
+  // Until then nothing is placed here; afterwards one gang at a time, until
+  // one ends well.
+  TimePoint excluded_until = TimePoint::min();
+  Duration exclusion{};
+};
+
+// One guaranteed shape of a workspace and the workers that are kept for it;
+// none when the cell cannot hold it beside the others.
+struct GuaranteeSlot {
+  PoolKey pool;
+  Shape shape;
+  std::vector<WorkerId> workers;
 };
 
-// A submission whose acceptance record is being written.
-struct PendingAcceptance {
+// A caller who waits until a record of the cell's stream is read back.
+struct PendingAnswer {
   ExchangeId exchange;
   JobId job;
-  RecordId record;
+};
+
+// A record that is appended again until it is read back.
+struct UnconfirmedRecord {
+  std::string data;
+  // When it is due again; kNever while an append is under way.
+  TimePoint repeat = kNever;
+};
+
+// Waiting jobs of one pool and priority, those with least service first.
+struct QueueKey {
+  Priority priority = Priority::kNormal;
+  PoolKey pool;
+
+  friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
+};
+struct QueuePlace {
+  // Raised as the job attains service.
+  std::int64_t level = 0;
+  Offset accepted;
+  JobId job;
+
+  friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+};
+
+// Workers kept for a large gang that waits: only work that may be stopped for
+// it is placed there.
+struct GangHold {
+  JobId job;
+  std::set<WorkerId> workers;
+  TimePoint since{};
+};
+
+struct EndedJob {
+  JobId job;
+  TimePoint at{};
+};
+
+struct JobDue {
+  JobId job;
+  TimePoint due{};
 };
 
 // A placement cell: the workers of one zone and the jobs placed on them.
@@ -142,21 +265,51 @@
   Zone zone;
   // Zero until this process has read back its own claim.
   Epoch epoch;
+  // The epoch of the newest claim read; records of an earlier one are void.
+  Epoch newest_claim;
+  RecordId newest_claim_id;
   RecordId claim;
   Offset next;
   bool caught_up = false;
+  // Another process is to hold the cell; nothing new is taken on.
+  bool leaving = false;
   // When a claim may be written; later claims wait for the last one to settle.
   TimePoint claim_due{};
   // Until then the workers are asked what runs, and nothing is placed.
   TimePoint recovered_by = kNever;
   bool recovered = false;
   Table<WorkerId, Worker> workers;
+  std::size_t racks = 0;
+  // When the next messages are due, for workers without one under way.
+  std::set<std::pair<TimePoint, WorkerId>> polls;
   Table<JobId, Job> jobs;
-  // Callers who wait for a job's acceptance to be read back.
-  std::vector<PendingAcceptance> pending;
+  std::map<QueueKey, std::set<QueuePlace>> queues;
+  // Jobs that are neither waiting nor ended.
+  std::unordered_set<JobId> active;
+  // Active jobs that something happened to since they were last advanced.
+  std::vector<JobId> touched;
+  // When all active jobs are looked at, for what time alone changes.
+  TimePoint next_scan{};
+  // Ended jobs in the order of their ends.
+  std::deque<EndedJob> ended;
+  // When each job is written to the stream again unless it has ended.
+  std::deque<JobDue> keeps;
+  std::unordered_map<RecordId, PendingAnswer> pending;
+  std::map<RecordId, UnconfirmedRecord> unconfirmed;
+  // The packing of all guaranteed shapes.
+  std::vector<GuaranteeSlot> slots;
+  Revision planned_revision;
+  bool plan_stale = true;
+  std::string unmet_logged;
+  // Something may now be placed that could not before.
+  bool placement_due = false;
+  TimePoint next_placement{};
+  std::optional<GangHold> hold;
 };
 
 struct Jobs {
+  // The zones with workers, as last listed.
+  std::set<Zone> zones;
   // Makes the ids of this process's records distinct.
   std::uint64_t records_written = 0;
   // The cells that this process holds or is claiming.
@@ -203,14 +356,14 @@
 enum class WorkerCommandKind : std::uint8_t {
   kReserve,
   kStart,
+  kCheckpoint,
   kStop,
   kRelease
 };
 template <>
 inline constexpr std::array kEnumNames<WorkerCommandKind> = {
-    std::string_view("reserve"),
-    std::string_view("start"),
-    std::string_view("stop"),
+    std::string_view("reserve"),    std::string_view("start"),
+    std::string_view("checkpoint"), std::string_view("stop"),
     std::string_view("release"),
 };
 
@@ -233,6 +386,9 @@
   Zone zone;
   EntryId holder;
   Epoch epoch;
+  MessageSequence sequence;
+  // Whether the leases held are renewed.
+  bool renew = true;
   Duration lease_time{};
   std::vector<WorkerCommand> commands;
 };
@@ -242,8 +398,9 @@
   WorkerId worker;
   Zone zone;
   Epoch epoch;
+  MessageSequence sequence;
   bool answered = false;
-  // The worker has obeyed a higher epoch and rejected the message.
+  // The worker has obeyed a newer message and rejected this one.
   bool stale_epoch = false;
   // All leases on the worker.
   std::vector<LeaseReport> leases;
--- /dev/null
+++ b/tests/gang_protocol_test.cc
@@ -0,0 +1,226 @@
+#define BOOST_TEST_MODULE gang_protocol
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "chicorystep/core/logging.h"
+#include "tests/support/gang_model.h"
+
+namespace chicorystep::testing {
+namespace {
+
+// One exhaustive search: every order of what may happen within the budget.
+struct SearchCase {
+  std::string name;
+  bool idempotent;
+  FaultBudget budget;
+  std::size_t max_states;
+};
+
+std::ostream& operator<<(std::ostream& stream, const SearchCase& value) {
+  return stream << value.name;
+}
+
+const std::vector<SearchCase> kSearchCases = {
+    {"no fault", false, {}, 30'000},
+    {"no fault, repeatable", true, {}, 30'000},
+    {"time passes", false, {.time_steps = 1}, 30'000},
+    {"duplicates", false, {.duplicates = 1}, 30'000},
+    {"lost messages", false, {.lost_messages = 1}, 30'000},
+    {"lost answers", false, {.lost_answers = 1}, 30'000},
+    {"lost appends",
+     false,
+     {.lost_acknowledgements = 1, .lost_appends = 1},
+     30'000},
+    {"holder crash", false, {.holder_crashes = 1}, 30'000},
+    {"holder crash, repeatable", true, {.holder_crashes = 1}, 30'000},
+    {"worker crash", false, {.worker_crashes = 1}, 30'000},
+    {"failed start", false, {.failed_starts = 1}, 30'000},
+    {"cancel", true, {.cancels = 1}, 30'000},
+};
+
+constexpr FaultBudget kAllFaults = {.duplicates = 2,
+                                    .lost_messages = 2,
+                                    .lost_answers = 2,
+                                    .lost_acknowledgements = 1,
+                                    .lost_appends = 1,
+                                    .holder_crashes = 1,
+                                    .worker_crashes = 1,
+                                    .failed_starts = 1,
+                                    .time_steps = 12};
+constexpr FaultBudget kCancels = {.lost_answers = 1,
+                                  .holder_crashes = 1,
+                                  .cancels = 1,
+                                  .time_steps = 12};
+constexpr FaultBudget kFreezes = {.lost_answers = 1, .time_steps = 16};
+
+// Random walks, for paths that are longer than a search can cover.
+struct WalkCase {
+  std::string name;
+  bool idempotent;
+  FaultBudget budget;
+  int walks;
+  std::uint32_t seed;
+};
+
+std::ostream& operator<<(std::ostream& stream, const WalkCase& value) {
+  return stream << value.name;
+}
+
+const std::vector<WalkCase> kWalkCases = {
+    {"all faults", false, kAllFaults, 2'500, 1},
+    {"all faults, repeatable", true, kAllFaults, 2'500, 2},
+    {"cancelled", false, kCancels, 2'500, 5},
+    {"frozen holders", false, kFreezes, 2'500, 3},
+    {"frozen holders, repeatable", true, kFreezes, 2'500, 4},
+};
+
+// A state of the search and the steps that led to it.
+struct Node {
+  GangModel model;
+  std::vector<ModelStep> path;
+};
+
+std::string Describe(const std::vector<ModelStep>& path) {
+  std::string text;
+  for (const ModelStep& step : path) {
+    text += fmt::format(
+        "{}({}) ", kModelActionNames[static_cast<std::size_t>(step.action)],
+        step.index);
+  }
+  return text;
+}
+
+struct SearchResult {
+  std::size_t states = 0;
+  std::size_t settled = 0;
+  bool complete = true;
+  Duration longest_partial{};
+  std::string broken;
+};
+
+// How many new states lie between two that are let settle.
+constexpr std::size_t kSettleEvery = 16;
+
+// Searches alternately from the newest and the oldest state found, so that a
+// search that is cut off has seen both deep and wide.
+SearchResult Search(const SearchCase& sample) {
+  SearchResult result;
+  std::unordered_set<std::uint64_t> seen;
+  std::deque<Node> open;
+  open.push_back(Node{MakeGangModel(sample.idempotent, sample.budget), {}});
+  for (std::size_t turn = 0; !open.empty(); ++turn) {
+    if (seen.size() >= sample.max_states) {
+      result.complete = false;
+      break;
+    }
+    const bool newest = turn % 2 == 0;
+    const Node node = newest ? std::move(open.back()) : std::move(open.front());
+    newest ? open.pop_back() : open.pop_front();
+    for (const ModelStep step : NextSteps(node.model)) {
+      Node next = node;
+      next.path.push_back(step);
+      TakeStep(next.model, step);
+      if (!seen.insert(Fingerprint(next.model)).second) {
+        continue;
+      }
+      if (next.model.broken.empty() && seen.size() % kSettleEvery == 0) {
+        GangModel settling = next.model;
+        Settle(settling);
+        ++result.settled;
+        next.model.broken = settling.broken;
+      }
+      result.longest_partial =
+          std::max(result.longest_partial, next.model.longest_partial);
+      if (!next.model.broken.empty()) {
+        result.broken = next.model.broken + " after " + Describe(next.path);
+        result.states = seen.size();
+        return result;
+      }
+      open.push_back(std::move(next));
+    }
+  }
+  result.states = seen.size();
+  return result;
+}
+
+BOOST_AUTO_TEST_CASE(every_order_of_events_keeps_the_rules_of_gangs) {
+  ConfigureLogging(LogLevel::kError, "gang_protocol_test");
+  for (const SearchCase& sample : kSearchCases) {
+    BOOST_TEST_CONTEXT(sample) {
+      const SearchResult result = Search(sample);
+      BOOST_TEST_MESSAGE(
+          fmt::format("{}: {} states, {} settled, {}, longest partial run {} s",
+                      sample.name, result.states, result.settled,
+                      result.complete ? "complete" : "cut off",
+                      std::chrono::duration_cast<std::chrono::seconds>(
+                          result.longest_partial)
+                          .count()));
+      BOOST_TEST(result.broken == "");
+    }
+  }
+}
+
+constexpr std::size_t kWalkSteps = 160;
+
+// One walk of random steps, which is then let settle.
+GangModel Walk(const WalkCase& sample,
+               std::mt19937& random,
+               std::vector<ModelStep>& path) {
+  GangModel model = MakeGangModel(sample.idempotent, sample.budget);
+  while (path.size() < kWalkSteps && model.broken.empty()) {
+    const auto steps = NextSteps(model);
+    if (steps.empty()) {
+      break;
+    }
+    path.push_back(steps[random() % steps.size()]);
+    TakeStep(model, path.back());
+  }
+  if (model.broken.empty()) {
+    Settle(model);
+  }
+  return model;
+}
+
+BOOST_AUTO_TEST_CASE(long_random_paths_keep_the_rules_of_gangs) {
+  ConfigureLogging(LogLevel::kError, "gang_protocol_test");
+  for (const WalkCase& sample : kWalkCases) {
+    BOOST_TEST_CONTEXT(sample) {
+      std::mt19937 random(sample.seed);
+      Duration longest_partial{};
+      std::map<std::string, int> ends;
+      std::string broken;
+      for (int i = 0; i < sample.walks && broken.empty(); ++i) {
+        std::vector<ModelStep> path;
+        const GangModel model = Walk(sample, random, path);
+        longest_partial = std::max(longest_partial, model.longest_partial);
+        if (!model.broken.empty()) {
+          broken = model.broken + " after " + Describe(path);
+        }
+        for (const auto& holder : model.holders) {
+          const Job* job = holder.jobs.cells.begin()->second.jobs.rows.data();
+          ++ends[std::string(NameOf(job->state))];
+        }
+      }
+      std::string told;
+      for (const auto& [name, count] : ends) {
+        told += fmt::format(" {}={}", name, count);
+      }
+      BOOST_TEST_MESSAGE(fmt::format(
+          "{}: {} walks, longest partial run {} s, states at the end:{}",
+          sample.name, sample.walks,
+          std::chrono::duration_cast<std::chrono::seconds>(longest_partial)
+              .count(),
+          told));
+      BOOST_TEST(broken == "");
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::testing
--- /dev/null
+++ b/tests/support/gang_model.h
@@ -0,0 +1,733 @@
+#ifndef TESTS_SUPPORT_GANG_MODEL_H_
+#define TESTS_SUPPORT_GANG_MODEL_H_
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "chicorystep/control/world.h"
+#include "chicorystep/encoding/job_record.h"
+#include "chicorystep/standin/worker_standin.h"
+#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/gangs.h"
+#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/packing.h"
+#include "chicorystep/systems/scheduling.h"
+#include "chicorystep/systems/worker_polls.h"
+
+namespace chicorystep::testing {
+
+inline constexpr std::size_t kHolders = 2;
+inline constexpr std::size_t kWorkers = 3;
+inline constexpr Duration kModelLease = std::chrono::seconds(8);
+inline constexpr Duration kModelStep = std::chrono::seconds(2);
+// What docs/design/jobs.md states: one and a half lease times, the delay of a
+// message, and one step because the model's time is coarse.
+inline constexpr Duration kModelPartialBound =
+    kModelLease + kModelLease / 2 + 2 * kModelStep;
+
+// How often each fault may still happen on one path.
+struct FaultBudget {
+  int duplicates = 0;
+  int lost_messages = 0;
+  int lost_answers = 0;
+  int lost_acknowledgements = 0;
+  int lost_appends = 0;
+  int holder_crashes = 0;
+  int worker_crashes = 0;
+  int failed_starts = 0;
+  int cancels = 0;
+  int time_steps = 0;
+};
+
+// A message between a holder and a worker, under way.
+struct ModelMessage {
+  std::size_t holder = 0;
+  SendWorkerCommands message;
+  // The client has given up on it; it may still arrive.
+  bool abandoned = false;
+  TimePoint sent{};
+};
+struct ModelAnswer {
+  std::size_t holder = 0;
+  WorkerAnswered answer;
+};
+struct ModelAppend {
+  std::size_t holder = 0;
+  AppendRecord record;
+};
+
+// Everything that the protocol of one gang consists of: the real world of each
+// holder, the real rules of each worker, the log, and what is under way.
+struct GangModel {
+  std::array<World, kHolders> holders;
+  std::array<bool, kHolders> alive = {true, true};
+  std::vector<WorkerStandin> workers;
+  std::vector<LogRecord> log;
+  std::vector<ModelMessage> messages;
+  std::vector<ModelAnswer> answers;
+  std::vector<ModelAppend> appends;
+  TimePoint now{};
+  FaultBudget budget;
+  // Leases that any worker ever granted, with the epoch of the grant.
+  std::map<LeaseId, Epoch> granted;
+  // Starts of each piece over all tries.
+  std::map<PieceIndex, int> starts;
+  // Since when a piece has been running beside one that is not.
+  TimePoint partial_since = kNever;
+  Duration longest_partial{};
+  // End states that callers were told.
+  std::set<JobState> told;
+  // The first rule that was broken; empty while none is.
+  std::string broken;
+};
+
+// What may happen next; `index` picks the holder, worker, message, ...
+enum class ModelAction : std::uint8_t {
+  kClaim,
+  kTick,
+  kReadLog,
+  kDeliverMessage,
+  kDuplicateMessage,
+  kLoseMessage,
+  kDeliverAnswer,
+  kLoseAnswer,
+  kLandAppend,
+  kLandUnacknowledged,
+  kLoseAppend,
+  kCrashHolder,
+  kCrashWorker,
+  kFailStart,
+  kCancel,
+  kPassTime,
+};
+inline constexpr std::array kModelActionNames = {
+    "claim",        "tick",         "read_log",    "deliver_message",
+    "duplicate",    "lose_message", "deliver",     "lose_answer",
+    "land_append",  "land_unacked", "lose_append", "crash_holder",
+    "crash_worker", "fail_start",   "cancel",      "pass_time",
+};
+struct ModelStep {
+  ModelAction action = ModelAction::kTick;
+  std::size_t index = 0;
+};
+
+namespace impl {
+
+inline WorkerMessage MessageOf(const SendWorkerCommands& message) {
+  return WorkerMessage{message.holder, message.epoch,      message.sequence,
+                       message.renew,  message.lease_time, message.commands};
+}
+
+inline WorkerAnswered AnswerTo(const SendWorkerCommands& message) {
+  return WorkerAnswered{.worker = message.worker,
+                        .zone = message.zone,
+                        .epoch = message.epoch,
+                        .sequence = message.sequence};
+}
+
+// The systems of one tick that concern cells, in its order.
+inline void RunCellSystems(World& world,
+                           const Inbox& inbox,
+                           TimePoint now,
+                           Outbox& outbox) {
+  ApplyCellBatches(world, inbox, now, outbox);
+  ApplyAppendsEnded(world, inbox, now, outbox);
+  HandleJobOperations(world, inbox, now, outbox);
+  ApplyWorkerAnswers(world, inbox, now);
+  RecoverGangs(world, now, outbox);
+  PlanGuarantees(world, now);
+  PlaceGangs(world, now);
+  AdvanceGangs(world, now, outbox);
+  PollWorkers(world, now, outbox);
+}
+
+inline const Zone kZone("z");
+inline const JobId kJob("z.0000000000000001");
+
+// The worker rules count time from an epoch of their own.
+inline std::chrono::steady_clock::time_point WorkerTime(TimePoint now) {
+  return std::chrono::steady_clock::time_point(now.time_since_epoch());
+}
+
+inline World MakeHolder(std::size_t index, const CellRecord& accepted) {
+  World world;
+  world.config_ready = true;
+  world.self = Self{.id = EntryId(fmt::format("holder-{}", index)),
+                    .member_timeout = std::chrono::minutes(1),
+                    .lease_time = kModelLease,
+                    .worker_poll_interval = kModelStep,
+                    .max_waiting_jobs = 10};
+  Cell cell{.zone = kZone, .caught_up = true};
+  cell.racks = 1;
+  cell.next = Offset(1);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    const ListedWorker listed{.id = WorkerId(fmt::format("w{}", i)),
+                              .zone = kZone,
+                              .rack = Rack("r"),
+                              .accelerators = Accelerators{1}};
+    world.instances.workers.push_back(listed);
+    cell.workers.insert(listed.id,
+                        Worker{.listed = listed, .free = CapacityOf(listed)});
+    cell.polls.emplace(TimePoint{}, listed.id);
+  }
+  const PoolKey pool{PoolName("p"), Workspace("w")};
+  world.config.pools.emplace(pool, Pool{.key = pool, .borrows = true});
+  Enqueue(cell,
+          cell.jobs.insert(kJob, Job{.spec = accepted.job,
+                                     .pool = pool.name,
+                                     .accepted = Offset{}}),
+          TimePoint{});
+  world.jobs.cells.emplace(kZone, std::move(cell));
+  return world;
+}
+
+inline Cell* CellOf(World& world) {
+  const auto found = world.jobs.cells.find(kZone);
+  return found == world.jobs.cells.end() ? nullptr : &found->second;
+}
+
+inline void Break(GangModel& model, std::string what) {
+  if (model.broken.empty()) {
+    model.broken = std::move(what);
+  }
+}
+
+inline std::size_t CountIn(const WorkerStandin& worker, PieceState state) {
+  return static_cast<std::size_t>(std::count_if(
+      worker.leases.begin(), worker.leases.end(),
+      [&](const auto& row) { return row.second.state == state; }));
+}
+
+// Keeps how long a piece has been running beside one that does not.
+inline void WatchPartialRuns(GangModel& model) {
+  std::size_t running = 0;
+  std::size_t done = 0;
+  for (const WorkerStandin& worker : model.workers) {
+    running += CountIn(worker, PieceState::kRunning);
+    done += CountIn(worker, PieceState::kDone);
+  }
+  if (running == 0 || running + done >= 2) {
+    model.partial_since = kNever;
+    return;
+  }
+  if (model.partial_since == kNever) {
+    model.partial_since = model.now;
+  }
+  model.longest_partial =
+      std::max(model.longest_partial, model.now - model.partial_since);
+  if (model.longest_partial > kModelPartialBound) {
+    Break(model, "a gang ran in part for longer than the bound");
+  }
+}
+
+// Checks one start against the rules of gangs.
+inline void CheckStart(GangModel& model,
+                       const WorkerStandin& worker,
+                       const TaskEvent& event) {
+  const auto lease = std::find_if(
+      worker.leases.begin(), worker.leases.end(), [&](const auto& row) {
+        return row.second.command.piece == event.piece &&
+               row.second.state == event.state;
+      });
+  const std::string& id = lease->first.value;
+  const LeaseId other(id.substr(0, id.size() - 1) +
+                      (id.back() == '0' ? "1" : "0"));
+  const auto own_grant = model.granted.find(lease->first);
+  const auto other_grant = model.granted.find(other);
+  if (other_grant == model.granted.end() ||
+      other_grant->second != own_grant->second) {
+    Break(model, fmt::format("{} started without {}", id, other.value));
+  }
+  const int starts = ++model.starts[event.piece];
+  const World& any = model.holders[0];
+  const Job* job = any.jobs.cells.at(kZone).jobs.find(kJob);
+  if (starts > 1 && !job->spec.idempotent) {
+    Break(model, fmt::format("piece {} started twice", event.piece.value));
+  }
+}
+
+// Where the job and the leases are, for the message of a failed check.
+inline std::string Describe(const GangModel& model) {
+  std::string text;
+  for (std::size_t i = 0; i < kHolders; ++i) {
+    const Cell& cell = model.holders[i].jobs.cells.at(kZone);
+    text += fmt::format("holder {} alive={} epoch={} recovered={} job={} ", i,
+                        model.alive[i], cell.epoch.value, cell.recovered,
+                        NameOf(cell.jobs.find(kJob)->state));
+  }
+  for (const WorkerStandin& worker : model.workers) {
+    for (const auto& [id, lease] : worker.leases) {
+      text += fmt::format("lease {} {} ", id.value, NameOf(lease.state));
+    }
+  }
+  return text;
+}
+
+inline void DeliverMessage(GangModel& model, std::size_t index, bool keep) {
+  const ModelMessage message = model.messages[index];
+  if (!keep) {
+    model.messages.erase(model.messages.begin() +
+                         static_cast<std::ptrdiff_t>(index));
+  }
+  const auto position =
+      static_cast<std::size_t>(message.message.worker.value.back() - '0');
+  WorkerStandin& worker = model.workers[position];
+  std::set<LeaseId> before;
+  for (const auto& [id, lease] : worker.leases) {
+    before.insert(id);
+  }
+  const std::size_t events = worker.events.size();
+  const auto report =
+      ObeyMessage(worker, MessageOf(message.message), WorkerTime(model.now));
+  for (const auto& [id, lease] : worker.leases) {
+    if (!before.contains(id)) {
+      model.granted[id] = worker.epoch;
+    }
+  }
+  for (std::size_t i = events; i < worker.events.size(); ++i) {
+    if (worker.events[i].state == PieceState::kRunning) {
+      CheckStart(model, worker, worker.events[i]);
+    }
+  }
+  worker.events.clear();
+  if (!keep && !message.abandoned) {
+    WorkerAnswered answer = AnswerTo(message.message);
+    answer.answered = report.has_value();
+    answer.stale_epoch = !report.has_value();
+    if (report) {
+      answer.leases = report->leases;
+    }
+    model.answers.push_back(ModelAnswer{message.holder, std::move(answer)});
+  }
+}
+
+inline void KeepTold(GangModel& model, const Outbox& outbox) {
+  for (const EndJobOperation& end : outbox.ended_job_operations) {
+    if (!end.refusal && HasEnded(end.status.state)) {
+      model.told.insert(end.status.state);
+    }
+  }
+  if (model.told.size() > 1) {
+    Break(model, "callers were told different ends");
+  }
+}
+
+inline void RunHolder(GangModel& model,
+                      std::size_t holder,
+                      const Inbox& inbox) {
+  World& world = model.holders[holder];
+  Outbox outbox;
+  RunCellSystems(world, inbox, model.now, outbox);
+  KeepTold(model, outbox);
+  for (SendWorkerCommands& message : outbox.worker_commands) {
+    model.messages.push_back(ModelMessage{
+        .holder = holder, .message = std::move(message), .sent = model.now});
+  }
+  for (AppendRecord& record : outbox.appends) {
+    model.appends.push_back(ModelAppend{holder, std::move(record)});
+  }
+}
+
+inline void ReadLog(GangModel& model, std::size_t holder) {
+  const Cell* cell = CellOf(model.holders[holder]);
+  Inbox inbox;
+  const auto from = static_cast<std::ptrdiff_t>(cell->next.value);
+  inbox.log_batches.push_back(
+      LogBatch{CellStream(kZone),
+               {model.log.begin() + from, model.log.end()},
+               Offset(model.log.size())});
+  RunHolder(model, holder, inbox);
+}
+
+inline void EndAppend(GangModel& model,
+                      std::size_t index,
+                      bool lands,
+                      bool acknowledged) {
+  const ModelAppend append = model.appends[index];
+  model.appends.erase(model.appends.begin() +
+                      static_cast<std::ptrdiff_t>(index));
+  if (lands) {
+    model.log.push_back(LogRecord{Offset(model.log.size()), append.record.id,
+                                  append.record.data});
+  }
+  Inbox inbox;
+  inbox.appends_ended.push_back(
+      AppendEnded{append.record.stream, append.record.id, acknowledged});
+  if (model.alive[append.holder]) {
+    RunHolder(model, append.holder, inbox);
+  }
+}
+
+inline void EndMessage(GangModel& model, std::size_t index) {
+  ModelMessage& message = model.messages[index];
+  message.abandoned = true;
+  Inbox inbox;
+  inbox.worker_answers.push_back(AnswerTo(message.message));
+  const std::size_t holder = message.holder;
+  if (model.alive[holder]) {
+    RunHolder(model, holder, inbox);
+  }
+}
+
+inline void LoseAnswer(GangModel& model, std::size_t index) {
+  ModelAnswer lost = model.answers[index];
+  model.answers.erase(model.answers.begin() +
+                      static_cast<std::ptrdiff_t>(index));
+  lost.answer.answered = false;
+  lost.answer.stale_epoch = false;
+  lost.answer.leases.clear();
+  Inbox inbox;
+  inbox.worker_answers.push_back(lost.answer);
+  RunHolder(model, lost.holder, inbox);
+}
+
+inline void DeliverAnswer(GangModel& model, std::size_t index) {
+  const ModelAnswer answer = model.answers[index];
+  model.answers.erase(model.answers.begin() +
+                      static_cast<std::ptrdiff_t>(index));
+  Inbox inbox;
+  inbox.worker_answers.push_back(answer.answer);
+  RunHolder(model, answer.holder, inbox);
+}
+
+inline void PassModelTime(GangModel& model) {
+  model.now += kModelStep;
+  // A client gives up on an exchange after its timeout.
+  for (std::size_t i = 0; i < model.messages.size(); ++i) {
+    ModelMessage& message = model.messages[i];
+    if (!message.abandoned && model.now - message.sent >= kModelStep) {
+      message.abandoned = true;
+      model.answers.push_back(
+          ModelAnswer{message.holder, AnswerTo(message.message)});
+    }
+  }
+  // A connection is given up, and its bytes with it, after the timeout.
+  std::erase_if(model.messages, [&](const ModelMessage& message) {
+    return message.abandoned && model.now - message.sent > 2 * kModelStep;
+  });
+  for (WorkerStandin& worker : model.workers) {
+    PassTime(worker, WorkerTime(model.now));
+    worker.events.clear();
+  }
+}
+
+inline void CrashHolder(GangModel& model, std::size_t holder) {
+  model.alive[holder] = false;
+  std::erase_if(model.answers, [&](const ModelAnswer& answer) {
+    return answer.holder == holder;
+  });
+  for (ModelMessage& message : model.messages) {
+    message.abandoned |= message.holder == holder;
+  }
+}
+
+inline void Cancel(GangModel& model, std::size_t holder) {
+  Inbox inbox;
+  inbox.job_operations.push_back(
+      JobOperation{.exchange = ExchangeId(1),
+                   .kind = JobOperationKind::kCancel,
+                   .spec = JobSpec{.id = kJob, .workspace = Workspace("w")}});
+  RunHolder(model, holder, inbox);
+}
+
+inline void Claim(GangModel& model, std::size_t holder) {
+  World& world = model.holders[holder];
+  Cell* cell = CellOf(world);
+  Outbox outbox;
+  cell->claim = AppendCellRecord(
+      world, *cell,
+      CellRecord{.kind = CellRecordKind::kClaim, .holder = world.self.id},
+      outbox);
+  model.appends.push_back(ModelAppend{holder, outbox.appends.front()});
+}
+
+}  // namespace impl
+
+// A model with one accepted job of two pieces, read by both holders.
+inline GangModel MakeGangModel(bool idempotent, FaultBudget budget) {
+  CellRecord accepted{.kind = CellRecordKind::kJobAccepted};
+  accepted.job =
+      JobSpec{.id = impl::kJob,
+              .workspace = Workspace("w"),
+              .shape = Shape{.pieces = 2, .accelerators = Accelerators{1}},
+              .command = "run-ms=4000"};
+  accepted.job.idempotent = idempotent;
+  GangModel model{
+      .holders = {impl::MakeHolder(0, accepted), impl::MakeHolder(1, accepted)},
+      .now = TimePoint(std::chrono::hours(2)),
+      .budget = budget};
+  model.log.push_back(
+      LogRecord{Offset{}, RecordId("accepted"), EncodeCellRecord(accepted)});
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    WorkerStandin worker;
+    worker.accelerators = Accelerators{1};
+    model.workers.push_back(worker);
+  }
+  return model;
+}
+
+// All steps that `model` allows.
+inline std::vector<ModelStep> NextSteps(const GangModel& model) {
+  std::vector<ModelStep> steps;
+  const auto add = [&](bool possible, ModelAction action, std::size_t index) {
+    if (possible) {
+      steps.push_back(ModelStep{action, index});
+    }
+  };
+  const FaultBudget& budget = model.budget;
+  const std::size_t alive = model.alive[0] && model.alive[1] ? 2 : 1;
+  for (std::size_t i = 0; i < kHolders; ++i) {
+    const Cell& cell = model.holders[i].jobs.cells.at(impl::kZone);
+    const bool held = model.alive[i] && IsHeld(cell);
+    add(model.alive[i] && cell.claim.empty() && !IsHeld(cell) &&
+            model.now >= cell.claim_due &&
+            cell.next.value == model.log.size() &&
+            (i == 0 || model.log.size() > 1 || !model.alive[0]),
+        ModelAction::kClaim, i);
+    add(model.alive[i] && cell.next.value < model.log.size(),
+        ModelAction::kReadLog, i);
+    add(held && NextPollDue(model.holders[i]) <= model.now, ModelAction::kTick,
+        i);
+    add(held && budget.cancels > 0, ModelAction::kCancel, i);
+    add(model.alive[i] && alive > 1 && budget.holder_crashes > 0,
+        ModelAction::kCrashHolder, i);
+  }
+  for (std::size_t i = 0; i < model.messages.size(); ++i) {
+    add(true, ModelAction::kDeliverMessage, i);
+    add(budget.duplicates > 0, ModelAction::kDuplicateMessage, i);
+    add(budget.lost_messages > 0 && !model.messages[i].abandoned,
+        ModelAction::kLoseMessage, i);
+  }
+  for (std::size_t i = 0; i < model.answers.size(); ++i) {
+    add(true, ModelAction::kDeliverAnswer, i);
+    add(budget.lost_answers > 0, ModelAction::kLoseAnswer, i);
+  }
+  for (std::size_t i = 0; i < model.appends.size(); ++i) {
+    add(true, ModelAction::kLandAppend, i);
+    add(budget.lost_acknowledgements > 0, ModelAction::kLandUnacknowledged, i);
+    add(budget.lost_appends > 0, ModelAction::kLoseAppend, i);
+  }
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    add(budget.worker_crashes > 0 && !model.workers[i].leases.empty(),
+        ModelAction::kCrashWorker, i);
+    add(budget.failed_starts > 0 && !model.workers[i].faults.fail_starts,
+        ModelAction::kFailStart, i);
+  }
+  add(budget.time_steps > 0, ModelAction::kPassTime, 0);
+  return steps;
+}
+
+// Takes one step and checks the rules.
+inline void TakeStep(GangModel& model, ModelStep step) {
+  FaultBudget& budget = model.budget;
+  const std::size_t i = step.index;
+  switch (step.action) {
+    case ModelAction::kClaim:
+      impl::Claim(model, i);
+      break;
+    case ModelAction::kTick:
+      impl::RunHolder(model, i, Inbox{});
+      break;
+    case ModelAction::kReadLog:
+      impl::ReadLog(model, i);
+      break;
+    case ModelAction::kDeliverMessage:
+      impl::DeliverMessage(model, i, false);
+      break;
+    case ModelAction::kDuplicateMessage:
+      --budget.duplicates;
+      impl::DeliverMessage(model, i, true);
+      break;
+    case ModelAction::kLoseMessage:
+      --budget.lost_messages;
+      impl::EndMessage(model, i);
+      break;
+    case ModelAction::kDeliverAnswer:
+      impl::DeliverAnswer(model, i);
+      break;
+    case ModelAction::kLoseAnswer:
+      --budget.lost_answers;
+      impl::LoseAnswer(model, i);
+      break;
+    case ModelAction::kLandAppend:
+      impl::EndAppend(model, i, true, true);
+      break;
+    case ModelAction::kLandUnacknowledged:
+      --budget.lost_acknowledgements;
+      impl::EndAppend(model, i, true, false);
+      break;
+    case ModelAction::kLoseAppend:
+      --budget.lost_appends;
+      impl::EndAppend(model, i, false, false);
+      break;
+    case ModelAction::kCrashHolder:
+      --budget.holder_crashes;
+      impl::CrashHolder(model, i);
+      break;
+    case ModelAction::kCrashWorker:
+      --budget.worker_crashes;
+      model.workers[i].leases.clear();
+      break;
+    case ModelAction::kFailStart:
+      --budget.failed_starts;
+      model.workers[i].faults.fail_starts = true;
+      break;
+    case ModelAction::kCancel:
+      --budget.cancels;
+      impl::Cancel(model, i);
+      break;
+    case ModelAction::kPassTime:
+      --budget.time_steps;
+      impl::PassModelTime(model);
+      break;
+  }
+  impl::WatchPartialRuns(model);
+}
+
+// Lets everything arrive without faults until the job has ended, then checks
+// that it ended once, for good, and that nothing runs on.
+inline void Settle(GangModel& model) {
+  constexpr int kMaxRounds = 400;
+  model.budget = FaultBudget{.time_steps = kMaxRounds};
+  std::erase_if(model.messages,
+                [](const ModelMessage& message) { return message.abandoned; });
+  for (WorkerStandin& worker : model.workers) {
+    worker.faults.fail_starts = false;
+  }
+  const auto settled = [&] {
+    for (std::size_t i = 0; i < kHolders; ++i) {
+      const Job* job =
+          model.holders[i].jobs.cells.at(impl::kZone).jobs.find(impl::kJob);
+      if (model.alive[i] && job != nullptr && !HasEnded(job->state)) {
+        return false;
+      }
+    }
+    return std::all_of(
+        model.workers.begin(), model.workers.end(),
+        [](const WorkerStandin& worker) { return worker.leases.empty(); });
+  };
+  for (int round = 0; round < kMaxRounds && !settled(); ++round) {
+    // One step of each kind at most, so that time passes in between.
+    for (int step = 0; step < 40; ++step) {
+      const auto steps = NextSteps(model);
+      if (steps.front().action == ModelAction::kPassTime) {
+        break;
+      }
+      TakeStep(model, steps.front());
+    }
+    TakeStep(model, ModelStep{ModelAction::kPassTime, 0});
+    if (!model.broken.empty()) {
+      return;
+    }
+  }
+  if (!settled()) {
+    impl::Break(model, "not settled: " + impl::Describe(model));
+  }
+  std::set<JobState> ends;
+  for (std::size_t i = 0; i < kHolders; ++i) {
+    const Job* job =
+        model.holders[i].jobs.cells.at(impl::kZone).jobs.find(impl::kJob);
+    if (model.alive[i] && job != nullptr) {
+      ends.insert(job->state);
+    }
+  }
+  if (ends.size() > 1) {
+    impl::Break(model, "the holders read different ends");
+  }
+}
+
+// Equal for states that differ in nothing that matters to what follows.
+inline std::uint64_t Fingerprint(const GangModel& model) {
+  std::string text;
+  const auto add = [&](const auto&... values) {
+    ((text += fmt::format("{},", values)), ...);
+  };
+  const auto add_leases = [&](const std::vector<LeaseReport>& leases) {
+    for (const LeaseReport& report : leases) {
+      add(report.lease.value, static_cast<int>(report.state));
+    }
+    add("|");
+  };
+  const auto add_job = [&](const Job& job) {
+    add(static_cast<int>(job.state), static_cast<int>(job.end_state),
+        job.last_try.epoch.value, job.last_try.number,
+        job.recorded_try.epoch.value, job.recorded_try.number,
+        job.cancel_requested, job.may_have_run, job.failed_on.size());
+    for (const Piece& piece : job.pieces) {
+      add(piece.worker.value, piece.lease.value, static_cast<int>(piece.state));
+    }
+  };
+  const FaultBudget& budget = model.budget;
+  add(budget.duplicates, budget.lost_messages, budget.lost_answers,
+      budget.lost_acknowledgements, budget.lost_appends, budget.holder_crashes,
+      budget.worker_crashes, budget.failed_starts, budget.cancels,
+      budget.time_steps, model.alive[0], model.alive[1],
+      model.now.time_since_epoch().count(),
+      model.partial_since == kNever
+          ? -1
+          : model.partial_since.time_since_epoch().count());
+  for (const World& world : model.holders) {
+    const Cell& cell = world.jobs.cells.at(impl::kZone);
+    add(cell.next.value, cell.claim.value, cell.epoch.value, cell.recovered,
+        cell.unconfirmed.size(), cell.placement_due,
+        cell.next_scan.time_since_epoch().count(),
+        cell.recovered_by.time_since_epoch().count(), cell.pending.size());
+    add_job(*cell.jobs.find(impl::kJob));
+    for (const Worker& worker : cell.workers.rows) {
+      add(worker.heard.time_since_epoch().count(),
+          worker.next_poll.time_since_epoch().count(),
+          worker.renewed.time_since_epoch().count(), worker.sequence.value,
+          worker.exchange_under_way, worker.reserving.size());
+      add_leases(worker.reported);
+    }
+  }
+  for (const WorkerStandin& worker : model.workers) {
+    add(worker.epoch.value, worker.sequence.value, worker.faults.fail_starts);
+    for (const auto& [id, lease] : worker.leases) {
+      add(id.value, static_cast<int>(lease.state),
+          lease.lapses.time_since_epoch().count());
+    }
+  }
+  for (const ModelMessage& message : model.messages) {
+    add(message.holder, message.message.worker.value,
+        message.message.epoch.value, message.message.sequence.value,
+        message.message.renew, message.abandoned);
+    for (const WorkerCommand& command : message.message.commands) {
+      add(command.lease.value, static_cast<int>(command.kind));
+    }
+  }
+  for (const ModelAnswer& answer : model.answers) {
+    add(answer.holder, answer.answer.worker.value, answer.answer.answered,
+        answer.answer.stale_epoch);
+    add_leases(answer.answer.leases);
+  }
+  for (const ModelAppend& append : model.appends) {
+    add(append.holder, append.record.data);
+  }
+  for (const LogRecord& record : model.log) {
+    add(record.id.value);
+  }
+  for (const auto& [lease, epoch] : model.granted) {
+    add(lease.value, epoch.value);
+  }
+  for (const auto& [piece, starts] : model.starts) {
+    add(piece.value, starts);
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace chicorystep::testing
+
+#endif  // TESTS_SUPPORT_GANG_MODEL_H_
