--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -50,6 +50,7 @@
       .lease_time = settings.lease_time,
       .log_retention = settings.log_retention,
       .worker_poll_interval = settings.worker_poll_interval,
+      .reclaim_grace = settings.reclaim_grace,
       .announce_time = settings.announce_time,
       .drain_time = settings.drain_time,
       .max_waiting_requests =
--- a/chicorystep/systems/job_status.cc
+++ b/chicorystep/systems/job_status.cc
@@ -56,8 +56,8 @@
       continue;
     }
     Room& room = rooms[GroupOf(worker, shape.adjacency)];
-    room.free += PiecesIn(shape, worker.free_accelerators,
-                          worker.free_processors, worker.free_memory);
+    room.free += PiecesIn(shape, worker.free.accelerators,
+                          worker.free.processors, worker.free.memory);
     room.whole += PiecesIn(shape, worker.listed.accelerators,
                            worker.listed.processors, worker.listed.memory);
     largest.free = std::max(largest.free, room.free);
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -79,7 +79,7 @@
                        now - worker.heard <= world.self.lease_time
                    ? 1
                    : 0;
-      accelerators += static_cast<double>(worker.free_accelerators.value);
+      accelerators += static_cast<double>(worker.free.accelerators.value);
     }
     for (const Job& job : cell.jobs.rows) {
       ++jobs.at(static_cast<std::size_t>(job.state));
