--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -110,6 +110,7 @@
     cells.push_back(impl::DumpCell(cell));
   }
   const Json dump = {{"id", world.self.id.value},
+                     {"incarnation", world.self.incarnation.value},
                      {"zone", world.self.zone.value},
                      {"region", world.self.region.value},
                      {"ready", world.config_ready && !world.stopping},
--- a/proof/history.h
+++ b/proof/history.h
@@ -150,6 +150,8 @@
   EntryId entry;
   Revision revision;
   Digest tables;
+  // Which of the entry's lives; a restart begins another.
+  Incarnation life;
 };
 
 struct History {
--- a/proof/json_lines.cc
+++ b/proof/json_lines.cc
@@ -117,6 +117,7 @@
   archive("entry", event.entry);
   archive("revision", event.revision);
   archive("tables", event.tables);
+  archive("life", event.life);
 }
 
 namespace impl {
--- a/tests/schedules_test.cc
+++ b/tests/schedules_test.cc
@@ -28,6 +28,8 @@
   kAppendLost,
   kHeartbeat,
   kForward,
+  kFetch,
+  kFetchLost,
   kExecute,
   kExecuteAnswerLost,
   kExecuteMismatched,
@@ -60,6 +62,8 @@
     std::string_view("append_lost"),
     std::string_view("heartbeat"),
     std::string_view("forward"),
+    std::string_view("fetch"),
+    std::string_view("fetch_lost"),
     std::string_view("execute"),
     std::string_view("execute_answer_lost"),
     std::string_view("execute_mismatched"),
@@ -182,6 +186,12 @@
     case Action::kForward:
       StepPeers(fakes, step);
       break;
+    case Action::kFetch:
+    case Action::kFetchLost:
+      WithFlight(fakes.fetches, step, [&](const auto& flight) {
+        EndFetch(fakes, flight, step.action == Action::kFetch);
+      });
+      break;
     case Action::kExecute:
     case Action::kExecuteAnswerLost:
     case Action::kExecuteMismatched:
@@ -261,6 +271,21 @@
   });
 }
 
+// The fakes do carry work, so that the schedules judge more than refusals.
+BOOST_AUTO_TEST_CASE(quiet_schedule_serves_everything) {
+  const proof::History history = RunSchedule({{Action::kRequest, 0, 0},
+                                              {Action::kDispatch, 1, 0},
+                                              {Action::kSubmit, 2, 0},
+                                              {Action::kEdit, 0, 0}});
+  BOOST_TEST(history.executed.size() == 2U);
+  BOOST_TEST(history.pieces_started.size() == 2U);
+  BOOST_TEST(history.edits.size() == 1U);
+  BOOST_TEST(history.calls_ended.size() == 2U);
+  for (const proof::CallEnded& ended : history.calls_ended) {
+    BOOST_TEST((ended.outcome == proof::CallOutcome::kAnswered));
+  }
+}
+
 const bool kRegistered = [] {
   ::setenv("RC_PARAMS", "seed=1 max_success=200 max_size=150", 0);
   ConfigureLogging(LogLevel::kError, "schedules");
