Cause lost targets and foreign records in the histories

Cause: PROOFS.md listed executors and workers that die as not caused, and no run had records in the streams that no reader understands.

Ruled out: restarting a stand-in's listener (the library's cannot be reused; a target that is gone for good is the harder case).

Change: three faults: executor_lost, worker_lost, foreign_records.

--- a/tests/support/faults.h
+++ b/tests/support/faults.h
@@ -191,6 +191,34 @@
   }
 }
 
+// Their listeners are gone for good; the list still shows them.
+inline void LoseExecutor(HistoryRun& run, Random& random) {
+  run.cluster.executors[random() % kRunExecutors].server.Stop();
+  Pause(milliseconds(3000));
+}
+inline void LoseWorker(HistoryRun& run, Random& random) {
+  run.cluster.workers[random() % kRunWorkers].server.Stop();
+  Pause(milliseconds(3000));
+}
+
+// Writes what no reader understands into every stream.
+inline void WriteForeignRecords(HistoryRun& run, Random& random) {
+  LogStandin& log = run.cluster.log.standin;
+  for (int i = 0; i < 20; ++i) {
+    {
+      const std::scoped_lock lock(log.mutex);
+      for (auto& [name, stream] : log.streams) {
+        stream.records.push_back(
+            LogRecord{Offset(stream.first.value + stream.records.size()),
+                      RecordId(fmt::format("foreign-{}", i)),
+                      std::string(random() % 100, '{')});
+      }
+      log.appended.notify_all();
+    }
+    Pause(milliseconds(100));
+  }
+}
+
 // The list shows it only after half a second.
 inline void ListAsLeaving(HistoryRun& run, Random& random) {
   const std::size_t executor = random() % kRunExecutors;
@@ -228,6 +256,9 @@
       {"answers_late", DelayAnswers, {}},
       {"starts_fail", FailStarts, {}},
       {"worker_answers_lost", LoseWorkerAnswers, {}},
+      {"executor_lost", LoseExecutor, {}},
+      {"worker_lost", LoseWorker, {}},
+      {"foreign_records", WriteForeignRecords, {}},
       {"targets_leave", ListAsLeaving, {Promise::kLeavingSpared}},
       {"operators_race", CauseNothing, {}, 6},
   };
