--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -117,6 +117,8 @@
   std::vector<EntryAddresses> addresses;
   std::vector<std::unique_ptr<ChildProcess>> entries;
   InstanceList list;
+  // Further lines of the entries' section [platform].
+  std::string platform_settings;
   // The setting callers.threads of entries started from now on.
   int caller_threads = 64;
   // More lines of their section [callers].
@@ -201,7 +203,7 @@
                     "log_level = warn\n"
                     "[listen]\ncallers = {}\npeers = {}\nadmin = {}\n"
                     "[platform]\nlog = {}\ninstances = {}\n"
-                    "instances_interval = 100ms\ntimeout = 2s\n"
+                    "instances_interval = 100ms\ntimeout = 2s\n{}"
                     "[callers]\nthreads = {}\n{}"
                     "[jobs]\nlease_time = 2s\nworker_poll_interval = 200ms\n"
                     "[peers]\nheartbeat_interval = 100ms\n"
@@ -209,7 +211,8 @@
                     "[stop]\nannounce_time = 1s\ndrain_time = 10s\n",
                     entry.id, i % 3 + 1, entry.callers, entry.peers,
                     entry.admin, this->log.Address(), this->instances.Address(),
-                    this->caller_threads, this->caller_settings));
+                    this->platform_settings, this->caller_threads,
+                    this->caller_settings));
     this->entries[i] = std::make_unique<ChildProcess>(std::vector<std::string>{
         Program("chicorystep-entry"), "--settings", settings});
   }
