Limit and count the reads of the log, queue appends by stream, tell slow from down

Cause: one failing append held up those of all streams, an append that was never sent could not be told from one whose answer was lost, a slow log looked like one that was down, and nothing limited the bytes on the link.

Ruled out: a pool of appenders (order within a stream would be lost).

--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -35,6 +35,7 @@
   return {{"based", sync.based},
           {"caught_up", sync.caught_up},
           {"reads_log", sync.follows_log},
+          {"log_health", NameOf(sync.log_health)},
           {"log_failing", sync.log_failing},
           {"shown_offset", sync.shown.value},
           {"recent_records", sync.recent.size()}};
--- a/chicorystep/platform/config_reader.cc
+++ b/chicorystep/platform/config_reader.cc
@@ -31,7 +31,8 @@
 }  // namespace impl
 
 Result<Config, LogError> ReadConfigBase(const LogServiceOptions& options,
-                                        Offset limit) {
+                                        Offset limit,
+                                        SnapshotChoice choice) {
   BOOST_OUTCOME_TRY(first, impl::FirstKept(options, ConfigStream()));
   if (first == Offset{}) {
     return Config{};
@@ -46,7 +47,9 @@
     }
     for (const LogRecord& record : answer.records) {
       auto snapshot = DecodeSnapshot(record.data);
-      if (impl::IsUsable(snapshot, first, limit) &&
+      const bool wanted =
+          base.next == Offset{} || choice == SnapshotChoice::kNewest;
+      if (impl::IsUsable(snapshot, first, limit) && wanted &&
           snapshot.value().next > base.next) {
         base = std::move(snapshot.value());
       }
--- a/chicorystep/platform/config_reader.h
+++ b/chicorystep/platform/config_reader.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_PLATFORM_CONFIG_READER_H_
 #define CHICORYSTEP_PLATFORM_CONFIG_READER_H_
 
+#include <cstdint>
 #include <functional>
 
 #include "chicorystep/core/result.h"
@@ -15,12 +16,16 @@
 using ConfigVisitor =
     std::function<void(const LogRecord&, const Result<Revision, EditError>&)>;
 
+// Which of the snapshots that are kept to begin with.
+enum class SnapshotChoice : std::uint8_t { kNewest, kOldest };
+
 // The tables from which the log can still be replayed up to `limit`: the empty
-// ones while the stream's first record is kept, else the newest snapshot that
+// ones while the stream's first record is kept, else of a snapshot that
 // does not reach beyond `limit`. Fails with kExpired when there is none.
 [[nodiscard]] Result<Config, LogError> ReadConfigBase(
     const LogServiceOptions& options,
-    Offset limit);
+    Offset limit,
+    SnapshotChoice choice = SnapshotChoice::kNewest);
 
 // Applies to `config` the records from `config.next` up to `limit` or the end
 // of the stream.
--- a/chicorystep/platform/log_client.cc
+++ b/chicorystep/platform/log_client.cc
@@ -8,6 +8,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/platform/backoff.h"
+#include "chicorystep/platform/byte_budget.h"
 #include "chicorystep/traffic/headers.h"
 #include "chicorystep/traffic/http_client.h"
 
@@ -16,9 +17,18 @@
 
 inline constexpr std::size_t kMaxBatch = 256;
 inline constexpr int kGone = 410;
+// Appends that may wait for one stream.
+inline constexpr std::size_t kMaxQueued = 10'000;
+// A read that takes this much longer than it was to wait is late.
+inline constexpr Duration kSlowAfter = std::chrono::milliseconds(500);
 // Consecutive reads that must fail before the stream counts as failing.
 inline constexpr int kFailingAfter = 2;
 
+TimePoint SteadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 LogError ErrorOf(const httplib::Result& response) {
   if (response) {
     if (response->status == kGone) {
@@ -114,13 +124,12 @@
 }
 
 LogClient::LogClient(LogServiceOptions options, Callbacks callbacks)
-    : options(std::move(options)),
-      callbacks(std::move(callbacks)),
-      appender(
-          [this](const std::stop_token& stop) { this->RunAppends(stop); }) {}
+    : options(std::move(options)), callbacks(std::move(callbacks)) {}
 
 LogClient::~LogClient() {
-  this->appender.request_stop();
+  for (auto& [stream, appender] : this->appenders) {
+    appender.thread.request_stop();
+  }
   for (auto& [stream, reader] : this->readers) {
     reader.request_stop();
   }
@@ -129,9 +138,22 @@
 void LogClient::Append(AppendRecord record) {
   {
     const std::scoped_lock lock(this->mutex);
-    this->appends.push_back(std::move(record));
+    Appender& appender = this->appenders[record.stream];
+    if (appender.queue.size() < impl::kMaxQueued) {
+      if (!appender.thread.joinable()) {
+        appender.thread =
+            std::jthread([this, stream = record.stream,
+                          &appender](const std::stop_token& stop) {
+              this->RunAppends(stop, stream, appender);
+            });
+      }
+      appender.queue.push_back(std::move(record));
+      this->queued.notify_all();
+      return;
+    }
   }
-  this->queued.notify_one();
+  this->callbacks.append_ended(
+      AppendEnded{record.stream, std::move(record.id), false, true});
 }
 
 void LogClient::Follow(const FollowStream& follow) {
@@ -153,21 +175,21 @@
   }
 }
 
-void LogClient::RunAppends(const std::stop_token& stop) {
+void LogClient::RunAppends(const std::stop_token& stop,
+                           const Stream& stream,
+                           Appender& appender) {
   while (true) {
     std::unique_lock lock(this->mutex);
     if (!this->queued.wait(lock, stop,
-                           [this] { return !this->appends.empty(); })) {
+                           [&] { return !appender.queue.empty(); })) {
       return;
     }
-    const Stream stream = this->appends.front().stream;
     std::vector<LogRecord> records;
-    while (!this->appends.empty() && this->appends.front().stream == stream &&
-           records.size() < impl::kMaxBatch) {
-      AppendRecord& next = this->appends.front();
+    while (!appender.queue.empty() && records.size() < impl::kMaxBatch) {
+      AppendRecord& next = appender.queue.front();
       records.push_back(
           LogRecord{Offset{}, std::move(next.id), std::move(next.data)});
-      this->appends.pop_front();
+      appender.queue.pop_front();
     }
     lock.unlock();
     this->AppendBatch(stop, stream, std::move(records));
@@ -179,16 +201,18 @@
                             std::vector<LogRecord> records) {
   Backoff backoff{.random = std::minstd_rand(this->options.seed)};
   bool acknowledged = false;
+  bool certainly_absent = true;
   for (std::int64_t attempt = 1; attempt <= this->options.append_attempts;
        ++attempt) {
     LogTraffic traffic;
     const auto answer = impl::AppendWith(*impl::Connect(this->options), stream,
                                          records, traffic);
     this->callbacks.traffic(traffic);
-    if (answer) {
-      acknowledged = true;
+    acknowledged = answer.has_value();
+    if (acknowledged) {
       break;
     }
+    certainly_absent &= answer.error().code == LogErrorCode::kUnreachable;
     Log(LogLevel::kWarn, "append_failed",
         {{"stream", stream.value},
          {"attempt", attempt},
@@ -199,7 +223,16 @@
   }
   for (LogRecord& record : records) {
     this->callbacks.append_ended(
-        AppendEnded{stream, std::move(record.id), acknowledged});
+        AppendEnded{stream, std::move(record.id), acknowledged,
+                    !acknowledged && certainly_absent});
+  }
+}
+
+void LogClient::ReportHealth(const Stream& stream,
+                             LogHealth& known,
+                             LogHealth now) {
+  if (std::exchange(known, now) != now) {
+    this->callbacks.read_state(LogReadState{stream, now});
   }
 }
 
@@ -209,29 +242,41 @@
   Offset next = follow.from;
   bool end_reported = false;
   int failures = 0;
+  LogHealth health = LogHealth::kWorking;
+  ByteBudget budget{.rate = this->options.read_rate,
+                    .burst = this->options.read_burst};
   auto client = impl::Connect(this->options, this->options.read_wait);
   while (!stop.stop_requested()) {
     LogTraffic traffic;
-    auto answer = impl::ReadWith(
-        *client, follow.stream, next,
-        end_reported ? this->options.read_wait : Duration{}, traffic);
+    const Duration wait = end_reported ? this->options.read_wait : Duration{};
+    const auto asked = std::chrono::steady_clock::now();
+    auto answer = impl::ReadWith(*client, follow.stream, next, wait, traffic);
     this->callbacks.traffic(traffic);
+    if (const Duration delay =
+            Charge(budget, traffic.received, impl::SteadyNow());
+        delay > Duration::zero()) {
+      Log(LogLevel::kWarn, "read_budget_used_up",
+          {{"stream", follow.stream.value}, {"wait_us", delay.count()}});
+      WaitUnlessStopped(stop, delay);
+    }
     if (!answer) {
       Log(LogLevel::kWarn, "read_failed",
           {{"stream", follow.stream.value},
            {"code", static_cast<int>(answer.error().code)}});
       if (answer.error().code == LogErrorCode::kExpired) {
         next = answer.error().first;
-      } else if (++failures == impl::kFailingAfter) {
-        this->callbacks.read_state(LogReadState{follow.stream, true});
+      } else if (++failures >= impl::kFailingAfter) {
+        this->ReportHealth(follow.stream, health, LogHealth::kDown);
       }
       WaitUnlessStopped(stop, NextDelay(backoff));
       continue;
     }
     Reset(backoff);
-    if (std::exchange(failures, 0) >= impl::kFailingAfter) {
-      this->callbacks.read_state(LogReadState{follow.stream, false});
-    }
+    failures = 0;
+    const bool late =
+        std::chrono::steady_clock::now() - asked > wait + impl::kSlowAfter;
+    this->ReportHealth(follow.stream, health,
+                       late ? LogHealth::kSlow : LogHealth::kWorking);
     ReadAnswer& batch = answer.value();
     const Offset from = std::exchange(next, batch.next);
     if (batch.records.empty() && std::exchange(end_reported, true)) {
--- a/chicorystep/platform/log_client.h
+++ b/chicorystep/platform/log_client.h
@@ -27,6 +27,10 @@
   std::int64_t append_attempts = 8;
   // How long one read waits at the service for new records.
   Duration read_wait = std::chrono::seconds(1);
+  // Bytes a second that the reads of one stream may take on average, and at
+  // once beyond that; zero for no limit.
+  Bytes read_rate;
+  Bytes read_burst{4 << 20};
   // Seeds the jitter of the backoff.
   std::uint64_t seed = 1;
 };
@@ -73,7 +77,7 @@
   struct Callbacks {
     std::function<void(AppendEnded)> append_ended;
     std::function<void(LogBatch)> batch;
-    // Called when the reads of a stream begin to fail, or succeed again.
+    // Called when the health of a stream's reads changes.
     std::function<void(LogReadState)> read_state;
     // Called after each exchange with about what it took on the wire.
     std::function<void(LogTraffic)> traffic;
@@ -85,6 +89,7 @@
   ~LogClient();
 
   // Queues an append; repeated with backoff until acknowledged or given up.
+  // Each stream has its own queue, and a full one refuses at once.
   void Append(AppendRecord record);
   // Reads a stream from an offset on until told to stop. The first time that
   // the end is reached an empty batch is reported.
@@ -92,7 +97,16 @@
   void Unfollow(const Stream& stream);
 
  private:
-  void RunAppends(const std::stop_token& stop);
+  // The appends to one stream and the thread that sends them.
+  struct Appender {
+    std::deque<AppendRecord> queue;
+    std::jthread thread;
+  };
+
+  void RunAppends(const std::stop_token& stop,
+                  const Stream& stream,
+                  Appender& appender);
+  void ReportHealth(const Stream& stream, LogHealth& known, LogHealth now);
   void AppendBatch(const std::stop_token& stop,
                    const Stream& stream,
                    std::vector<LogRecord> records);
@@ -102,11 +116,10 @@
   Callbacks callbacks;
   std::mutex mutex;
   std::condition_variable_any queued;
-  std::deque<AppendRecord> appends;
   std::map<Stream, std::jthread> readers;
   // Readers told to stop, joined at the end.
   std::vector<std::jthread> stopped_readers;
-  std::jthread appender;
+  std::map<Stream, Appender> appenders;
 };
 
 }  // namespace chicorystep
--- a/chicorystep/programs/ctl_tables.cc
+++ b/chicorystep/programs/ctl_tables.cc
@@ -232,7 +232,7 @@
 
 int RunHistory(const CtlArguments& arguments) {
   const LogServiceOptions options = LogOptions(arguments);
-  auto config = ReadConfigBase(options, kNoLimit);
+  auto config = ReadConfigBase(options, kNoLimit, SnapshotChoice::kOldest);
   if (!config) {
     return FailReading(config.error());
   }
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -168,6 +168,7 @@
       LogServiceOptions{.address = settings.log,
                         .timeout = settings.platform_timeout,
                         .append_attempts = settings.append_attempts,
+                        .read_rate = settings.log_read_rate,
                         .seed = MakeIncarnation().value},
       LogClient::Callbacks{
           .append_ended =
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -119,6 +119,7 @@
       DurationField("platform", "timeout", &S::platform_timeout,
                     milliseconds(10)),
       CountField("platform", "append_attempts", &S::append_attempts, 1, 1000),
+      BytesField("platform", "log_read_rate", &S::log_read_rate),
       DurationField("platform", "log_retention", &S::log_retention,
                     std::chrono::seconds(1)),
       CountField("callers", "threads", &S::caller_threads, 1, 20'000),
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -33,6 +33,8 @@
   Duration instances_interval = std::chrono::seconds(1);
   Duration platform_timeout = std::chrono::seconds(5);
   std::int64_t append_attempts = 8;
+  // Bytes a second.
+  Bytes log_read_rate{256 << 10};
   Duration log_retention = std::chrono::hours(24);
 
   // [callers]
--- a/chicorystep/systems/config_sync.cc
+++ b/chicorystep/systems/config_sync.cc
@@ -50,9 +50,10 @@
 void NoticeLogState(ConfigSync& sync, const Inbox& inbox, TimePoint now) {
   for (const LogReadState& state : inbox.log_read_states) {
     if (state.stream == ConfigStream()) {
-      sync.log_failing = state.failing;
+      sync.log_health = state.health;
+      sync.log_failing = state.health == LogHealth::kDown;
       sync.log_failing_until = now + kFailingTime;
-      Log(LogLevel::kWarn, state.failing ? "log_failing" : "log_recovered");
+      Log(LogLevel::kWarn, "log_health", {{"health", NameOf(state.health)}});
     }
   }
   if (!sync.follows_log && now >= sync.log_failing_until) {
--- a/chicorystep/tables/config_sync.h
+++ b/chicorystep/tables/config_sync.h
@@ -47,6 +47,7 @@
   bool caught_up = false;
   bool follows_log = false;
   bool follows_snapshots = false;
+  LogHealth log_health = LogHealth::kWorking;
   // The reads of the log fail, and until when that is held to be so.
   bool log_failing = false;
   TimePoint log_failing_until = TimePoint::min();
--- a/chicorystep/tables/log.h
+++ b/chicorystep/tables/log.h
@@ -1,9 +1,13 @@
 #ifndef CHICORYSTEP_TABLES_LOG_H_
 #define CHICORYSTEP_TABLES_LOG_H_
 
+#include <array>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "chicorystep/core/enum_names.h"
 #include "chicorystep/core/ids.h"
 
 namespace chicorystep {
@@ -26,10 +30,25 @@
   Offset from;
 };
 
-// That reads of a stream have begun to fail, or succeed again.
+// How the log service answers the reads of a stream.
+enum class LogHealth : std::uint8_t {
+  kWorking,
+  // It answers, but late.
+  kSlow,
+  // Reads fail.
+  kDown,
+};
+template <>
+inline constexpr std::array kEnumNames<LogHealth> = {
+    std::string_view("working"),
+    std::string_view("slow"),
+    std::string_view("down"),
+};
+
+// That the health of a stream's reads has changed.
 struct LogReadState {
   Stream stream;
-  bool failing = false;
+  LogHealth health = LogHealth::kWorking;
 };
 
 // Appends one record; the client repeats it until it is acknowledged or its
