Name 24 members in each heartbeat

Cause: with 12 ages a heartbeat, news of a member did not reach all of 60 processes within the timeout: the least informed held 33, 49 and 27 for alive. Ruled out: a longer timeout (a dead reader would be replaced later).

--- a/chicorystep/systems/membership.cc
+++ b/chicorystep/systems/membership.cc
@@ -79,7 +79,7 @@
 // bytes of a process do not grow with the number of members. Each heartbeat is
 // answered with one.
 inline constexpr std::size_t kHeartbeatsPerInterval = 4;
-inline constexpr std::size_t kMaxSeen = 12;
+inline constexpr std::size_t kMaxSeen = 24;
 // A member that is neither listed nor heard for this many timeouts is
 // forgotten.
 inline constexpr int kForgetTimeouts = 10;
