Let every stand-in refuse, delay and go silent on open connections

Cause: only some roles could refuse or delay, none could go silent on open connections while new ones work, and most switches had no command line.

The server's stream tells the caller's port, by which connections are told apart.

Ruled out: switches in each role's own file, as they would stand four times.

Before: silence could not be caused.

Conclusion: reports of a worker that come late are not there; the executors', workers' and log's own faults are unchanged.

--- a/chicorystep/programs/standin.cc
+++ b/chicorystep/programs/standin.cc
@@ -22,6 +22,7 @@
 #include "chicorystep/settings/values.h"
 #include "chicorystep/standin/executor_standin.h"
 #include "chicorystep/standin/instances_standin.h"
+#include "chicorystep/standin/listener_faults.h"
 #include "chicorystep/standin/log_standin.h"
 #include "chicorystep/standin/worker_standin.h"
 
@@ -37,17 +38,26 @@
   InstancesStandin instances;
   std::deque<ExecutorStandin> executors;
   std::deque<WorkerStandin> workers;
+  // Faults of each listener, in the order of the listeners.
+  std::deque<FaultyListener> listeners;
+  ListenerFaults faults;
   std::vector<std::unique_ptr<HttpServer>> servers;
 };
 
 HttpServer& AddServer(Standins& standins, std::int64_t threads) {
   standins.servers.push_back(
       std::make_unique<HttpServer>(HttpServerOptions{.threads = threads}));
+  FaultyListener& listener = standins.listeners.emplace_back();
+  listener.faults = standins.faults;
+  AddListenerFaults(standins.servers.back()->Routes(), listener);
   return *standins.servers.back();
 }
 
 bool StartLog(Standins& standins, const cxxopts::ParseResult& arguments) {
   constexpr std::int64_t kThreads = 128;
+  standins.log.faults.down = arguments["down"].as<bool>();
+  standins.log.faults.lose_append_answers =
+      arguments["lose-answers"].as<std::int64_t>();
   HttpServer& server = AddServer(standins, kThreads);
   AddLogRoutes(server.Routes(), standins.log);
   return server.Start("127.0.0.1", arguments["port"].as<std::uint16_t>());
@@ -98,6 +108,10 @@
     executor.slots = Slots(arguments["slots"].as<std::int64_t>());
     executor.run_time =
         std::chrono::milliseconds(arguments["run-ms"].as<std::int64_t>());
+    executor.faults.lose_answers = arguments["lose-answers"].as<std::int64_t>();
+    executor.faults.cross_answers =
+        arguments["cross-answers"].as<std::int64_t>();
+    executor.faults.cut_answers = arguments["cut-answers"].as<std::int64_t>();
     HttpServer& server =
         AddServer(standins, arguments["connections"].as<std::int64_t>());
     AddExecutorRoutes(server.Routes(), executor);
@@ -106,7 +120,8 @@
 }
 
 bool StartWorkers(Standins& standins, const cxxopts::ParseResult& arguments) {
-  constexpr std::int64_t kThreads = 4;
+  // A silent connection holds one.
+  constexpr std::int64_t kThreads = 32;
   return StartMany(arguments, [&]() -> HttpServer& {
     WorkerStandin& worker = standins.workers.emplace_back();
     worker.accelerators =
@@ -116,6 +131,7 @@
     worker.memory =
         Mebibytes(1024 * arguments["memory-gib"].as<std::int64_t>());
     worker.faults.fail_starts = arguments["fail-starts"].as<bool>();
+    worker.faults.lose_answers = arguments["lose-answers"].as<std::int64_t>();
     HttpServer& server = AddServer(standins, kThreads);
     AddWorkerRoutes(server.Routes(), worker);
     return server;
@@ -161,6 +177,23 @@
       cxxopts::value<std::int64_t>()->default_value("128"))(
       "fail-starts", "worker: fail every start",
       cxxopts::value<bool>()->default_value("false"))(
+      "down", "log: refuse everything",
+      cxxopts::value<bool>()->default_value("false"))(
+      "lose-answers",
+      "log, executor, worker: the next calls that take effect but whose "
+      "answer is lost",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "cross-answers", "executor: the next answers that name another request",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "cut-answers", "executor: the next answers that end early",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "refuse", "all: answer the next calls with 503 and do nothing",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "delay-ms", "all: wait before each call",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "silent-after",
+      "all: answer so many calls on a connection, then never again",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
       "version", "Print the version")("help", "Print this help");
   options.parse_positional({"role"});
   return options;
@@ -168,6 +201,11 @@
 
 int Serve(Starter start, const cxxopts::ParseResult& arguments) {
   Standins standins;
+  standins.faults = ListenerFaults{
+      .refuse = arguments["refuse"].as<std::int64_t>(),
+      .delay =
+          std::chrono::milliseconds(arguments["delay-ms"].as<std::int64_t>()),
+      .silent_after = arguments["silent-after"].as<std::int64_t>()};
   if (!start(standins, arguments)) {
     fmt::print(stderr, "chicorystep-standin: cannot start\n");
     return kExitFailed;
@@ -176,6 +214,9 @@
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([](const std::error_code&, int) {});
   context.run();
+  for (FaultyListener& listener : standins.listeners) {
+    EndSilence(listener);
+  }
   {
     const std::scoped_lock lock(standins.log.mutex);
     standins.log.stopping = true;
--- a/chicorystep/traffic/guarded_server.cc
+++ b/chicorystep/traffic/guarded_server.cc
@@ -74,10 +74,7 @@
   }
   ssize_t read(char* target, size_t size) override;
   ssize_t write(const char* source, size_t size) override;
-  void get_remote_ip_and_port(std::string& ip, int& port) const override {
-    ip.clear();
-    port = 0;
-  }
+  void get_remote_ip_and_port(std::string& ip, int& port) const override;
   void get_local_ip_and_port(std::string& ip, int& port) const override {
     ip.clear();
     port = 0;
@@ -159,6 +156,18 @@
   return static_cast<ssize_t>(copied);
 }
 
+void GuardedStream::get_remote_ip_and_port(std::string& ip, int& port) const {
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  ip.clear();
+  port = 0;
+  if (::getpeername(this->connection_socket, reinterpret_cast<sockaddr*>(&peer),
+                    &size) == 0 &&
+      peer.sin_family == AF_INET) {
+    port = ntohs(peer.sin_port);
+  }
+}
+
 ssize_t GuardedStream::write(const char* source, size_t size) {
   if (!this->is_writable()) {
     return this->Fail();
