--- a/chicorystep/settings/ini.cc
+++ b/chicorystep/settings/ini.cc
@@ -3,7 +3,7 @@
 #include <fmt/format.h>
 #include <ini.h>
 
-#include <cstring>
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -90,7 +90,7 @@
   const std::string_view text = usable ? parse.line_text : std::string_view();
   const std::size_t length =
       std::min(text.size(), static_cast<std::size_t>(capacity) - 2);
-  std::memcpy(buffer, text.data(), length);
+  std::copy_n(text.begin(), length, buffer);
   buffer[length] = '\n';
   buffer[length + 1] = '\0';
   return buffer;
--- /dev/null
+++ b/fuzz/bodies_fuzz.cc
@@ -0,0 +1,33 @@
+// Bodies of HTTP: from callers, workers, the log service and the list.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "chicorystep/encoding/caller_messages.h"
+#include "chicorystep/encoding/instance_list.h"
+#include "chicorystep/encoding/log_messages.h"
+#include "chicorystep/encoding/worker_messages.h"
+#include "chicorystep/systems/job_check.h"
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace chicorystep;
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  fuzz::RequireRoundTrip(text, DecodeJobSpec, EncodeJobSpec);
+  fuzz::RequireRoundTrip(text, DecodeJobStatus, EncodeJobStatus);
+  fuzz::RequireRoundTrip(text, DecodeRefusal, EncodeRefusal);
+  fuzz::RequireRoundTrip(text, DecodeWorkerReport, EncodeWorkerReport);
+  fuzz::RequireRoundTrip(text, DecodeWorkerMessage, EncodeWorkerMessage);
+  fuzz::RequireRoundTrip(text, DecodeInstanceList, EncodeInstanceList);
+  fuzz::RequireRoundTrip(text, DecodeReadAnswer, EncodeReadAnswer);
+  fuzz::RequireRoundTrip(text, DecodeAppendAnswer, EncodeAppendAnswer);
+  if (const auto spec = DecodeJobSpec(text)) {
+    const bool sound = !CheckJob(spec.value(), JobLimits{});
+    const Shape& shape = spec.value().shape;
+    fuzz::Require(!sound || (shape.pieces > 0 && shape.accelerators.value >= 0),
+                  "a sound job has pieces");
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/peer_fuzz.cc
@@ -0,0 +1,75 @@
+// Messages between entry processes: a valid one with some words changed, so
+// that the pointers in it lead anywhere.
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+
+#include "chicorystep/encoding/peer_messages.h"
+
+namespace chicorystep::fuzz {
+namespace {
+
+// A message of each kind, one after the other.
+kj::Array<capnp::word> MakeMessage(bool heartbeat) {
+  capnp::MallocMessageBuilder builder;
+  if (heartbeat) {
+    WriteHeartbeat(Heartbeat{.id = EntryId("entry-1"),
+                             .zone = Zone("z1"),
+                             .region = Region("r1")},
+                   builder.initRoot<wire::Heartbeat>());
+  } else {
+    WriteJobOperation(JobOperation{.kind = JobOperationKind::kSubmit,
+                                   .spec = JobSpec{.kind = Kind("train")}},
+                      builder.initRoot<wire::JobOperation>());
+  }
+  return capnp::messageToFlatArray(builder);
+}
+
+// Changes the byte that each pair of input bytes names.
+void Change(kj::Array<capnp::word>& words,
+            const std::uint8_t* data,
+            std::size_t size) {
+  kj::ArrayPtr<kj::byte> bytes = words.asBytes();
+  for (std::size_t i = 0; i + 1 < size; i += 2) {
+    bytes[data[i] % bytes.size()] ^= data[i + 1];
+  }
+}
+
+void Read(kj::ArrayPtr<const capnp::word> words) {
+  // Broken messages are told by exceptions, as the RPC library expects.
+  (void)kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    (void)ReadHeartbeat(reader.getRoot<wire::Heartbeat>());
+  });
+  (void)kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    (void)ReadJobOperation(reader.getRoot<wire::JobOperation>());
+  });
+  (void)kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    (void)ReadJobAnswer(reader.getRoot<wire::JobAnswer>());
+  });
+  (void)kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    (void)ReadConfigAnswer(reader.getRoot<wire::ConfigAnswer>());
+  });
+}
+
+}  // namespace
+}  // namespace chicorystep::fuzz
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  if (size == 0) {
+    return 0;
+  }
+  auto words = chicorystep::fuzz::MakeMessage(data[0] % 2 == 0);
+  chicorystep::fuzz::Change(words, data + 1, size - 1);
+  chicorystep::fuzz::Read(words);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/settings_fuzz.cc
@@ -0,0 +1,22 @@
+// Settings of an entry process: any bytes give settings or faults.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "chicorystep/settings/entry_settings.h"
+#include "fuzz/check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto document = chicorystep::ParseIni(text, "fuzz");
+  if (!document) {
+    chicorystep::fuzz::Require(!document.error().empty(), "a fault is told");
+    return 0;
+  }
+  const auto settings = chicorystep::ReadEntrySettings(document.value());
+  chicorystep::fuzz::Require(settings || !settings.error().empty(),
+                             "a fault is told");
+  return 0;
+}
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -102,6 +102,8 @@
      "[jobs]\nlease_time = x\nspeed = 3\n[stop]\ndrain_time = 1\n",
      {"f:13:14: jobs.lease_time", "f:14:9: jobs.speed",
       "f:16:14: stop.drain_time"}},
+    {"empty lines", "\n\n\r\n[jobs]\n\n", {}},
+    {"NUL in a line", std::string("[jobs]\n\0\n", 9), {"f:13:1: expected"}},
     {"no equals sign", "[jobs]\nlease_time\n", {"f:13:1: expected"}},
     {"line too long",
      "[jobs]\nlease_time = " + std::string(300, '1') + "\n",
