--- a/chicorystep/systems/executor_choice.cc
+++ b/chicorystep/systems/executor_choice.cc
@@ -54,7 +54,8 @@
          executor.paused_until <= choice.now &&
          (choice.panic || !IsEjected(executor, choice.now)) &&
          !(retry && executor.listed.id == choice.request.last_executor) &&
-         (!retry || HasRetryTokens(executor));
+         (!retry || choice.request.last_result == AttemptResult::kRefused ||
+          HasRetryTokens(executor));
 }
 
 // Lower is better. A policy that does not compare gives all the same.
--- a/chicorystep/systems/executor_health.cc
+++ b/chicorystep/systems/executor_health.cc
@@ -16,6 +16,10 @@
 inline constexpr std::size_t kJitterSteps = 256;
 inline constexpr Duration kShortestPause = std::chrono::milliseconds(1);
 inline constexpr Duration kLongestPause = std::chrono::milliseconds(100);
+// Each further refusal without an answer between doubles the pause, up to
+// this many times and this long.
+inline constexpr std::int64_t kMaxPauseDoublings = 10;
+inline constexpr Duration kLongestBackoff = std::chrono::seconds(1);
 // Answers for each unit of the limit before it grows by one.
 inline constexpr std::int64_t kAnswersToGrow = 4;
 // Weight of the newest run time is one in this many.
@@ -41,10 +45,13 @@
   executor.limit = std::max(Slots{1}, executor.in_flight);
   executor.limit_found = true;
   executor.answers_at_limit = 0;
+  const Duration pause = std::clamp(
+      run_time / std::max<std::int64_t>(1, executor.listed.slots.value),
+      kShortestPause, kLongestPause);
+  const auto doublings = std::min(executor.refusals, kMaxPauseDoublings);
   executor.paused_until =
-      now + std::clamp(run_time / std::max<std::int64_t>(
-                                      1, executor.listed.slots.value),
-                       kShortestPause, kLongestPause);
+      now + std::min(kLongestBackoff, pause * (std::int64_t{1} << doublings));
+  ++executor.refusals;
 }
 
 void GrowLimit(Executor& executor) {
@@ -73,6 +80,7 @@
     case AttemptResult::kAnswered:
       executor.failures = 0;
       executor.ejections = 0;
+      executor.refusals = 0;
       impl::GrowLimit(executor);
       return;
     case AttemptResult::kRefused:
--- a/chicorystep/systems/retries.cc
+++ b/chicorystep/systems/retries.cc
@@ -11,6 +11,8 @@
 namespace impl {
 
 inline constexpr RetryTokens kRetryCost{1000};
+// Refusals of one request before it is given up as not run.
+inline constexpr std::int64_t kMaxRefusals = 32;
 // What a first attempt adds: a tenth of a retry.
 inline constexpr RetryTokens kEarned{100};
 inline constexpr RetryTokens kMostForProcess{10'000};
@@ -25,8 +27,10 @@
                   const Request& request,
                   Executor& executor) {
   if (request.attempts.value > 1) {
-    requests.retry_tokens -= impl::kRetryCost;
-    executor.retry_tokens -= impl::kRetryCost;
+    requests.retry_tokens =
+        std::max(RetryTokens{0}, requests.retry_tokens - impl::kRetryCost);
+    executor.retry_tokens =
+        std::max(RetryTokens{0}, executor.retry_tokens - impl::kRetryCost);
     return;
   }
   requests.retry_tokens =
@@ -42,13 +46,18 @@
 bool MayRetry(const Requests& requests,
               const Request& request,
               AttemptResult result) {
-  const bool certainly_not_run =
-      result == AttemptResult::kRefused || result == AttemptResult::kNotSent;
+  // A refusal did no work at the executor; its limit and its pause bound the
+  // attempts that follow.
+  if (result == AttemptResult::kRefused) {
+    return request.refusals < impl::kMaxRefusals;
+  }
+  if (request.attempts.value - request.refusals >= request.max_attempts) {
+    return false;
+  }
   const RetryTokens needed =
       impl::kRetryCost +
       impl::kReserved[static_cast<std::size_t>(request.priority)];
-  return (certainly_not_run || request.idempotent) &&
-         std::cmp_less(request.attempts.value, request.max_attempts) &&
+  return (result == AttemptResult::kNotSent || request.idempotent) &&
          requests.retry_tokens >= needed;
 }
 
--- a/chicorystep/systems/retries.h
+++ b/chicorystep/systems/retries.h
@@ -5,7 +5,9 @@
 
 // Retries: only of what has certainly not run or is idempotent, and within
 // budgets that first attempts earn, one for the process and one for each
-// executor. Under total failure attempts stay near 1.1 for each request.
+// executor. Under total failure attempts stay near 1.1 for each request. A
+// refused request takes from the budgets but goes on without them, at the pace
+// that the executors' limits and pauses allow.
 
 namespace chicorystep {
 
--- a/chicorystep/systems/routing.cc
+++ b/chicorystep/systems/routing.cc
@@ -41,6 +41,7 @@
       world.requests.link_allowance -= ended.answer_size;
     }
   }
+  request.refusals += ended.result == AttemptResult::kRefused ? 1 : 0;
   request.last_result = ended.result;
   request.last_executor = std::exchange(request.executor, ExecutorId{});
 }
@@ -146,7 +147,9 @@
     if (executor == nullptr) {
       return;
     }
-    if (request.attempts.value > 0 && !HasRetryTokens(*executor)) {
+    if (request.attempts.value > 0 &&
+        request.last_result != AttemptResult::kRefused &&
+        !HasRetryTokens(*executor)) {
       EndRequest(world, *next, DescribeFailure(request, request.last_result),
                  outbox);
       continue;
--- a/chicorystep/tables/requests.h
+++ b/chicorystep/tables/requests.h
@@ -53,6 +53,8 @@
   std::int64_t answers_at_limit = 0;
   // Whether a refusal has ended the fast growth of the limit.
   bool limit_found = false;
+  // Refusals since the last answer.
+  std::int64_t refusals = 0;
   // Nothing is sent before this time, after a refusal.
   TimePoint paused_until{};
   // Failed attempts since the last answer, and ejections since then.
@@ -140,6 +142,9 @@
   TimePoint arrived{};
   TimePoint deadline{};
   Attempt attempts;
+  // Attempts that an executor refused; these do not count against the route's
+  // `max_attempts`.
+  std::int64_t refusals = 0;
   // Where the attempt under way was sent; empty while the request waits.
   ExecutorId executor;
   TimePoint sent{};
