--- a/chicorystep/platform/log_client.cc
+++ b/chicorystep/platform/log_client.cc
@@ -16,6 +16,8 @@
 
 inline constexpr std::size_t kMaxBatch = 256;
 inline constexpr int kGone = 410;
+// Consecutive reads that must fail before the stream counts as failing.
+inline constexpr int kFailingAfter = 2;
 
 LogError ErrorOf(const httplib::Result& response) {
   if (response) {
@@ -31,13 +33,29 @@
           Offset{}};
 }
 
-Result<AppendAnswer, LogError> AppendWith(
-    httplib::Client& client,
-    const Stream& stream,
-    const std::vector<LogRecord>& records) {
-  const auto response =
-      client.Post(fmt::format("/v1/streams/{}/append", stream.value),
-                  EncodeAppendBody(AppendBody{records}), kJsonType);
+// What a request without its body takes on the wire.
+inline constexpr std::size_t kRequestOverhead = 200;
+
+LogTraffic TrafficOf(const httplib::Result& response, std::size_t sent) {
+  std::size_t received = 0;
+  if (response) {
+    received = response->body.size();
+    for (const auto& [key, value] : response->headers) {
+      received += key.size() + value.size() + 4;
+    }
+  }
+  return {Bytes{static_cast<std::int64_t>(sent + kRequestOverhead)},
+          Bytes{static_cast<std::int64_t>(received)}};
+}
+
+Result<AppendAnswer, LogError> AppendWith(httplib::Client& client,
+                                          const Stream& stream,
+                                          const std::vector<LogRecord>& records,
+                                          LogTraffic& traffic) {
+  const std::string body = EncodeAppendBody(AppendBody{records});
+  const auto response = client.Post(
+      fmt::format("/v1/streams/{}/append", stream.value), body, kJsonType);
+  traffic = TrafficOf(response, body.size());
   if (!response || response->status != 200) {
     return failure(ErrorOf(response));
   }
@@ -51,12 +69,14 @@
 Result<ReadAnswer, LogError> ReadWith(httplib::Client& client,
                                       const Stream& stream,
                                       Offset from,
-                                      Duration wait) {
+                                      Duration wait,
+                                      LogTraffic& traffic) {
   const auto wait_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   const auto response =
       client.Get(fmt::format("/v1/streams/{}/records?from={}&max={}&wait_ms={}",
                              stream.value, from.value, kMaxBatch, wait_ms));
+  traffic = TrafficOf(response, 0);
   if (!response || response->status != 200) {
     return failure(ErrorOf(response));
   }
@@ -80,14 +100,17 @@
     const LogServiceOptions& options,
     const Stream& stream,
     const std::vector<LogRecord>& records) {
-  return impl::AppendWith(*impl::Connect(options), stream, records);
+  LogTraffic traffic;
+  return impl::AppendWith(*impl::Connect(options), stream, records, traffic);
 }
 
 Result<ReadAnswer, LogError> ReadOnce(const LogServiceOptions& options,
                                       const Stream& stream,
                                       Offset from,
                                       Duration wait) {
-  return impl::ReadWith(*impl::Connect(options, wait), stream, from, wait);
+  LogTraffic traffic;
+  return impl::ReadWith(*impl::Connect(options, wait), stream, from, wait,
+                        traffic);
 }
 
 LogClient::LogClient(LogServiceOptions options, Callbacks callbacks)
@@ -158,8 +181,10 @@
   bool acknowledged = false;
   for (std::int64_t attempt = 1; attempt <= this->options.append_attempts;
        ++attempt) {
-    const auto answer =
-        impl::AppendWith(*impl::Connect(this->options), stream, records);
+    LogTraffic traffic;
+    const auto answer = impl::AppendWith(*impl::Connect(this->options), stream,
+                                         records, traffic);
+    this->callbacks.traffic(traffic);
     if (answer) {
       acknowledged = true;
       break;
@@ -183,29 +208,37 @@
   Backoff backoff{.random = std::minstd_rand(this->options.seed)};
   Offset next = follow.from;
   bool end_reported = false;
+  int failures = 0;
   auto client = impl::Connect(this->options, this->options.read_wait);
   while (!stop.stop_requested()) {
-    auto answer =
-        impl::ReadWith(*client, follow.stream, next,
-                       end_reported ? this->options.read_wait : Duration{});
+    LogTraffic traffic;
+    auto answer = impl::ReadWith(
+        *client, follow.stream, next,
+        end_reported ? this->options.read_wait : Duration{}, traffic);
+    this->callbacks.traffic(traffic);
     if (!answer) {
       Log(LogLevel::kWarn, "read_failed",
           {{"stream", follow.stream.value},
            {"code", static_cast<int>(answer.error().code)}});
       if (answer.error().code == LogErrorCode::kExpired) {
         next = answer.error().first;
+      } else if (++failures == impl::kFailingAfter) {
+        this->callbacks.read_state(LogReadState{follow.stream, true});
       }
       WaitUnlessStopped(stop, NextDelay(backoff));
       continue;
     }
     Reset(backoff);
+    if (std::exchange(failures, 0) >= impl::kFailingAfter) {
+      this->callbacks.read_state(LogReadState{follow.stream, false});
+    }
     ReadAnswer& batch = answer.value();
-    next = batch.next;
+    const Offset from = std::exchange(next, batch.next);
     if (batch.records.empty() && std::exchange(end_reported, true)) {
       continue;
     }
     this->callbacks.batch(
-        LogBatch{follow.stream, std::move(batch.records), next});
+        LogBatch{follow.stream, std::move(batch.records), next, from});
   }
 }
 
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -20,7 +20,6 @@
 #include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
 #include "chicorystep/systems/claims.h"
-#include "chicorystep/systems/config_stream.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
@@ -43,17 +42,21 @@
   world.self = Self{
       .id = settings.id,
       .incarnation = MakeIncarnation(),
+      .address = settings.peers,
       .zone = settings.zone,
       .region = settings.region,
       .heartbeat_interval = settings.heartbeat_interval,
       .member_timeout = settings.member_timeout,
       .lease_time = settings.lease_time,
+      .log_retention = settings.log_retention,
       .worker_poll_interval = settings.worker_poll_interval,
       .announce_time = settings.announce_time,
       .drain_time = settings.drain_time,
       .max_waiting_requests =
           static_cast<std::size_t>(settings.max_waiting_requests),
       .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
+      .job_limits = {.max_pieces = settings.max_pieces,
+                     .max_command = settings.max_command},
       .link_bytes_per_second = settings.link_bytes_per_second,
       .max_claims = static_cast<std::size_t>(settings.max_claims),
       .claim_window = settings.claim_window,
@@ -73,8 +76,9 @@
             MakeWorld(entry_settings),
             [this](Outbox&& outbox) { this->CarryOut(std::move(outbox)); },
             [this] { this->StopServing(); }),
-        caller_context{this->control, this->desk, this->executors,
-                       this->settings} {}
+        caller_context{this->control,  this->desk,     this->executors,
+                       this->settings, this->refusals, this->metrics},
+        admin_context{this->control, this->metrics, this->refusals} {}
 
   void CarryOut(Outbox&& outbox);
   // Ends the callers' listener while the control loop still answers those on
@@ -83,10 +87,12 @@
 
   const EntrySettings& settings;
   Metrics metrics;
+  RecentRefusals refusals;
   ExchangeDesk desk;
   HttpClientPool executors;
   ControlLoop control;
   CallerContext caller_context;
+  AdminContext admin_context;
   std::unique_ptr<HttpServer> admin;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<LogClient> log;
@@ -117,6 +123,9 @@
   for (SendHeartbeat& heartbeat : outbox.heartbeats) {
     this->peers->Send(std::move(heartbeat));
   }
+  for (FetchConfig& fetch : outbox.config_fetches) {
+    this->peers->Send(std::move(fetch));
+  }
   for (ForwardJobOperation& forward : outbox.forwards) {
     this->peers->Send(std::move(forward));
   }
@@ -143,12 +152,14 @@
   RegisterMetrics(process.metrics);
 
   process.admin = std::make_unique<HttpServer>(HttpServerOptions{});
-  AddAdminRoutes(process.admin->Routes(), control, process.metrics.registry);
+  AddAdminRoutes(process.admin->Routes(), process.admin_context);
   process.callers = std::make_unique<HttpServer>(
       HttpServerOptions{.threads = settings.caller_threads,
                         .keep_alive_requests = settings.keep_alive_requests,
                         .keep_alive_time = settings.keep_alive_time,
                         .read_timeout = settings.read_timeout,
+                        .receive_timeout = settings.receive_timeout,
+                        .max_head = settings.max_head,
                         .max_body = settings.max_body});
   AddCallerRoutes(process.callers->Routes(), process.caller_context);
 
@@ -163,7 +174,10 @@
                         .seed = MakeIncarnation().value},
       LogClient::Callbacks{
           .append_ended =
-              [&control](AppendEnded ended) {
+              [&control, &process](AppendEnded ended) {
+                if (!ended.acknowledged) {
+                  process.metrics.appends_unconfirmed->Increment();
+                }
                 control.Post([&](Inbox& inbox) {
                   inbox.appends_ended.push_back(std::move(ended));
                 });
@@ -173,8 +187,20 @@
                 control.Post([&](Inbox& inbox) {
                   inbox.log_batches.push_back(std::move(batch));
                 });
+              },
+          .read_state =
+              [&control](LogReadState state) {
+                control.Post([&](Inbox& inbox) {
+                  inbox.log_read_states.push_back(std::move(state));
+                });
+              },
+          .traffic =
+              [&metrics = process.metrics](const LogTraffic& traffic) {
+                metrics.log_bytes_sent->Increment(
+                    static_cast<double>(traffic.sent.value));
+                metrics.log_bytes_received->Increment(
+                    static_cast<double>(traffic.received.value));
               }});
-  process.log->Follow(FollowStream{ConfigStream(), Offset{}});
   process.log->Follow(FollowStream{ClaimStream(), Offset{}});
   process.workers = std::make_unique<WorkerClient>(
       settings.worker_threads, settings.platform_timeout,
@@ -219,11 +245,19 @@
   return 0;
 }
 
+void PrintSettings() {
+  for (const auto& [name, default_value, expected] : DescribeEntrySettings()) {
+    fmt::print("{:<32} {:<12} {}\n", name,
+               default_value.empty() ? "required" : default_value, expected);
+  }
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("chicorystep-entry",
                            "Serves callers and holds placement cells.");
   options.add_options()("settings", "INI file with the settings (required)",
                         cxxopts::value<std::string>(), "FILE")(
+      "help-settings", "Print every key of the settings, with its default")(
       "version", "Print the version")("help", "Print this help");
   std::string file;
   try {
@@ -232,6 +266,10 @@
       fmt::print("{}\n", options.help());
       return 0;
     }
+    if (arguments.count("help-settings") != 0) {
+      PrintSettings();
+      return 0;
+    }
     if (arguments.count("version") != 0) {
       fmt::print("chicorystep-entry {}\n", kVersion);
       return 0;
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -33,12 +33,15 @@
   Duration instances_interval = std::chrono::seconds(1);
   Duration platform_timeout = std::chrono::seconds(5);
   std::int64_t append_attempts = 8;
+  Duration log_retention = std::chrono::hours(24);
 
   // [callers]
   std::int64_t caller_threads = 256;
   std::int64_t keep_alive_requests = 1'000'000;
   Duration keep_alive_time = std::chrono::seconds(60);
   Duration read_timeout = std::chrono::seconds(10);
+  Duration receive_timeout = std::chrono::seconds(60);
+  Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
@@ -52,6 +55,8 @@
 
   // [jobs]
   std::int64_t max_waiting_jobs = 20'000;
+  std::int64_t max_pieces = 1024;
+  Bytes max_command{64 << 10};
   Duration lease_time = std::chrono::seconds(10);
   Duration worker_poll_interval = std::chrono::seconds(1);
   std::int64_t worker_threads = 8;
@@ -65,6 +70,18 @@
   Duration drain_time = std::chrono::seconds(30);
 };
 
+// One key of the settings file.
+struct SettingDescription {
+  // "section.key".
+  std::string name;
+  // As it would be written; empty for a key without a default.
+  std::string default_value;
+  std::string expected;
+};
+
+// Every key, in the order of the page that documents them.
+[[nodiscard]] std::vector<SettingDescription> DescribeEntrySettings();
+
 // Checks the whole document and reports every fault in it.
 [[nodiscard]] Result<EntrySettings, std::vector<SettingsFault>>
 ReadEntrySettings(const IniDocument& document);
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -10,7 +10,9 @@
 #include <utility>
 
 #include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/job_check.h"
 #include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/job_status.h"
 
 namespace chicorystep {
 namespace impl {
@@ -61,6 +63,11 @@
                        JobOperation& operation,
                        Outbox& outbox) {
   JobSpec& spec = operation.spec;
+  if (auto refusal = CheckJob(spec, world.self.job_limits)) {
+    outbox.ended_job_operations.push_back(
+        EndJobOperation{operation.exchange, std::move(refusal), JobStatus{}});
+    return false;
+  }
   const auto route = world.config.routes.find(spec.kind);
   if (route == world.config.routes.end()) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownKind,
@@ -109,8 +116,7 @@
   if (const Job* job = cell.jobs.find(operation.spec.id)) {
     if (IsSameJob(job->spec, operation.spec)) {
       outbox.ended_job_operations.push_back(EndJobOperation{
-          operation.exchange, std::nullopt,
-          JobStatus{job->spec.id, job->state, job->end_detail}});
+          operation.exchange, std::nullopt, DescribeJob(cell, *job)});
     } else {
       Refuse(outbox, operation, Execution::kNotRun, Reason::kDuplicateId,
              "the request id names another job");
@@ -141,9 +147,8 @@
                                 .job = JobSpec{.id = job.spec.id}},
                      outbox);
   }
-  outbox.ended_job_operations.push_back(
-      EndJobOperation{operation.exchange, std::nullopt,
-                      JobStatus{job.spec.id, job.state, job.end_detail}});
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      operation.exchange, std::nullopt, DescribeJob(cell, job)});
 }
 
 void HandleOne(World& world,
@@ -178,9 +183,8 @@
     Cancel(world, cell->second, *job, operation, outbox);
     return;
   }
-  outbox.ended_job_operations.push_back(
-      EndJobOperation{operation.exchange, std::nullopt,
-                      JobStatus{job->spec.id, job->state, job->end_detail}});
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      operation.exchange, std::nullopt, DescribeJob(cell->second, *job)});
 }
 
 }  // namespace impl
