--- a/bench/requests_bench.cc
+++ b/bench/requests_bench.cc
@@ -199,7 +199,7 @@
 
   void Push(Event event) {
     event.order = ++this->order;
-    this->events.push(std::move(event));
+    this->events.push(event);
   }
 
   void StartAttempt(std::size_t entry, const SendAttempt& sent, TimePoint now) {
