--- a/chicorystep/systems/packing.cc
+++ b/chicorystep/systems/packing.cc
@@ -339,7 +339,7 @@
     }
     Shape wanted = slot.shape;
     wanted.adjacency = std::max(shape.adjacency, slot.shape.adjacency);
-    const auto rows = ChooseWorkers(cell, wanted, offers);
+    auto rows = ChooseWorkers(cell, wanted, offers);
     std::vector<WorkerId> after;
     for (const std::size_t row : rows.value_or(std::vector<std::size_t>{})) {
       after.push_back(cell.workers.keys[row]);
--- a/chicorystep/systems/scheduling.cc
+++ b/chicorystep/systems/scheduling.cc
@@ -25,12 +25,33 @@
 namespace impl {
 
 // Placing runs at most this often, so that a burst of events costs one run.
-inline constexpr Duration kPlacementInterval = std::chrono::milliseconds(10);
+inline constexpr Duration kPlacementInterval = std::chrono::milliseconds(20);
 // Urgent work starts within a second, so it waits less for checkpoints.
 inline constexpr Duration kUrgentGrace = std::chrono::milliseconds(500);
 // Jobs looked at in one queue and in one run.
 inline constexpr std::size_t kQueueScan = 16;
-inline constexpr std::size_t kMaxTries = 256;
+inline constexpr std::size_t kMaxTries = 64;
+
+// What a gang's borrowed place depends on, beside the state of the cell.
+struct BorrowKey {
+  Priority priority = Priority::kNormal;
+  std::int64_t level = 0;
+  Shape shape;
+
+  friend auto operator<=>(const BorrowKey&, const BorrowKey&) = default;
+};
+
+// What stopping work would free depends on the gang only by this.
+struct StopKey {
+  Preemption why = Preemption::kOrder;
+  Priority priority = Priority::kNormal;
+  std::int64_t level = 0;
+  // Of a gang that moves others; zero otherwise.
+  Accelerators size;
+  bool has_hold = false;
+
+  friend auto operator<=>(const StopKey&, const StopKey&) = default;
+};
 
 // What one run of placing has found so far.
 struct PlacementRun {
@@ -42,8 +63,13 @@
   std::size_t tries = 0;
   // Accelerators borrowed by each pool.
   std::map<PoolKey, std::int64_t> borrowed;
-  // Shapes that were not placed; nothing has become free since.
-  std::set<std::pair<PoolKey, Shape>> refused;
+  // Guaranteed accelerators that each pool does not use.
+  std::map<PoolKey, std::int64_t> spare;
+  // Gangs that found no place; nothing has become free since.
+  std::set<std::pair<PoolKey, Shape>> refused_guaranteed;
+  std::set<BorrowKey> refused_borrowers;
+  // What stopping work would free, until a gang is placed.
+  std::map<StopKey, Offers> stoppable;
 };
 
 // How long the work that is stopped for `job` may take for its checkpoint.
@@ -62,6 +88,9 @@
   PlacementRun run{.config = world.config, .self = world.self, .now = now};
   for (const Worker& worker : cell.workers.rows) {
     run.usable.push_back(IsOnOffer(worker, world.self, now));
+    for (const Reservation& held : worker.reservations) {
+      run.spare[held.pool] += (held.reserved - held.used).accelerators.value;
+    }
   }
   for (const JobId& id : cell.active) {
     const Job& job = *cell.jobs.find(id);
@@ -164,14 +193,35 @@
   return true;
 }
 
+// What stopping work for `job` would free on each worker.
+const Offers& Stoppable(PlacementRun& run,
+                        const Cell& cell,
+                        const Job& job,
+                        Preemption why) {
+  const bool moves = why == Preemption::kDefragment;
+  const StopKey key{
+      .why = why,
+      .priority = job.priority,
+      .level = LevelOf(job, run.now),
+      .size = moves ? AcceleratorsOf(job.spec.shape) : Accelerators{},
+      .has_hold = moves && cell.hold && cell.hold->job == job.spec.id};
+  const auto [entry, is_new] = run.stoppable.try_emplace(key);
+  if (is_new) {
+    entry->second.room.resize(cell.workers.size());
+    OfferStoppable(cell, job, why, run.now, entry->second);
+  }
+  return entry->second;
+}
+
 // Places the job where other work can be stopped for it.
 bool PlaceByStopping(PlacementRun& run, Cell& cell, Job& job, Preemption why) {
+  const Offers& stoppable = Stoppable(run, cell, job, why);
   Offers offers = MakeOffers(run, cell, job,
                              [](const Worker& worker) { return worker.free; });
-  OfferStoppable(cell, job, why, run.now, offers);
+  offers.cost = stoppable.cost;
   for (std::size_t row = 0; row < run.usable.size(); ++row) {
-    if (!run.usable[row] || job.failed_on.contains(cell.workers.keys[row])) {
-      offers.room[row] = Capacity{};
+    if (run.usable[row] && !job.failed_on.contains(cell.workers.keys[row])) {
+      offers.room[row] = offers.room[row] + stoppable.room[row];
     }
   }
   const auto rows = ChooseWorkers(cell, job.spec.shape, offers);
@@ -231,23 +281,52 @@
   return false;
 }
 
-bool PlaceGang(PlacementRun& run, Cell& cell, Job& job) {
+// Places the job within its pool's guarantees unless they are used up.
+bool TryGuaranteed(PlacementRun& run, Cell& cell, Job& job) {
   const PoolKey key{job.pool, job.spec.workspace};
-  const Pool* pool = FindPool(run, job);
-  if (pool == nullptr ||
-      (job.failed_on.empty() && run.refused.contains({key, job.spec.shape}))) {
+  const Shape& shape = job.spec.shape;
+  const auto spare = run.spare.find(key);
+  if (spare == run.spare.end() || spare->second < AcceleratorsOf(shape).value ||
+      run.refused_guaranteed.contains({key, shape})) {
+    return false;
+  }
+  ++run.tries;
+  if (!PlaceGuaranteed(run, cell, job)) {
+    run.refused_guaranteed.emplace(key, shape);
+    return false;
+  }
+  spare->second -= AcceleratorsOf(shape).value;
+  return true;
+}
+
+// Places the job on room that is not its pool's.
+bool TryBorrowing(PlacementRun& run, Cell& cell, Job& job) {
+  const BorrowKey key{job.priority, LevelOf(job, run.now), job.spec.shape};
+  const bool has_hold = cell.hold && cell.hold->job == job.spec.id;
+  if (!has_hold && job.failed_on.empty() &&
+      run.refused_borrowers.contains(key)) {
     return false;
   }
   ++run.tries;
-  const bool placed = PlaceGuaranteed(run, cell, job) ||
-                      (pool->borrows && PlaceBorrower(run, cell, job));
-  if (!placed) {
-    run.refused.emplace(key, job.spec.shape);
+  if (!PlaceBorrower(run, cell, job)) {
+    run.refused_borrowers.insert(key);
     return false;
   }
-  if (!job.guaranteed) {
-    run.borrowed[key] += AcceleratorsOf(job.spec.shape).value;
+  run.borrowed[PoolKey{job.pool, job.spec.workspace}] +=
+      AcceleratorsOf(job.spec.shape).value;
+  return true;
+}
+
+bool PlaceGang(PlacementRun& run, Cell& cell, Job& job) {
+  const Pool* pool = FindPool(run, job);
+  if (pool == nullptr) {
+    return false;
+  }
+  if (!TryGuaranteed(run, cell, job) &&
+      !(pool->borrows && TryBorrowing(run, cell, job))) {
+    return false;
   }
+  run.stoppable.clear();
   if (cell.hold && cell.hold->job == job.spec.id) {
     cell.hold.reset();
   }
