--- a/completion/chicorystepctl.bash
+++ b/completion/chicorystepctl.bash
@@ -4,8 +4,8 @@
 _chicorystepctl() {
   local word=${COMP_WORDS[COMP_CWORD]}
   local previous=${COMP_WORDS[COMP_CWORD - 1]}
-  local commands="check publish show request submit job watch cancel state explain"
-  local options="--log --entry --admin --author --dry-run --workspace --id
+  local commands="check publish show history rollback request submit job watch cancel state explain"
+  local options="--log --entry --admin --author --dry-run --wait --wait-ms --workspace --id
     --deadline-ms --body --body-file --pieces --accelerators --cores
     --memory-mib --adjacent --command --attach --json --version --help"
   local command="" i
@@ -23,8 +23,8 @@
   if [[ $word == -* ]]; then
     case $command in
       check) options="--help" ;;
-      publish) options="--log --author --dry-run --help" ;;
-      show) options="--log --help" ;;
+      publish | rollback) options="--log --admin --author --dry-run --wait --wait-ms --help" ;;
+      show | history) options="--log --help" ;;
       request) options="--entry --workspace --id --deadline-ms --body --body-file --help" ;;
       submit) options="--entry --workspace --id --pieces --accelerators --cores --memory-mib --adjacent --command --attach --json --help" ;;
       job | watch | cancel) options="--entry --workspace --json --help" ;;
--- a/tests/support/ready_config.h
+++ b/tests/support/ready_config.h
@@ -1,7 +1,10 @@
 #ifndef TESTS_SUPPORT_READY_CONFIG_H_
 #define TESTS_SUPPORT_READY_CONFIG_H_
 
+#include <chrono>
+
 #include "chicorystep/control/world.h"
+#include "chicorystep/core/units.h"
 
 namespace chicorystep::testing {
 
@@ -11,6 +14,8 @@
   world.config_sync.based = true;
   world.config_sync.caught_up = true;
   world.config_ready = true;
+  // Started before the first tick, so that no tick follows the stream anew.
+  world.config_sync.started = TimePoint(std::chrono::seconds(-1));
 }
 
 }  // namespace chicorystep::testing
