Let the fakes' workers keep the new rule for messages and checkpoints

Cause: the gang protocol now orders messages by (epoch, sequence) and may ask for a checkpoint; the fake workers of the schedules answered without the sequence, so no gang started and quiet_schedule_serves_everything said so. Ruled out: a fault of the protocol, which gang_protocol_test and history_test run. Change: the fakes obey the rule that the stand-in obeys.

--- a/tests/support/fakes.h
+++ b/tests/support/fakes.h
@@ -52,7 +52,10 @@
 };
 
 struct FakeWorker {
+  // Only messages of a higher epoch, or of this one and a higher sequence, are
+  // obeyed.
   Epoch epoch;
+  MessageSequence sequence;
   std::map<LeaseId, FakeLease> leases;
 };
 
@@ -282,6 +285,12 @@
        TryOf(lease.command.lease), lease.command.piece, done});
 }
 
+// Whether a task runs, or waits checkpointed, under the lease.
+inline bool HoldsTask(const FakeLease& lease) {
+  return lease.state == PieceState::kRunning ||
+         lease.state == PieceState::kCheckpointed;
+}
+
 // Ends tasks and leases that are due at the worker.
 inline void PassWorkerTime(Fakes& fakes, const WorkerId& id) {
   FakeWorker& worker = fakes.workers[id];
@@ -291,7 +300,7 @@
       lease.state = PieceState::kDone;
       RecordStop(fakes, id, lease, lease.done, true);
     }
-    if (lease.state == PieceState::kRunning && fakes.now >= lease.lapses) {
+    if (HoldsTask(lease) && fakes.now >= lease.lapses) {
       RecordStop(fakes, id, lease, lease.lapses, false);
     }
   }
@@ -319,8 +328,12 @@
     }
   } else if (found == worker.leases.end()) {
     return;
-  } else if (command.kind != WorkerCommandKind::kStart) {
+  } else if (command.kind == WorkerCommandKind::kCheckpoint) {
     if (found->second.state == PieceState::kRunning) {
+      found->second.state = PieceState::kCheckpointed;
+    }
+  } else if (command.kind != WorkerCommandKind::kStart) {
+    if (HoldsTask(found->second)) {
       RecordStop(fakes, id, found->second, fakes.now, false);
     }
     worker.leases.erase(found);
@@ -338,16 +351,21 @@
   WorkerAnswered answer{.worker = message.worker,
                         .zone = message.zone,
                         .epoch = message.epoch,
+                        .sequence = message.sequence,
                         .answered = true};
   FakeWorker& worker = fakes.workers[message.worker];
   PassWorkerTime(fakes, message.worker);
-  if (message.epoch < worker.epoch) {
+  if (std::pair(message.epoch, message.sequence) <=
+      std::pair(worker.epoch, worker.sequence)) {
     answer.stale_epoch = true;
     return answer;
   }
   worker.epoch = message.epoch;
+  worker.sequence = message.sequence;
   for (auto& [id, lease] : worker.leases) {
-    lease.lapses = fakes.now + message.lease_time;
+    if (message.renew) {
+      lease.lapses = fakes.now + message.lease_time;
+    }
   }
   for (const WorkerCommand& command : message.commands) {
     CarryOut(fakes, message.worker, command);
@@ -365,7 +383,8 @@
                         bool answered) {
   WorkerAnswered answer{.worker = flight.message.worker,
                         .zone = flight.message.zone,
-                        .epoch = flight.message.epoch};
+                        .epoch = flight.message.epoch,
+                        .sequence = flight.message.sequence};
   if (arrives) {
     const WorkerAnswered real = Obey(fakes, flight.message);
     answer = answered ? real : answer;
