--- a/chicorystep/encoding/job_record.cc
+++ b/chicorystep/encoding/job_record.cc
@@ -12,10 +12,10 @@
 
 template <typename Archive>
 void VisitFields(Archive& archive, CellRecord& record) {
-  archive("kind", record.kind);
-  archive("holder", record.holder);
-  archive("epoch", record.epoch);
-  archive("job", record.job);
+  archive.Required("kind", record.kind);
+  archive.Required("holder", record.holder);
+  archive.Required("epoch", record.epoch);
+  archive.Required("job", record.job);
   archive("recorded_try", record.recorded_try);
   archive("accepted", record.accepted);
   archive("cancel_requested", record.cancel_requested);
--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells.cc
@@ -1,7 +1,6 @@
 #include "chicorystep/systems/cells.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <chrono>
@@ -16,6 +15,7 @@
 #include "chicorystep/systems/gangs.h"
 #include "chicorystep/systems/job_check.h"
 #include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/rendezvous.h"
 
 namespace chicorystep {
 namespace impl {
@@ -23,11 +23,6 @@
 // How long a record that was not acknowledged waits for its next append.
 inline constexpr Duration kAppendPause = std::chrono::seconds(1);
 
-std::uint64_t RendezvousWeight(const Zone& zone, const EntryId& entry) {
-  const std::string key = zone.value + '\0' + entry.value;
-  return XXH3_64bits(key.data(), key.size());
-}
-
 // Takes one listed worker into the cell; true when the plan may change by it.
 bool UpdateWorker(Cell& cell, const ListedWorker& listed, TimePoint now) {
   Worker* known = cell.workers.find(listed.id);
@@ -279,12 +274,12 @@
 
 EntryId PreferredHolder(const World& world, const Zone& zone, TimePoint now) {
   EntryId best = world.self.id;
-  std::uint64_t best_weight = impl::RendezvousWeight(zone, best);
+  std::uint64_t best_weight = RendezvousWeight(zone.value, best);
   for (const Member& member : world.members.table.rows) {
     if (!IsAlive(member, world.self, now)) {
       continue;
     }
-    const std::uint64_t weight = impl::RendezvousWeight(zone, member.id);
+    const std::uint64_t weight = RendezvousWeight(zone.value, member.id);
     if (std::pair(weight, member.id) > std::pair(best_weight, best)) {
       best = member.id;
       best_weight = weight;
--- a/chicorystep/systems/executor_choice.cc
+++ b/chicorystep/systems/executor_choice.cc
@@ -39,7 +39,7 @@
                  : executor.listed.slots;
 }
 
-// What holds for every attempt that is chosen for now.
+// What is the same for every executor that one choice looks at.
 struct Choice {
   World& world;
   const Request& request;
