Give the stand-in's test the message sequence; tell truly why a job waits

A waiting job whose pieces fit was told so without a word on what is kept for guarantees. Change: the messages are numbered; the reason names what may hold the job back.

--- a/chicorystep/systems/job_status.cc
+++ b/chicorystep/systems/job_status.cc
@@ -99,6 +99,12 @@
         "{} of {} pieces fit on {} even if nothing ran; workers are missing",
         room.whole, shape.pieces, place);
   }
+  if (room.free >= shape.pieces) {
+    return fmt::format(
+        "it fits in what is free on {} and starts unless that is kept for "
+        "guarantees or earlier gangs; {} jobs wait before it",
+        place, WaitingBefore(cell, job));
+  }
   return fmt::format(
       "{} of {} pieces fit in what is free on {}; {} jobs wait before it",
       std::min(room.free, shape.pieces), shape.pieces, place,
--- a/tests/standin_faults_test.cc
+++ b/tests/standin_faults_test.cc
@@ -24,12 +24,12 @@
 const Call kExecutions = {"GET", "/v1/executions", ""};
 const Call kStart = {
     "POST", "/v1/commands",
-    R"({"holder":"e","epoch":1,"lease_time_us":9000000,"commands":[)"
+    R"({"holder":"e","epoch":1,"sequence":1,"lease_time_us":9000000,"commands":[)"
     R"({"op":"reserve","lease":"j/1/0","job":"j","piece":0,"accelerators":1},)"
     R"({"op":"start","lease":"j/1/0","job":"j","piece":0}]})"};
 const Call kPoll = {
     "POST", "/v1/commands",
-    R"({"holder":"e","epoch":1,"lease_time_us":9000000,"commands":[]})"};
+    R"({"holder":"e","epoch":1,"sequence":2,"lease_time_us":9000000,"commands":[]})"};
 
 // The status of the answer and a part of it; kNone when there is no answer.
 constexpr int kNone = 0;
