Let the simulated cell read only its own stream's records

Ruled out: the product, whose readers check the result and look at their own stream. Change: the simulation looks at the cell's stream and verifies that its records decode.

--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <boost/assert.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -199,8 +200,14 @@
   inbox.appends_ended.push_back(AppendEnded{append.stream, append.id, true});
   inbox.log_batches.push_back(
       LogBatch{append.stream, {record}, Offset(sim.log.size())});
-  const CellRecord value = DecodeCellRecord(append.data).value();
-  if (value.kind == CellRecordKind::kJobEnded) {
+  // The cell's process also writes to the stream of the configuration.
+  if (append.stream != CellStream(kSimulatedZone)) {
+    return;
+  }
+  const auto decoded = DecodeCellRecord(append.data);
+  BOOST_VERIFY(decoded.has_value());
+  if (const CellRecord& value = decoded.value();
+      value.kind == CellRecordKind::kJobEnded) {
     SimulatedJob& job = sim.jobs[value.job.id];
     job.ended = sim.now;
     job.end_state = value.end_state;
