--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -5,12 +5,12 @@
 #include <time.h>
 
 #include <algorithm>
-#include <boost/assert.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -205,7 +205,10 @@
     return;
   }
   const auto decoded = DecodeCellRecord(append.data);
-  BOOST_VERIFY(decoded.has_value());
+  if (!decoded) {
+    throw std::runtime_error("a record of the cell does not decode: " +
+                             decoded.error().detail);
+  }
   if (const CellRecord& value = decoded.value();
       value.kind == CellRecordKind::kJobEnded) {
     SimulatedJob& job = sim.jobs[value.job.id];
