--- /dev/null
+++ b/tests/job_zone_test.cc
@@ -0,0 +1,90 @@
+#define BOOST_TEST_MODULE job_zone
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/job_operations.h"
+#include "tests/support/ready_config.h"
+
+namespace chicorystep::testing {
+namespace {
+
+const TimePoint kNow(std::chrono::seconds(1));
+
+// A process that holds no cell, so that it passes each submission on, with
+// workers in `zones` and a pool that guarantees nothing.
+World MakeWorld(const std::vector<std::string>& zones) {
+  World world;
+  MakeConfigReady(world);
+  world.self.member_timeout = std::chrono::seconds(2);
+  const Kind kind("train");
+  world.config.routes[kind] = Route{.kind = kind, .pool = PoolName("main")};
+  const PoolKey key{PoolName("main"), Workspace("w1")};
+  world.config.pools[key] = Pool{.key = key, .borrows = true};
+  for (int i = 0; i < 30; ++i) {
+    const EntryId id(fmt::format("entry-{}", i));
+    world.members.table.insert(id, Member{.id = id, .heard = kNow});
+  }
+  for (const std::string& zone : zones) {
+    world.instances.workers.push_back(
+        ListedWorker{.id = WorkerId("worker-" + zone), .zone = Zone(zone)});
+  }
+  const auto holds_one = [&] {
+    for (const std::string zone : {"z1", "z2", "z3"}) {
+      if (PreferredHolder(world, Zone(zone), kNow) == world.self.id) {
+        return true;
+      }
+    }
+    return false;
+  };
+  for (int i = 0; i == 0 || holds_one(); ++i) {
+    world.self.id = EntryId(fmt::format("self-{}", i));
+  }
+  return world;
+}
+
+JobId IdGiven(const std::vector<std::string>& zones, int request) {
+  World world = MakeWorld(zones);
+  Inbox inbox;
+  inbox.job_operations.push_back(JobOperation{
+      .kind = JobOperationKind::kSubmit,
+      .spec = JobSpec{.request_id = RequestId(fmt::format("r{}", request)),
+                      .workspace = Workspace("w1"),
+                      .kind = Kind("train"),
+                      .shape = Shape{.accelerators = Accelerators{1}},
+                      .command = "run"}});
+  Outbox outbox;
+  HandleJobOperations(world, inbox, kNow, outbox);
+  return outbox.forwards.empty() ? JobId{}
+                                 : outbox.forwards[0].operation.spec.id;
+}
+
+struct ZoneCase {
+  std::string name;
+  std::vector<std::string> at_submission;
+  std::vector<std::string> at_repeat;
+};
+
+const std::vector<ZoneCase> kZoneCases = {
+    {"the same list", {"z1", "z2"}, {"z1", "z2"}},
+    {"another order", {"z1", "z2"}, {"z2", "z1"}},
+    {"a zone is listed late", {"z1", "z2"}, {"z1", "z2", "z3"}},
+};
+
+BOOST_AUTO_TEST_CASE(repeat_of_a_submission_names_the_same_job) {
+  for (const ZoneCase& sample : kZoneCases) {
+    for (int request = 0; request < 16; ++request) {
+      BOOST_TEST_CONTEXT(sample.name << ", request " << request) {
+        const JobId first = IdGiven(sample.at_submission, request);
+        BOOST_TEST(!first.empty());
+        BOOST_TEST((IdGiven(sample.at_repeat, request) == first));
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::testing
