--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -15,9 +15,9 @@
 #include <thread>
 #include <vector>
 
+#include "chicorystep/clients/log_client.h"
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/platform/log_client.h"
 #include "chicorystep/systems/config_stream.h"
 #include "chicorystep/systems/guarantee_check.h"
 #include "tests/support/cluster.h"
--- a/chicorystep/chicorystep.h
+++ b/chicorystep/chicorystep.h
@@ -8,7 +8,6 @@
 #include "chicorystep/control/mailbox.h"
 #include "chicorystep/control/tick.h"
 #include "chicorystep/control/view.h"
-#include "chicorystep/control/world.h"
 #include "chicorystep/core/enum_names.h"
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/logging.h"
@@ -38,5 +37,6 @@
 #include "chicorystep/tables/log.h"
 #include "chicorystep/tables/members.h"
 #include "chicorystep/tables/requests.h"
+#include "chicorystep/tables/world.h"
 
 #endif  // CHICORYSTEP_CHICORYSTEP_H_
--- a/chicorystep/platform/backoff.h
+++ b/chicorystep/clients/backoff.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_PLATFORM_BACKOFF_H_
-#define CHICORYSTEP_PLATFORM_BACKOFF_H_
+#ifndef CHICORYSTEP_CLIENTS_BACKOFF_H_
+#define CHICORYSTEP_CLIENTS_BACKOFF_H_
 
 #include <algorithm>
 #include <condition_variable>
@@ -44,4 +44,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_PLATFORM_BACKOFF_H_
+#endif  // CHICORYSTEP_CLIENTS_BACKOFF_H_
--- a/chicorystep/platform/byte_budget.h
+++ b/chicorystep/clients/byte_budget.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_PLATFORM_BYTE_BUDGET_H_
-#define CHICORYSTEP_PLATFORM_BYTE_BUDGET_H_
+#ifndef CHICORYSTEP_CLIENTS_BYTE_BUDGET_H_
+#define CHICORYSTEP_CLIENTS_BYTE_BUDGET_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -42,4 +42,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_PLATFORM_BYTE_BUDGET_H_
+#endif  // CHICORYSTEP_CLIENTS_BYTE_BUDGET_H_
--- a/chicorystep/platform/config_reader.cc
+++ b/chicorystep/clients/config_reader.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/platform/config_reader.h"
+#include "chicorystep/clients/config_reader.h"
 
 #include <utility>
 
--- a/chicorystep/platform/config_reader.h
+++ b/chicorystep/clients/config_reader.h
@@ -1,11 +1,11 @@
-#ifndef CHICORYSTEP_PLATFORM_CONFIG_READER_H_
-#define CHICORYSTEP_PLATFORM_CONFIG_READER_H_
+#ifndef CHICORYSTEP_CLIENTS_CONFIG_READER_H_
+#define CHICORYSTEP_CLIENTS_CONFIG_READER_H_
 
 #include <cstdint>
 #include <functional>
 
+#include "chicorystep/clients/log_client.h"
 #include "chicorystep/core/result.h"
-#include "chicorystep/platform/log_client.h"
 #include "chicorystep/systems/config_edits.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/log.h"
@@ -37,4 +37,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_PLATFORM_CONFIG_READER_H_
+#endif  // CHICORYSTEP_CLIENTS_CONFIG_READER_H_
--- a/chicorystep/platform/instance_list_client.cc
+++ b/chicorystep/clients/instance_list_client.cc
@@ -1,13 +1,13 @@
-#include "chicorystep/platform/instance_list_client.h"
+#include "chicorystep/clients/instance_list_client.h"
 
 #include <httplib.h>
 
 #include <string>
 #include <utility>
 
+#include "chicorystep/clients/backoff.h"
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/instance_list.h"
-#include "chicorystep/platform/backoff.h"
 #include "chicorystep/traffic/http_client.h"
 
 namespace chicorystep {
--- a/chicorystep/platform/log_client.cc
+++ b/chicorystep/clients/log_client.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/platform/log_client.h"
+#include "chicorystep/clients/log_client.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
@@ -6,9 +6,9 @@
 #include <chrono>
 #include <utility>
 
+#include "chicorystep/clients/backoff.h"
+#include "chicorystep/clients/byte_budget.h"
 #include "chicorystep/core/logging.h"
-#include "chicorystep/platform/backoff.h"
-#include "chicorystep/platform/byte_budget.h"
 #include "chicorystep/traffic/headers.h"
 #include "chicorystep/traffic/http_client.h"
 
--- a/chicorystep/platform/log_client.h
+++ b/chicorystep/clients/log_client.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_PLATFORM_LOG_CLIENT_H_
-#define CHICORYSTEP_PLATFORM_LOG_CLIENT_H_
+#ifndef CHICORYSTEP_CLIENTS_LOG_CLIENT_H_
+#define CHICORYSTEP_CLIENTS_LOG_CLIENT_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -124,4 +124,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_PLATFORM_LOG_CLIENT_H_
+#endif  // CHICORYSTEP_CLIENTS_LOG_CLIENT_H_
--- a/chicorystep/platform/worker_client.cc
+++ b/chicorystep/clients/worker_client.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/platform/worker_client.h"
+#include "chicorystep/clients/worker_client.h"
 
 #include <utility>
 
--- a/chicorystep/platform/worker_client.h
+++ b/chicorystep/clients/worker_client.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_PLATFORM_WORKER_CLIENT_H_
-#define CHICORYSTEP_PLATFORM_WORKER_CLIENT_H_
+#ifndef CHICORYSTEP_CLIENTS_WORKER_CLIENT_H_
+#define CHICORYSTEP_CLIENTS_WORKER_CLIENT_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -43,4 +43,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_PLATFORM_WORKER_CLIENT_H_
+#endif  // CHICORYSTEP_CLIENTS_WORKER_CLIENT_H_
--- a/chicorystep/control/loop.h
+++ b/chicorystep/control/loop.h
@@ -11,7 +11,8 @@
 #include "chicorystep/control/mailbox.h"
 #include "chicorystep/control/tick.h"
 #include "chicorystep/control/view.h"
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
@@ -56,7 +57,7 @@
   std::function<void(Outbox&&)> carry_out;
   std::function<void()> drained;
   std::chrono::steady_clock::time_point started;
-  Mailbox mailbox;
+  Mailbox<Inbox> mailbox;
   std::atomic<std::shared_ptr<const View>> view;
   asio::io_context context;
   asio::steady_timer timer;
--- a/chicorystep/control/mailbox.h
+++ b/chicorystep/control/mailbox.h
@@ -4,31 +4,31 @@
 #include <mutex>
 #include <utility>
 
-#include "chicorystep/control/world.h"
-
 namespace chicorystep {
 
 // Collects what the traffic threads post for the next tick.
+template <typename Messages>
 struct Mailbox {
   std::mutex mutex;
-  Inbox inbox;
+  Messages inbox;
   // Whether a tick has been asked for since the inbox was last taken.
   bool tick_requested = false;
 };
 
 // Lets `fill` add to the inbox; true when a tick must now be requested.
-template <typename Fill>
-[[nodiscard]] bool Post(Mailbox& mailbox, Fill fill) {
+template <typename Messages, typename Fill>
+[[nodiscard]] bool Post(Mailbox<Messages>& mailbox, Fill fill) {
   const std::scoped_lock lock(mailbox.mutex);
   fill(mailbox.inbox);
   return !std::exchange(mailbox.tick_requested, true);
 }
 
 // Takes everything posted so far.
-[[nodiscard]] inline Inbox TakeInbox(Mailbox& mailbox) {
+template <typename Messages>
+[[nodiscard]] Messages TakeInbox(Mailbox<Messages>& mailbox) {
   const std::scoped_lock lock(mailbox.mutex);
   mailbox.tick_requested = false;
-  return std::exchange(mailbox.inbox, Inbox{});
+  return std::exchange(mailbox.inbox, Messages{});
 }
 
 }  // namespace chicorystep
--- a/chicorystep/control/view.h
+++ b/chicorystep/control/view.h
@@ -1,7 +1,7 @@
 #ifndef CHICORYSTEP_CONTROL_VIEW_H_
 #define CHICORYSTEP_CONTROL_VIEW_H_
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- /dev/null
+++ b/chicorystep/control/workflow_loop.h
@@ -0,0 +1,58 @@
+#ifndef CHICORYSTEP_CONTROL_WORKFLOW_LOOP_H_
+#define CHICORYSTEP_CONTROL_WORKFLOW_LOOP_H_
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <utility>
+
+#include "chicorystep/control/mailbox.h"
+#include "chicorystep/control/workflow_tick.h"
+
+namespace chicorystep {
+
+// The time since the start of the machine, including time in which it was
+// suspended; every time that a workflow tick sees is on this clock.
+[[nodiscard]] TimePoint BootTimeNow();
+[[nodiscard]] UnixMillis WallClockNow();
+
+// The control thread's loop of the workflow scheduler: it owns the world, runs
+// a tick when something was posted or is due, and sleeps otherwise.
+class WorkflowLoop {
+ public:
+  // `carry_out` gets the outbox and the world after each tick, on the control
+  // thread, and must not block.
+  WorkflowLoop(
+      WorkflowWorld initial,
+      std::function<void(WorkflowOutbox&&, const WorkflowWorld&)> carry_out);
+
+  // Runs on the calling thread until `Stop`.
+  void Run();
+  void Stop();
+
+  // Adds to the next tick's inbox; safe from any thread.
+  template <typename Fill>
+  void Post(Fill fill) {
+    if (chicorystep::Post(this->mailbox, std::move(fill))) {
+      asio::post(this->context, [this] { this->RunTick(); });
+    }
+  }
+
+  // Lets `inspect` read the world on the control thread between two ticks.
+  void Inspect(std::function<void(const WorkflowWorld&)> inspect);
+
+ private:
+  void RunTick();
+  void ScheduleNext(const WorkflowTime& time);
+
+  WorkflowWorld world;
+  std::function<void(WorkflowOutbox&&, const WorkflowWorld&)> carry_out;
+  Mailbox<WorkflowInbox> mailbox;
+  asio::io_context context;
+  asio::steady_timer timer;
+};
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_CONTROL_WORKFLOW_LOOP_H_
--- /dev/null
+++ b/chicorystep/control/workflow_tick.cc
@@ -0,0 +1,71 @@
+#include "chicorystep/control/workflow_tick.h"
+
+#include <algorithm>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/task_placement.h"
+#include "chicorystep/systems/task_workers.h"
+#include "chicorystep/systems/workflow_calls.h"
+#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflow_progress.h"
+#include "chicorystep/systems/workflow_streams.h"
+
+namespace chicorystep {
+namespace {
+
+// What time alone changes, such as a lapsed lease, is looked at this often.
+constexpr Duration kHolderPeriod = std::chrono::milliseconds(100);
+constexpr Duration kFollowerPeriod = std::chrono::milliseconds(250);
+
+void BeginStop(WorkflowWorld& world,
+               const WorkflowInbox& inbox,
+               const WorkflowTime& time) {
+  if (inbox.self) {
+    world.self = *inbox.self;
+  }
+  if (inbox.stop && !world.stopping) {
+    world.stopping = true;
+    world.stop_by = time.now + world.self.stop_time;
+    world.holding.release_wanted = true;
+    Log(LogLevel::kInfo, "stopping", {});
+  }
+}
+
+}  // namespace
+
+WorkflowOutbox WorkflowTick(WorkflowWorld& world,
+                            const WorkflowInbox& inbox,
+                            const WorkflowTime& time) {
+  WorkflowOutbox outbox;
+  BeginStop(world, inbox, time);
+  ApplyStreamReads(world, inbox, time);
+  EndHolderAppend(world, inbox, time);
+  KeepHolding(world, time);
+  ApplyWorkerListings(world, inbox, time);
+  ApplyOrdersEnded(world, inbox, time);
+  ExpireWorkers(world, time);
+
+  HandleCalls(world, inbox, time, outbox);
+  EndCalls(world, inbox, time, outbox);
+
+  AdvanceWorkflows(world, time);
+  PlaceTasks(world, time);
+  WriteHolderRecords(world, time, outbox);
+  AppendCalls(world, time.now, outbox);
+  SendOrders(world, time.now, outbox);
+  FollowStreams(world, time.now, outbox);
+  return outbox;
+}
+
+TimePoint NextWorkflowDue(const WorkflowWorld& world,
+                          const WorkflowTime& time) {
+  const bool holds = world.holding.state != HoldingState::kFollowing;
+  const TimePoint period = time.now + (holds ? kHolderPeriod : kFollowerPeriod);
+  const TimePoint due = std::min(
+      {period, NextReadDue(world), NextHolderDue(world), NextOrderDue(world),
+       NextPlacementDue(world), NextOccurrenceDue(world, time)});
+  // A time that has passed is due now, but never twice at the same instant.
+  return std::max(due, time.now + std::chrono::milliseconds(1));
+}
+
+}  // namespace chicorystep
--- a/chicorystep/core/logging.cc
+++ b/chicorystep/core/logging.cc
@@ -3,6 +3,9 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cctype>
 #include <chrono>
@@ -17,8 +20,29 @@
   std::mutex mutex;
   LogLevel lowest = LogLevel::kInfo;
   std::string process_name;
+  LogOutput output = LogOutput::kStandardError;
+  // Lines that may still be written in the present second, and what was lost.
+  std::int64_t second = 0;
+  std::uint32_t written = 0;
+  std::uint64_t dropped = 0;
 };
 
+// Lines a second of the bounded output: some times the events of a busy
+// scheduler, and far below what a slow reader takes.
+constexpr std::uint32_t kMaxLinesPerSecond = 400;
+
+// Writes `line` unless that would block or exceed the rate.
+void WriteBounded(LogSink& sink, std::string_view line, std::int64_t second) {
+  if (second != sink.second) {
+    sink.second = second;
+    sink.written = 0;
+  }
+  if (++sink.written > kMaxLinesPerSecond ||
+      ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+    ++sink.dropped;
+  }
+}
+
 LogSink& Sink() {
   static LogSink sink;
   return sink;
@@ -45,11 +69,20 @@
 
 }  // namespace
 
-void ConfigureLogging(LogLevel lowest, std::string process_name) {
+void ConfigureLogging(LogLevel lowest,
+                      std::string process_name,
+                      LogOutput output) {
   LogSink& sink = Sink();
   const std::scoped_lock lock(sink.mutex);
   sink.lowest = lowest;
   sink.process_name = std::move(process_name);
+  sink.output = output;
+  if (output == LogOutput::kBoundedStandardOutput) {
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+      ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
 }
 
 std::string QuoteLogValue(std::string_view value) {
@@ -89,8 +122,19 @@
   for (const LogField& field : fields) {
     line += fmt::format(" {}={}", field.key, QuoteLogValue(field.value));
   }
+  if (sink.dropped > 0) {
+    line += fmt::format(" lines_dropped_before={}", sink.dropped);
+  }
   line += '\n';
-  fmt::print(stderr, "{}", line);
+  if (sink.output == LogOutput::kStandardError) {
+    fmt::print(stderr, "{}", line);
+    return;
+  }
+  const std::uint64_t dropped = sink.dropped;
+  WriteBounded(sink, line, now.time_since_epoch().count() / 1000);
+  if (sink.dropped == dropped) {
+    sink.dropped = 0;
+  }
 }
 
 }  // namespace chicorystep
--- a/chicorystep/core/logging.h
+++ b/chicorystep/core/logging.h
@@ -28,11 +28,17 @@
       : key(field_key), value(fmt::format("{}", number)) {}
 };
 
-// Sets the lowest level that is written, and the name that every line carries.
-// Call once, before other threads log.
-void ConfigureLogging(LogLevel lowest, std::string process_name);
+// Where lines go. The bounded output never blocks: it drops lines beyond a rate
+// or when nobody reads, and says later how many.
+enum class LogOutput : std::uint8_t { kStandardError, kBoundedStandardOutput };
 
-// Writes one line to standard error: time=... level=... process=... event=...
+// Sets the lowest level that is written, the name that every line carries, and
+// the output. Call once, before other threads log.
+void ConfigureLogging(LogLevel lowest,
+                      std::string process_name,
+                      LogOutput output = LogOutput::kStandardError);
+
+// Writes one line to the output: time=... level=... process=... event=...
 // and the fields. Safe from any thread; never writes payloads or keys, which
 // is up to the caller.
 void Log(LogLevel level,
--- a/chicorystep/core/units.h
+++ b/chicorystep/core/units.h
@@ -34,6 +34,9 @@
 
 // A due time that never comes.
 inline constexpr TimePoint kNever = TimePoint::max();
+// A time before anything that a process has seen; unlike the earliest time
+// point, it can be subtracted from.
+inline constexpr TimePoint kLongAgo{-std::chrono::hours(24 * 365)};
 
 }  // namespace chicorystep
 
--- /dev/null
+++ b/chicorystep/encoding/workflow_record.cc
@@ -0,0 +1,301 @@
+#include "chicorystep/encoding/workflow_record.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace chicorystep {
+namespace {
+
+// Short member names: every entry reads every record, over links that are paid
+// by volume.
+using PlainJson = nlohmann::json;
+
+constexpr std::string_view kAcceptedPrefix = "a-";
+constexpr std::string_view kCancelPrefix = "c-";
+constexpr std::string_view kProgressPrefix = "s-";
+constexpr std::string_view kHolderKey = "holder";
+
+PlainJson ToPlain(const StepSpec& step) {
+  PlainJson json = {{"n", step.count}};
+  const auto number = [&](const char* name, std::int64_t value) {
+    if (value != 0) {
+      json[name] = value;
+    }
+  };
+  number("cpu", step.need.processors.value);
+  number("mem", step.need.memory.value);
+  number("acc", step.need.accelerators.value);
+  number("est", step.estimate.count());
+  number("max", step.max_per_worker);
+  const auto flag = [&](const char* name, bool value) {
+    if (value) {
+      json[name] = true;
+    }
+  };
+  flag("gang", step.gang);
+  flag("rack", step.same_rack);
+  flag("save", step.saves_progress);
+  flag("spec", step.speculative);
+  flag("long", step.long_running);
+  flag("fill", step.fills_idle);
+  if (!step.required_label.empty()) {
+    json["label"] = step.required_label;
+  }
+  if (!step.data_rack.empty()) {
+    json["near"] = step.data_rack.value;
+  }
+  for (const StepIndex needed : step.depends_on) {
+    json["after"].push_back(needed.value);
+  }
+  return json;
+}
+
+StepSpec StepFromPlain(const PlainJson& json) {
+  StepSpec step;
+  step.count = json.at("n").get<std::uint32_t>();
+  step.need.processors = Millicores(json.value("cpu", std::int64_t{0}));
+  step.need.memory = Mebibytes(json.value("mem", std::int64_t{0}));
+  step.need.accelerators = Accelerators(json.value("acc", std::int64_t{0}));
+  step.estimate = Duration(json.value("est", std::int64_t{0}));
+  step.max_per_worker = json.value("max", 0U);
+  step.gang = json.value("gang", false);
+  step.same_rack = json.value("rack", false);
+  step.saves_progress = json.value("save", false);
+  step.speculative = json.value("spec", false);
+  step.long_running = json.value("long", false);
+  step.fills_idle = json.value("fill", false);
+  step.required_label = json.value("label", std::string());
+  step.data_rack = Rack(json.value("near", std::string()));
+  if (const auto after = json.find("after"); after != json.end()) {
+    for (const PlainJson& needed : *after) {
+      step.depends_on.emplace_back(needed.get<std::uint32_t>());
+    }
+  }
+  return step;
+}
+
+KeyedValue Encode(const AcceptedRecord& record) {
+  PlainJson json = {
+      {"p", record.spec.payload},        {"at", record.accepted.value},
+      {"r", record.terms.route.value},   {"w", record.terms.workspace.value},
+      {"s", record.terms.service.value}, {"pr", record.terms.priority},
+      {"ma", record.terms.max_attempts}, {"ta", record.terms.target.count()},
+      {"st", record.terms.stretch}};
+  if (record.spec.occurrences > 0) {
+    json["times"] = {record.spec.occurrences, record.spec.first_due.value,
+                     record.spec.interval.count()};
+  }
+  json["steps"] = PlainJson::array();
+  for (const StepSpec& step : record.spec.steps) {
+    json["steps"].push_back(ToPlain(step));
+  }
+  return KeyedValue{fmt::format("{}{}", kAcceptedPrefix, record.id.value),
+                    json.dump()};
+}
+
+AcceptedRecord DecodeAccepted(WorkflowId id, const PlainJson& json) {
+  AcceptedRecord record{.id = std::move(id)};
+  record.spec.payload = json.at("p").get<std::string>();
+  record.accepted = UnixMillis(json.at("at").get<std::int64_t>());
+  record.terms.route = RouteName(json.at("r").get<std::string>());
+  record.terms.workspace = Workspace(json.at("w").get<std::string>());
+  record.terms.service = Service(json.at("s").get<std::string>());
+  record.terms.priority = json.at("pr").get<std::uint32_t>();
+  record.terms.max_attempts = json.at("ma").get<std::uint32_t>();
+  record.terms.target = Duration(json.at("ta").get<std::int64_t>());
+  record.terms.stretch = json.at("st").get<double>();
+  if (const auto times = json.find("times"); times != json.end()) {
+    record.spec.occurrences = times->at(0).get<std::uint32_t>();
+    record.spec.first_due = UnixMillis(times->at(1).get<std::int64_t>());
+    record.spec.interval = Duration(times->at(2).get<std::int64_t>());
+  }
+  for (const PlainJson& step : json.at("steps")) {
+    record.spec.steps.push_back(StepFromPlain(step));
+  }
+  return record;
+}
+
+// Which tasks are done, four to a hexadecimal digit.
+std::string DoneDigits(const std::vector<Task>& tasks) {
+  std::string digits;
+  for (std::size_t i = 0; i < tasks.size(); i += 4) {
+    int digit = 0;
+    for (std::size_t j = i; j < tasks.size() && j < i + 4; ++j) {
+      digit |= (tasks[j].state == TaskState::kDone ? 1 : 0) << (j - i);
+    }
+    digits += fmt::format("{:x}", digit);
+  }
+  return digits;
+}
+
+bool IsDoneIn(const std::string& digits, std::size_t index) {
+  const std::size_t at = index / 4;
+  if (at >= digits.size()) {
+    return false;
+  }
+  const char c = digits[at];
+  const int digit = c <= '9' ? c - '0' : c - 'a' + 10;
+  return ((digit >> (index % 4)) & 1) != 0;
+}
+
+PlainJson ToPlain(const StepRun& run) {
+  PlainJson others = PlainJson::array();
+  for (std::size_t i = 0; i < run.tasks.size(); ++i) {
+    const Task& task = run.tasks[i];
+    if (task.state == TaskState::kDone || task.run.empty()) {
+      continue;
+    }
+    PlainJson entry = {i, task.run.value, task.failures};
+    if (HoldsRoom(task.state)) {
+      entry.push_back(task.worker.value);
+      entry.push_back(task.life.value);
+    } else {
+      entry.push_back("");
+      entry.push_back(0);
+    }
+    if (!task.checkpoint.empty()) {
+      entry.push_back(task.checkpoint);
+    }
+    others.push_back(std::move(entry));
+  }
+  return {run.occurrence.value, run.step.value, run.tasks.size(),
+          run.done == 0 ? std::string() : DoneDigits(run.tasks),
+          std::move(others)};
+}
+
+StepRun RunFromPlain(const PlainJson& json) {
+  StepRun run{.occurrence = Occurrence(json.at(0).get<std::uint32_t>()),
+              .step = StepIndex(json.at(1).get<std::uint32_t>())};
+  run.tasks.resize(json.at(2).get<std::uint32_t>());
+  const auto done = json.at(3).get<std::string>();
+  for (std::size_t i = 0; i < run.tasks.size(); ++i) {
+    if (IsDoneIn(done, i)) {
+      run.tasks[i].state = TaskState::kDone;
+      ++run.done;
+    }
+  }
+  for (const PlainJson& entry : json.at(4)) {
+    Task& task = run.tasks.at(entry.at(0).get<std::size_t>());
+    task.run = RunNumber(entry.at(1).get<std::uint32_t>());
+    task.failures = entry.at(2).get<std::uint32_t>();
+    task.worker = WorkerId(entry.at(3).get<std::string>());
+    task.life = WorkerLife(entry.at(4).get<std::uint64_t>());
+    if (!task.worker.empty()) {
+      task.state = TaskState::kRunning;
+    }
+    if (entry.size() > 5) {
+      task.checkpoint = entry.at(5).get<std::string>();
+    }
+  }
+  return run;
+}
+
+KeyedValue Encode(const ProgressRecord& record) {
+  PlainJson json = {{"e", record.epoch.value},
+                    {"s", std::string(NameOf(record.state))}};
+  if (IsOver(record.state)) {
+    json["o"] = record.over_since.value;
+  } else {
+    json["t"] = PlainJson::array();
+    for (const StepRun& run : record.runs) {
+      json["t"].push_back(ToPlain(run));
+    }
+  }
+  return KeyedValue{fmt::format("{}{}", kProgressPrefix, record.id.value),
+                    json.dump()};
+}
+
+ProgressRecord DecodeProgress(WorkflowId id, const PlainJson& json) {
+  ProgressRecord record{.id = std::move(id)};
+  record.epoch = Epoch(json.at("e").get<std::uint64_t>());
+  const auto name = json.at("s").get<std::string>();
+  const auto state = FromName<WorkflowState>(name);
+  if (!state) {
+    throw std::runtime_error("no such state: " + name);
+  }
+  record.state = *state;
+  record.over_since = UnixMillis(json.value("o", std::int64_t{0}));
+  if (const auto runs = json.find("t"); runs != json.end()) {
+    for (const PlainJson& run : *runs) {
+      record.runs.push_back(RunFromPlain(run));
+    }
+  }
+  return record;
+}
+
+KeyedValue Encode(const HolderRecord& record) {
+  const PlainJson json = {{"e", record.epoch.value},
+                          {"h", record.holder.value},
+                          {"i", record.incarnation.value},
+                          {"r", record.released}};
+  return KeyedValue{std::string(kHolderKey), json.dump()};
+}
+
+HolderRecord DecodeHolder(const PlainJson& json) {
+  return HolderRecord{
+      .epoch = Epoch(json.at("e").get<std::uint64_t>()),
+      .holder = EntryId(json.at("h").get<std::string>()),
+      .incarnation = Incarnation(json.at("i").get<std::uint64_t>()),
+      .released = json.at("r").get<bool>()};
+}
+
+}  // namespace
+
+std::vector<KeyedValue> EncodeJournalRecord(const JournalRecord& record) {
+  if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
+    return {Encode(*accepted)};
+  }
+  if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+    return {Encode(*progress)};
+  }
+  if (const auto* holder = std::get_if<HolderRecord>(&record)) {
+    return {Encode(*holder)};
+  }
+  if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
+    return {
+        KeyedValue{fmt::format("{}{}", kCancelPrefix, cancel->id.value), "1"}};
+  }
+  const std::string& id = std::get<ForgetRecord>(record).id.value;
+  // The acceptance goes last: without it the others mean nothing.
+  return {KeyedValue{fmt::format("{}{}", kCancelPrefix, id), std::nullopt},
+          KeyedValue{fmt::format("{}{}", kProgressPrefix, id), std::nullopt},
+          KeyedValue{fmt::format("{}{}", kAcceptedPrefix, id), std::nullopt}};
+}
+
+Result<std::optional<JournalRecord>, EncodingError> DecodeJournalRecord(
+    std::string_view key,
+    const std::optional<std::string>& value) {
+  if (!value) {
+    if (key.starts_with(kAcceptedPrefix)) {
+      return std::optional<JournalRecord>(ForgetRecord{
+          .id = WorkflowId(std::string(key.substr(kAcceptedPrefix.size())))});
+    }
+    return std::optional<JournalRecord>();
+  }
+  try {
+    if (key.starts_with(kCancelPrefix)) {
+      return std::optional<JournalRecord>(CancelRecord{
+          .id = WorkflowId(std::string(key.substr(kCancelPrefix.size())))});
+    }
+    const PlainJson json = PlainJson::parse(*value);
+    if (key == kHolderKey) {
+      return std::optional<JournalRecord>(DecodeHolder(json));
+    }
+    if (key.starts_with(kAcceptedPrefix)) {
+      return std::optional<JournalRecord>(DecodeAccepted(
+          WorkflowId(std::string(key.substr(kAcceptedPrefix.size()))), json));
+    }
+    if (key.starts_with(kProgressPrefix)) {
+      return std::optional<JournalRecord>(DecodeProgress(
+          WorkflowId(std::string(key.substr(kProgressPrefix.size()))), json));
+    }
+  } catch (const std::exception& error) {
+    return EncodingError{fmt::format("{}: {}", key, error.what())};
+  }
+  return EncodingError{fmt::format("{}: no such kind of record", key)};
+}
+
+}  // namespace chicorystep
--- a/chicorystep/programs/ctl_tables.cc
+++ b/chicorystep/programs/ctl_tables.cc
@@ -13,10 +13,10 @@
 #include <variant>
 #include <vector>
 
+#include "chicorystep/clients/backoff.h"
+#include "chicorystep/clients/config_reader.h"
+#include "chicorystep/clients/log_client.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/platform/backoff.h"
-#include "chicorystep/platform/config_reader.h"
-#include "chicorystep/platform/log_client.h"
 #include "chicorystep/programs/ctl_commands.h"
 #include "chicorystep/settings/entry_settings.h"
 #include "chicorystep/settings/table_files.h"
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -12,12 +12,12 @@
 #include <thread>
 #include <utility>
 
+#include "chicorystep/clients/instance_list_client.h"
+#include "chicorystep/clients/log_client.h"
+#include "chicorystep/clients/worker_client.h"
 #include "chicorystep/control/loop.h"
 #include "chicorystep/core/logging.h"
 #include "chicorystep/core/version.h"
-#include "chicorystep/platform/instance_list_client.h"
-#include "chicorystep/platform/log_client.h"
-#include "chicorystep/platform/worker_client.h"
 #include "chicorystep/settings/entry_settings.h"
 #include "chicorystep/systems/claims.h"
 #include "chicorystep/traffic/admin_server.h"
--- a/chicorystep/systems/cell_state.h
+++ b/chicorystep/systems/cell_state.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/cells.h
+++ b/chicorystep/systems/cells.h
@@ -3,8 +3,9 @@
 
 #include <optional>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/systems/job_records.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/claims.h
+++ b/chicorystep/systems/claims.h
@@ -3,9 +3,10 @@
 
 #include <optional>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/core/outcome.h"
 #include "chicorystep/tables/claims.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 // At most once: a request that is not idempotent is sent only after its claim
 // has been read back from the log as the first of its workspace and id. All
--- a/chicorystep/systems/config_stream.h
+++ b/chicorystep/systems/config_stream.h
@@ -3,10 +3,11 @@
 
 #include <string_view>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/core/result.h"
 #include "chicorystep/systems/config_edits.h"
 #include "chicorystep/tables/log.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/config_sync.h
+++ b/chicorystep/systems/config_sync.h
@@ -3,7 +3,8 @@
 
 #include <vector>
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/executor_health.h
+++ b/chicorystep/systems/executor_health.h
@@ -1,7 +1,7 @@
 #ifndef CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
 #define CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/gangs.h
+++ b/chicorystep/systems/gangs.h
@@ -3,7 +3,8 @@
 
 #include <string>
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/job_check.h
+++ b/chicorystep/systems/job_check.h
@@ -12,12 +12,6 @@
 inline constexpr std::int64_t kMostPieces = 100'000;
 inline constexpr Bytes kMostCommand{64 << 20};
 
-// What a job may ask for at most.
-struct JobLimits {
-  std::int64_t max_pieces = 1024;
-  Bytes max_command{64 << 10};
-};
-
 // Why `spec` is no sound description of a gang, whatever the capacity; empty
 // when it is one. A sound one overflows no sum over its pieces.
 [[nodiscard]] std::optional<Refusal> CheckJob(const JobSpec& spec,
--- a/chicorystep/systems/membership.h
+++ b/chicorystep/systems/membership.h
@@ -1,7 +1,8 @@
 #ifndef CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
 #define CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/packing.h
+++ b/chicorystep/systems/packing.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/systems/placement.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/preemption.h
+++ b/chicorystep/systems/preemption.h
@@ -6,8 +6,8 @@
 #include <functional>
 #include <vector>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/systems/placement.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/queues.h
+++ b/chicorystep/systems/queues.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <optional>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/tables/requests.h"
+#include "chicorystep/tables/world.h"
 
 // The waiting requests: by service, class, workspace and kind. Classes are
 // served in strict order, workspaces of a class by weighted fair queueing over
--- a/chicorystep/systems/retries.h
+++ b/chicorystep/systems/retries.h
@@ -1,7 +1,7 @@
 #ifndef CHICORYSTEP_SYSTEMS_RETRIES_H_
 #define CHICORYSTEP_SYSTEMS_RETRIES_H_
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/world.h"
 
 // Retries: only of what has certainly not run or is idempotent, and within
 // budgets that first attempts earn, one for the process and one for each
--- a/chicorystep/systems/scheduling.h
+++ b/chicorystep/systems/scheduling.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- /dev/null
+++ b/chicorystep/systems/workflow_calls.cc
@@ -0,0 +1,365 @@
+#include "chicorystep/systems/workflow_calls.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <utility>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflow_streams.h"
+
+namespace chicorystep {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Leaves time for the answer within the bound for revoked keys.
+constexpr Duration kRevokeMargin = milliseconds(700);
+// A call ends this long before its caller gives up, so that the answer arrives.
+constexpr Duration kAnswerMargin = milliseconds(150);
+// What a refused caller is told: outages of the store last seconds.
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+// Callers that may wait for an append; each is worth about a kilobyte.
+constexpr std::size_t kMaxQueued = 500;
+// An append that was rejected or got no answer is tried again after this.
+constexpr Duration kAppendRetry = milliseconds(150);
+// Unready when the store has not answered for this long.
+constexpr Duration kUnreadyAfter = milliseconds(2500);
+
+constexpr std::size_t kIdLength = 16;
+
+bool IsWorkflowId(std::string_view text) {
+  return text.size() == kIdLength &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+void Answer(const PendingCall& pending,
+            CallAnswer answer,
+            WorkflowOutbox& outbox) {
+  answer.exchange = pending.call.exchange;
+  if (answer.result != CallResult::kOk || pending.call.kind != CallKind::kGet) {
+    Log(LogLevel::kInfo, "call_answered",
+        {{"call", std::string(NameOf(pending.call.kind))},
+         {"workflow", pending.workflow.value},
+         {"result", std::string(NameOf(answer.result))},
+         {"detail", answer.detail}});
+  }
+  outbox.answers.push_back(std::move(answer));
+}
+
+void Refuse(const PendingCall& pending,
+            std::string detail,
+            WorkflowOutbox& outbox) {
+  Answer(pending,
+         CallAnswer{.result = CallResult::kRefused,
+                    .detail = std::move(detail),
+                    .retry_after = kRetryAfter},
+         outbox);
+}
+
+std::int64_t CountWaiting(const WorkflowWorld& world, const RouteName& route) {
+  return std::count_if(world.workflows.rows.begin(), world.workflows.rows.end(),
+                       [&](const Workflow& workflow) {
+                         return workflow.terms.route == route &&
+                                workflow.spec.occurrences == 0 &&
+                                !workflow.cancel_requested &&
+                                workflow.shown == WorkflowState::kQueued;
+                       });
+}
+
+// Whether appends get no answer and nothing shows that they would again.
+bool StoreIsSilent(const WorkflowWorld& world) {
+  const auto journal = world.streams.find(FollowedStream::kJournal);
+  return world.callers.silent_since != kNever &&
+         (journal == world.streams.end() ||
+          journal->second.succeeded < world.callers.silent_since);
+}
+
+// Queues `record` for an append on behalf of the caller.
+void QueueAppend(WorkflowWorld& world,
+                 PendingCall pending,
+                 JournalRecord record,
+                 WorkflowOutbox& outbox) {
+  if (StoreIsSilent(world)) {
+    Refuse(pending, "the store does not answer", outbox);
+    return;
+  }
+  if (world.callers.queued.size() >= kMaxQueued) {
+    Refuse(pending, "too many callers wait for the store", outbox);
+    return;
+  }
+  pending.record = std::move(record);
+  world.callers.queued.push_back(std::move(pending));
+}
+
+// Answers a get or a cancel of a workflow that is in the table.
+void HandleKnown(WorkflowWorld& world,
+                 const PendingCall& pending,
+                 const Workflow& workflow,
+                 WorkflowOutbox& outbox) {
+  const bool cancelled = workflow.cancel_requested && !IsOver(workflow.shown);
+  if (pending.call.kind == CallKind::kGet) {
+    Answer(pending,
+           CallAnswer{.state = cancelled ? WorkflowState::kCancelled
+                                         : workflow.shown},
+           outbox);
+  } else if (cancelled || IsOver(workflow.shown)) {
+    Answer(pending, CallAnswer{}, outbox);
+  } else {
+    QueueAppend(world, pending, CancelRecord{.id = pending.workflow}, outbox);
+  }
+}
+
+void Submit(WorkflowWorld& world,
+            const PendingCall& pending,
+            const WorkflowRoute& route,
+            const Workspace& workspace,
+            const WorkflowTime& time,
+            WorkflowOutbox& outbox) {
+  if (!pending.call.spec) {
+    Answer(pending,
+           CallAnswer{.result = CallResult::kMalformed,
+                      .detail = pending.call.malformed},
+           outbox);
+    return;
+  }
+  if (world.workflows.find(pending.workflow) != nullptr) {
+    Answer(pending, CallAnswer{.detail = "known already"}, outbox);
+    return;
+  }
+  QueueAppend(
+      world, pending,
+      AcceptedRecord{.id = pending.workflow,
+                     .spec = *pending.call.spec,
+                     .terms = WorkflowTerms{.route = route.name,
+                                            .workspace = workspace,
+                                            .service = route.service,
+                                            .priority = route.priority,
+                                            .max_attempts = route.max_attempts,
+                                            .target = route.target,
+                                            .stretch = route.stretch},
+                     .accepted = time.wall},
+      outbox);
+}
+
+void HandleCall(WorkflowWorld& world,
+                const WorkflowCall& call,
+                const WorkflowTime& time,
+                WorkflowOutbox& outbox) {
+  PendingCall pending{.call = call,
+                      .arrived = time.now,
+                      .deadline = time.now + call.patience - kAnswerMargin};
+  if (!world.config) {
+    Refuse(pending, "no configuration yet", outbox);
+    return;
+  }
+  const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
+  if (route == nullptr) {
+    Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, outbox);
+    return;
+  }
+  Workspace workspace;
+  if (!route->open) {
+    if (!IsFresh(world, FollowedStream::kConfig,
+                 world.self.revoke_bound - kRevokeMargin, time.now)) {
+      Refuse(pending, "the configuration may be out of date", outbox);
+      return;
+    }
+    const auto key = world.config->keys.find(call.key);
+    if (key == world.config->keys.end()) {
+      Answer(pending, CallAnswer{.result = CallResult::kUnauthorised}, outbox);
+      return;
+    }
+    workspace = key->second;
+  }
+  if (call.kind == CallKind::kCount) {
+    if (call.path.size() > route->path_prefix.size()) {
+      Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, outbox);
+      return;
+    }
+    Answer(pending, CallAnswer{.waiting = CountWaiting(world, route->name)},
+           outbox);
+    return;
+  }
+  pending.workflow = WorkflowId(call.path.substr(route->path_prefix.size()));
+  if (!IsWorkflowId(pending.workflow.value)) {
+    Answer(pending,
+           call.kind == CallKind::kSubmit
+               ? CallAnswer{.result = CallResult::kMalformed,
+                            .detail = "the id is not 16 hexadecimal digits"}
+               : CallAnswer{.result = CallResult::kNoWorkflow},
+           outbox);
+    return;
+  }
+  if (call.kind == CallKind::kSubmit) {
+    Submit(world, pending, *route, workspace, time, outbox);
+  } else if (const Workflow* workflow =
+                 world.workflows.find(pending.workflow)) {
+    HandleKnown(world, pending, *workflow, outbox);
+  } else {
+    pending.deadline =
+        std::min(pending.deadline, time.now + milliseconds(1000));
+    world.awaiting_read.push_back(std::move(pending));
+  }
+}
+
+// Ends what waits for a read that began after the call came.
+void EndAwaitingRead(WorkflowWorld& world,
+                     const WorkflowTime& time,
+                     WorkflowOutbox& outbox) {
+  std::vector<PendingCall> waiting;
+  waiting.swap(world.awaiting_read);
+  for (PendingCall& pending : waiting) {
+    if (const Workflow* workflow = world.workflows.find(pending.workflow)) {
+      HandleKnown(world, pending, *workflow, outbox);
+    } else if (world.streams[FollowedStream::kJournal].fresh >=
+               pending.arrived) {
+      Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, outbox);
+    } else if (time.now >= pending.deadline) {
+      Refuse(pending, "the journal cannot be read", outbox);
+    } else {
+      world.awaiting_read.push_back(std::move(pending));
+    }
+  }
+}
+
+void EndWritten(WorkflowWorld& world,
+                const WorkflowTime& time,
+                WorkflowOutbox& outbox) {
+  for (PendingCall& pending : world.callers.writing) {
+    ApplyJournalRecord(world, *pending.record, time);
+    if (!pending.answered) {
+      Answer(pending, CallAnswer{}, outbox);
+    }
+  }
+  world.callers.writing.clear();
+  world.callers.silent_since = kNever;
+}
+
+// Ends or requeues what an append did not write for sure.
+void EndUnwritten(WorkflowWorld& world,
+                  bool unknown,
+                  const WorkflowTime& time,
+                  WorkflowOutbox& outbox) {
+  CallerLane& lane = world.callers;
+  std::vector<PendingCall> again;
+  for (PendingCall& pending : lane.writing) {
+    pending.doubtful = pending.doubtful || unknown;
+    if (pending.answered) {
+      continue;
+    }
+    if (pending.doubtful) {
+      again.push_back(std::move(pending));
+    } else {
+      Refuse(pending, "the store rejects writes", outbox);
+    }
+  }
+  lane.writing.clear();
+  lane.queued.insert(lane.queued.begin(),
+                     std::make_move_iterator(again.begin()),
+                     std::make_move_iterator(again.end()));
+  lane.next_try = time.now + kAppendRetry;
+  if (unknown && lane.silent_since == kNever) {
+    lane.silent_since = time.now;
+  }
+}
+
+// The final answer to a call whose time is over.
+void EndOverdue(PendingCall& pending, bool in_doubt, WorkflowOutbox& outbox) {
+  pending.answered = true;
+  if (in_doubt) {
+    Answer(pending,
+           CallAnswer{.result = CallResult::kUnknown,
+                      .detail = "the store has not confirmed it"},
+           outbox);
+  } else {
+    Refuse(pending, "the store was not reached in time", outbox);
+  }
+}
+
+}  // namespace
+
+const WorkflowRoute* MatchRoute(const WorkflowConfig& config,
+                                std::string_view host,
+                                std::string_view path) {
+  const WorkflowRoute* best = nullptr;
+  for (const WorkflowRoute& route : config.routes) {
+    if (route.host == host && path.starts_with(route.path_prefix) &&
+        (best == nullptr ||
+         route.path_prefix.size() > best->path_prefix.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+void HandleCalls(WorkflowWorld& world,
+                 const WorkflowInbox& inbox,
+                 const WorkflowTime& time,
+                 WorkflowOutbox& outbox) {
+  for (const WorkflowCall& call : inbox.calls) {
+    HandleCall(world, call, time, outbox);
+  }
+}
+
+void EndCalls(WorkflowWorld& world,
+              const WorkflowInbox& inbox,
+              const WorkflowTime& time,
+              WorkflowOutbox& outbox) {
+  CallerLane& lane = world.callers;
+  for (const JournalAppended& ended : inbox.appended) {
+    if (ended.lane != AppendLane::kCallers || !lane.under_way ||
+        ended.batch != lane.last_batch) {
+      continue;
+    }
+    lane.under_way = false;
+    if (ended.outcome == AppendOutcome::kWritten) {
+      EndWritten(world, time, outbox);
+    } else {
+      Log(LogLevel::kWarn, "append_not_confirmed",
+          {{"lane", "callers"},
+           {"outcome", std::string(NameOf(ended.outcome))},
+           {"calls", lane.writing.size()}});
+      EndUnwritten(world, ended.outcome == AppendOutcome::kUnknown, time,
+                   outbox);
+    }
+  }
+  for (PendingCall& pending : lane.writing) {
+    if (!pending.answered && time.now >= pending.deadline) {
+      EndOverdue(pending, true, outbox);
+    }
+  }
+  for (PendingCall& pending : lane.queued) {
+    if (time.now >= pending.deadline) {
+      EndOverdue(pending, pending.doubtful, outbox);
+    }
+  }
+  std::erase_if(lane.queued, [](const PendingCall& p) { return p.answered; });
+  EndAwaitingRead(world, time, outbox);
+}
+
+void AppendCalls(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox) {
+  CallerLane& lane = world.callers;
+  if (lane.under_way || lane.queued.empty() || now < lane.next_try) {
+    return;
+  }
+  AppendJournal append{.lane = AppendLane::kCallers,
+                       .batch = ++lane.last_batch};
+  for (const PendingCall& pending : lane.queued) {
+    append.records.push_back(*pending.record);
+  }
+  lane.writing.swap(lane.queued);
+  lane.under_way = true;
+  outbox.appends.push_back(std::move(append));
+}
+
+bool IsReady(const WorkflowWorld& world, TimePoint now) {
+  return world.config && !world.stopping && !StoreIsSilent(world) &&
+         IsFresh(world, FollowedStream::kConfig,
+                 kUnreadyAfter + milliseconds(1500), now) &&
+         IsFresh(world, FollowedStream::kJournal,
+                 kUnreadyAfter + milliseconds(1500), now);
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/systems/workflow_progress.cc
@@ -0,0 +1,145 @@
+#include "chicorystep/systems/workflow_progress.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflow_tables.h"
+
+namespace chicorystep {
+namespace {
+
+std::uint32_t OccurrenceCount(const WorkflowSpec& spec) {
+  return std::max<std::uint32_t>(1, spec.occurrences);
+}
+
+// When occurrence `index` may begin; untimed workflows may at once.
+UnixMillis DueAt(const WorkflowSpec& spec, std::uint32_t index) {
+  if (spec.occurrences == 0) {
+    return UnixMillis();
+  }
+  const auto interval =
+      std::chrono::duration_cast<std::chrono::milliseconds>(spec.interval);
+  return spec.first_due + UnixMillis(interval.count() * index);
+}
+
+void BeginOccurrences(WorkflowWorld& world,
+                      const WorkflowId& id,
+                      Workflow& workflow,
+                      const WorkflowTime& time) {
+  while (workflow.occurrences_begun < OccurrenceCount(workflow.spec) &&
+         DueAt(workflow.spec, workflow.occurrences_begun) <= time.wall) {
+    const Occurrence occurrence(workflow.occurrences_begun++);
+    for (std::uint32_t i = 0; i < workflow.spec.steps.size(); ++i) {
+      StepRun run{.occurrence = occurrence, .step = StepIndex(i)};
+      run.tasks.resize(workflow.spec.steps[i].count);
+      workflow.runs.push_back(std::move(run));
+    }
+    world.scheduling.placement_due = true;
+    if (workflow.spec.occurrences > 0) {
+      Log(LogLevel::kInfo, "occurrence_due",
+          {{"workflow", id.value}, {"occurrence", occurrence.value}});
+    }
+  }
+}
+
+bool HasExhaustedAttempts(const Workflow& workflow) {
+  return std::any_of(
+      workflow.runs.begin(), workflow.runs.end(), [&](const StepRun& run) {
+        return !workflow.spec.steps[run.step.value].long_running &&
+               std::any_of(
+                   run.tasks.begin(), run.tasks.end(), [&](const Task& task) {
+                     return task.failures >= workflow.terms.max_attempts;
+                   });
+      });
+}
+
+bool AnyHoldsRoom(const Workflow& workflow) {
+  return std::any_of(
+      workflow.runs.begin(), workflow.runs.end(), [](const StepRun& run) {
+        return std::any_of(run.tasks.begin(), run.tasks.end(),
+                           [](const Task& t) { return HoldsRoom(t.state); });
+      });
+}
+
+bool AllDone(const Workflow& workflow) {
+  return workflow.occurrences_begun == OccurrenceCount(workflow.spec) &&
+         std::all_of(
+             workflow.runs.begin(), workflow.runs.end(),
+             [](const StepRun& run) { return run.done == run.tasks.size(); });
+}
+
+void End(WorkflowWorld& world,
+         const WorkflowId& id,
+         Workflow& workflow,
+         WorkflowState state,
+         const WorkflowTime& time) {
+  workflow.state = state;
+  workflow.over_since = time.wall;
+  MarkDirty(world, id, workflow);
+  Log(LogLevel::kInfo, "workflow_over",
+      {{"workflow", id.value},
+       {"state", std::string(NameOf(state))},
+       {"route", workflow.terms.route.value},
+       {"workspace", workflow.terms.workspace.value},
+       {"took_ms", time.wall.value - workflow.accepted.value}});
+}
+
+void Advance(WorkflowWorld& world,
+             const WorkflowId& id,
+             Workflow& workflow,
+             const WorkflowTime& time) {
+  const bool failed = HasExhaustedAttempts(workflow);
+  if (workflow.cancel_requested || failed) {
+    for (StepRun& run : workflow.runs) {
+      StopStepRun(world, id, workflow, run, time.now);
+    }
+    if (!AnyHoldsRoom(workflow)) {
+      End(world, id, workflow,
+          workflow.cancel_requested ? WorkflowState::kCancelled
+                                    : WorkflowState::kFailed,
+          time);
+    }
+    return;
+  }
+  BeginOccurrences(world, id, workflow, time);
+  if (AllDone(workflow)) {
+    End(world, id, workflow, WorkflowState::kSucceeded, time);
+  }
+}
+
+}  // namespace
+
+void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time) {
+  if (world.holding.state != HoldingState::kHolding) {
+    return;
+  }
+  std::vector<WorkflowId> over;
+  for (const WorkflowId& id : world.scheduling.open) {
+    Workflow* workflow = world.workflows.find(id);
+    Advance(world, id, *workflow, time);
+    if (IsOver(workflow->state)) {
+      over.push_back(id);
+    }
+  }
+  for (const WorkflowId& id : over) {
+    world.scheduling.open.erase(id);
+  }
+}
+
+TimePoint NextOccurrenceDue(const WorkflowWorld& world,
+                            const WorkflowTime& time) {
+  TimePoint due = kNever;
+  for (const WorkflowId& id : world.scheduling.open) {
+    const Workflow* workflow = world.workflows.find(id);
+    if (workflow->occurrences_begun < workflow->spec.occurrences) {
+      const UnixMillis at = DueAt(workflow->spec, workflow->occurrences_begun);
+      due = std::min(due, time.now + std::chrono::milliseconds(
+                                         at.value - time.wall.value));
+    }
+  }
+  return due;
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/systems/workflow_tables.cc
@@ -0,0 +1,132 @@
+#include "chicorystep/systems/workflow_tables.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace chicorystep {
+
+TaskPlace FindTask(WorkflowWorld& world, const TaskKey& key) {
+  Workflow* workflow = world.workflows.find(key.workflow);
+  if (workflow == nullptr || key.step.value >= workflow->spec.steps.size()) {
+    return {};
+  }
+  for (StepRun& run : workflow->runs) {
+    if (run.occurrence == key.occurrence && run.step == key.step) {
+      if (key.task.value >= run.tasks.size()) {
+        return {};
+      }
+      return TaskPlace{.workflow = workflow,
+                       .spec = &workflow->spec.steps[key.step.value],
+                       .run = &run,
+                       .task = &run.tasks[key.task.value]};
+    }
+  }
+  return {};
+}
+
+void MarkDirty(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow) {
+  if (!workflow.dirty) {
+    workflow.dirty = true;
+    world.scheduling.dirty.push_back(id);
+  }
+}
+
+void ReleaseRoom(WorkflowWorld& world,
+                 const TaskKey& key,
+                 const StepSpec& spec,
+                 const Task& task) {
+  TaskWorker* worker = world.scheduling.workers.find(task.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  if (const auto held = worker->tasks.find(key);
+      held != worker->tasks.end() && held->second == task.run) {
+    worker->tasks.erase(held);
+    worker->free.accelerators += spec.need.accelerators;
+    worker->free.processors += spec.need.processors;
+    worker->free.memory += spec.need.memory;
+    world.scheduling.placement_due = true;
+  }
+}
+
+void ReturnToWaiting(WorkflowWorld& world,
+                     const TaskKey& key,
+                     const TaskPlace& place,
+                     TimePoint now) {
+  ReleaseRoom(world, key, *place.spec, *place.task);
+  place.task->state = TaskState::kWaiting;
+  place.task->since = now;
+  place.task->ordered = false;
+  MarkDirty(world, key.workflow, *place.workflow);
+  world.scheduling.placement_due = true;
+}
+
+void StopTask(WorkflowWorld& world,
+              const TaskKey& key,
+              const TaskPlace& place,
+              TimePoint now) {
+  Task& task = *place.task;
+  if (task.state == TaskState::kPlaced) {
+    ReturnToWaiting(world, key, place, now);
+    return;
+  }
+  if (task.state != TaskState::kStarting && task.state != TaskState::kRunning) {
+    return;
+  }
+  task.state = TaskState::kStopping;
+  task.since = now;
+  task.ordered = true;
+  if (TaskWorker* worker = world.scheduling.workers.find(task.worker)) {
+    // A start that has not been sent yet is dropped with it.
+    std::erase_if(worker->orders, [&](const WorkerOrder& order) {
+      return order.task == key && order.run == task.run;
+    });
+    worker->orders.push_back(WorkerOrder{.kind = OrderKind::kStop,
+                                         .worker = task.worker,
+                                         .task = key,
+                                         .run = task.run});
+  }
+}
+
+void StopStepRun(WorkflowWorld& world,
+                 const WorkflowId& id,
+                 Workflow& workflow,
+                 StepRun& run,
+                 TimePoint now) {
+  const StepSpec& spec = workflow.spec.steps[run.step.value];
+  for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
+    StopTask(world, TaskKey{id, run.occurrence, run.step, TaskIndex(i)},
+             TaskPlace{&workflow, &spec, &run, &run.tasks[i]}, now);
+  }
+}
+
+bool DependenciesMet(const Workflow& workflow, const StepRun& run) {
+  const StepSpec& spec = workflow.spec.steps[run.step.value];
+  return std::all_of(
+      spec.depends_on.begin(), spec.depends_on.end(), [&](StepIndex needed) {
+        return std::any_of(workflow.runs.begin(), workflow.runs.end(),
+                           [&](const StepRun& other) {
+                             return other.occurrence == run.occurrence &&
+                                    other.step == needed &&
+                                    other.done == other.tasks.size();
+                           });
+      });
+}
+
+Duration LongestChain(const WorkflowSpec& spec) {
+  std::vector<Duration> ends(spec.steps.size());
+  Duration longest{};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    Duration begin{};
+    for (const StepIndex needed : spec.steps[i].depends_on) {
+      if (needed.value < i) {
+        begin = std::max(begin, ends[needed.value]);
+      }
+    }
+    ends[i] = begin + spec.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+}  // namespace chicorystep
--- a/chicorystep/tables/jobs.h
+++ b/chicorystep/tables/jobs.h
@@ -78,6 +78,12 @@
   bool checkpointable = false;
 };
 
+// What a job may ask for at most.
+struct JobLimits {
+  std::int64_t max_pieces = 1024;
+  Bytes max_command{64 << 10};
+};
+
 enum class PieceState : std::uint8_t {
   kNone,
   kReserving,
--- /dev/null
+++ b/chicorystep/tables/workflow_world.h
@@ -0,0 +1,340 @@
+#ifndef CHICORYSTEP_TABLES_WORKFLOW_WORLD_H_
+#define CHICORYSTEP_TABLES_WORKFLOW_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "chicorystep/core/ids.h"
+#include "chicorystep/core/outcome.h"
+#include "chicorystep/core/table.h"
+#include "chicorystep/core/units.h"
+#include "chicorystep/tables/task_workers.h"
+#include "chicorystep/tables/workflow_config.h"
+#include "chicorystep/tables/workflows.h"
+
+namespace chicorystep {
+
+// Who this process is, and the bounds that the deployment sets.
+struct WorkflowSelf {
+  EntryId id;
+  Incarnation incarnation;
+  Zone zone;
+  // How long a lease of a task lasts, and the most that a worker grants.
+  Duration lease = std::chrono::milliseconds(5000);
+  // A revoked key must not be honoured longer than this after its removal.
+  Duration revoke_bound = std::chrono::milliseconds(5000);
+  // An accepted workflow must be visible everywhere after this.
+  Duration visible_bound = std::chrono::milliseconds(3000);
+  // How long an ended workflow's state can be asked for.
+  Duration status_kept = std::chrono::seconds(120);
+  // How long a gang's members wait for each other.
+  Duration gang_timeout = std::chrono::milliseconds(3000);
+  // How long a run may take to end after a stop order.
+  Duration stop_grace = std::chrono::milliseconds(900);
+  // How long a stopping process may go on.
+  Duration stop_time = std::chrono::seconds(6);
+  // How much longer a task takes away from its data or across racks.
+  double remote_factor = 3.0;
+  // Only with it may occurrences start this much before they are due.
+  Duration early = std::chrono::milliseconds(0);
+};
+
+// The streams of the platform's log that an entry follows.
+enum class FollowedStream : std::uint8_t { kConfig, kJournal, kWorkers };
+template <>
+inline constexpr std::array kEnumNames<FollowedStream> = {
+    std::string_view("config"),
+    std::string_view("journal"),
+    std::string_view("workers"),
+};
+
+// How far one stream has been read.
+struct StreamPosition {
+  // The next record to read; none until the newest records have been loaded.
+  std::optional<Offset> next;
+  bool read_under_way = false;
+  TimePoint next_read{};
+  // When the newest successful read began: all that was written before is
+  // known.
+  TimePoint fresh = kLongAgo;
+  // When a read last succeeded, and since when all have.
+  TimePoint succeeded = kLongAgo;
+  TimePoint reachable_since = kNever;
+  std::uint32_t failures = 0;
+  // The shortest time that a read without waiting took.
+  Duration round_trip = std::chrono::milliseconds(200);
+  bool waited = false;
+};
+
+enum class CallKind : std::uint8_t { kSubmit, kGet, kCancel, kCount };
+template <>
+inline constexpr std::array kEnumNames<CallKind> = {
+    std::string_view("submit"),
+    std::string_view("get"),
+    std::string_view("cancel"),
+    std::string_view("count"),
+};
+
+// A caller's request about a workflow, before its route is known.
+struct WorkflowCall {
+  ExchangeId exchange;
+  CallKind kind = CallKind::kGet;
+  std::string host;
+  std::string path;
+  ApiKey key;
+  // How long the caller waits for the answer.
+  Duration patience = std::chrono::seconds(3);
+  // Only of a submission: the spec, or why the body holds none.
+  std::optional<WorkflowSpec> spec;
+  std::string malformed;
+};
+
+enum class CallResult : std::uint8_t {
+  kOk,
+  kMalformed,
+  kUnauthorised,
+  kNoRoute,
+  kNoWorkflow,
+  // Not done and never will be; the caller may try again.
+  kRefused,
+  // It may or may not be done.
+  kUnknown,
+};
+template <>
+inline constexpr std::array kEnumNames<CallResult> = {
+    std::string_view("ok"),           std::string_view("malformed"),
+    std::string_view("unauthorised"), std::string_view("no_route"),
+    std::string_view("no_workflow"),  std::string_view("refused"),
+    std::string_view("unknown"),
+};
+
+struct CallAnswer {
+  ExchangeId exchange;
+  CallResult result = CallResult::kOk;
+  std::string detail;
+  Duration retry_after{};
+  // Of kGet.
+  std::optional<WorkflowState> state;
+  // Of kCount.
+  std::optional<std::int64_t> waiting;
+};
+
+// What a read of a stream brought.
+struct StreamRead {
+  FollowedStream stream = FollowedStream::kConfig;
+  bool ok = false;
+  // The records asked for are gone; the newest of each key must be loaded.
+  bool compacted = false;
+  TimePoint began{};
+  Offset next;
+  std::vector<std::pair<Offset, JournalRecord>> journal;
+  // The newest configuration among the records, if there was one.
+  std::optional<WorkflowConfig> config;
+  // Listings in their order; one without a value has left.
+  std::vector<std::pair<WorkerId, std::optional<WorkerListing>>> workers;
+  // Whether `workers` holds all that are listed.
+  bool whole = false;
+};
+
+// Reads one stream: all newest records when `from` is empty.
+struct ReadStream {
+  FollowedStream stream = FollowedStream::kConfig;
+  std::optional<Offset> from;
+  // How long the platform may hold the read until a record comes.
+  Duration wait{};
+};
+
+// Which of the two kinds of append a process writes.
+enum class AppendLane : std::uint8_t {
+  // Acceptances and cancels, by any entry.
+  kCallers,
+  // Claims and progress, fenced by the holder's epoch.
+  kHolder,
+};
+template <>
+inline constexpr std::array kEnumNames<AppendLane> = {
+    std::string_view("callers"),
+    std::string_view("holder"),
+};
+
+// Appends records to the journal, all or none.
+struct AppendJournal {
+  AppendLane lane = AppendLane::kCallers;
+  std::uint64_t batch = 0;
+  std::vector<JournalRecord> records;
+  // Only in the holder's lane.
+  Epoch epoch;
+  std::uint64_t sequence = 0;
+};
+
+enum class AppendOutcome : std::uint8_t {
+  kWritten,
+  // Surely not written.
+  kRejected,
+  // A higher epoch has written; not written.
+  kFenced,
+  // Another sequence number is expected.
+  kOutOfSequence,
+  // It may be written now or later.
+  kUnknown,
+};
+template <>
+inline constexpr std::array kEnumNames<AppendOutcome> = {
+    std::string_view("written"), std::string_view("rejected"),
+    std::string_view("fenced"),  std::string_view("out_of_sequence"),
+    std::string_view("unknown"),
+};
+
+struct JournalAppended {
+  AppendLane lane = AppendLane::kCallers;
+  std::uint64_t batch = 0;
+  AppendOutcome outcome = AppendOutcome::kUnknown;
+  Offset first;
+  std::uint64_t expected_sequence = 0;
+  TimePoint began{};
+};
+
+// A caller that waits for an append or a read.
+struct PendingCall {
+  WorkflowCall call;
+  WorkflowId workflow;
+  TimePoint arrived{};
+  TimePoint deadline{};
+  // What is to be appended for it; empty when it waits for a read.
+  std::optional<JournalRecord> record;
+  // Some append of it got no answer, so it may yet be written.
+  bool doubtful = false;
+  bool answered = false;
+};
+
+// The callers' lane: at most one append under way.
+struct CallerLane {
+  std::uint64_t last_batch = 0;
+  bool under_way = false;
+  std::vector<PendingCall> writing;
+  std::vector<PendingCall> queued;
+  TimePoint next_try{};
+  // Since when appends have got no answer; kNever while they do.
+  TimePoint silent_since = kNever;
+};
+
+enum class HoldingState : std::uint8_t {
+  kFollowing,
+  // A claim is being written or read back.
+  kClaiming,
+  kHolding,
+};
+template <>
+inline constexpr std::array kEnumNames<HoldingState> = {
+    std::string_view("following"),
+    std::string_view("claiming"),
+    std::string_view("holding"),
+};
+
+// Who places workflows, and this process's own part in it.
+struct Holding {
+  HoldingState state = HoldingState::kFollowing;
+  // The newest claim in the journal.
+  Epoch epoch;
+  EntryId holder;
+  Incarnation holder_incarnation;
+  bool released = false;
+  // When a record of the newest claim was last read.
+  TimePoint heard = kLongAgo;
+
+  // This process's claim.
+  Epoch own_epoch;
+  std::uint64_t sequence = 0;
+  TimePoint claim_due = kLongAgo;
+  TimePoint claimed{};
+  // When the newest answer of the store that confirms the claim was asked for.
+  TimePoint confirmed = kLongAgo;
+  // Orders may be sent: the claim was confirmed not long ago.
+  bool may_order = false;
+  // The batch under way, repeated until its outcome is known.
+  std::optional<AppendJournal> under_way;
+  bool append_sent = false;
+  TimePoint next_try{};
+  TimePoint last_written = kLongAgo;
+  bool release_wanted = false;
+};
+
+// One placement that waits for its record.
+struct AwaitedStart {
+  TaskKey task;
+  RunNumber run;
+};
+// Ends of a worker that count as recorded once the batch is written.
+struct AwaitedEnds {
+  WorkerId worker;
+  WorkerLife life;
+  EndNumber applied;
+};
+
+// The holder's own tables.
+struct Scheduling {
+  Table<WorkerId, TaskWorker> workers;
+  // Workflows that are not over.
+  std::unordered_set<WorkflowId> open;
+  // Workflows whose record must be written.
+  std::vector<WorkflowId> dirty;
+  // Placements in the batch under way, and in the one to come.
+  std::vector<AwaitedStart> recording;
+  std::vector<AwaitedStart> to_record;
+  std::vector<AwaitedEnds> recording_ends;
+  // Something may be placed that could not before.
+  bool placement_due = false;
+  TimePoint next_placement{};
+  // Accelerators in use by the most urgent work of each workspace.
+  std::map<Workspace, Accelerators> urgent_in_use;
+};
+
+// All control state of the workflow scheduler in one entry process.
+struct WorkflowWorld {
+  WorkflowSelf self;
+  std::optional<WorkflowConfig> config;
+  std::map<FollowedStream, StreamPosition> streams;
+  Table<WorkflowId, Workflow> workflows;
+  Holding holding;
+  Scheduling scheduling;
+  CallerLane callers;
+  // Callers that wait until the journal has been read again.
+  std::vector<PendingCall> awaiting_read;
+  bool stopping = false;
+  TimePoint stop_by = kNever;
+};
+
+// What came in since the last tick.
+struct WorkflowInbox {
+  std::vector<WorkflowCall> calls;
+  std::vector<StreamRead> reads;
+  std::vector<JournalAppended> appended;
+  std::vector<OrderEnded> orders_ended;
+  // New bounds, after a change of the settings.
+  std::optional<WorkflowSelf> self;
+  bool stop = false;
+};
+
+// What a tick decided.
+struct WorkflowOutbox {
+  std::vector<CallAnswer> answers;
+  std::vector<ReadStream> reads;
+  std::vector<AppendJournal> appends;
+  std::vector<WorkerOrder> orders;
+};
+
+// The two clocks that a tick is given.
+struct WorkflowTime {
+  // Counts time in which the machine was suspended, too.
+  TimePoint now{};
+  UnixMillis wall;
+};
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_TABLES_WORKFLOW_WORLD_H_
--- a/chicorystep/control/world.h
+++ b/chicorystep/tables/world.h
@@ -1,11 +1,8 @@
-#ifndef CHICORYSTEP_CONTROL_WORLD_H_
-#define CHICORYSTEP_CONTROL_WORLD_H_
-
-#include <vector>
+#ifndef CHICORYSTEP_TABLES_WORLD_H_
+#define CHICORYSTEP_TABLES_WORLD_H_
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
-#include "chicorystep/systems/job_check.h"
 #include "chicorystep/tables/claims.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/config_sync.h"
@@ -77,35 +74,6 @@
   Jobs jobs;
 };
 
-// What came in since the last tick, one vector for each kind of message.
-struct Inbox {
-  std::vector<LogBatch> log_batches;
-  std::vector<LogReadState> log_read_states;
-  std::vector<ConfigFetched> configs_fetched;
-  std::vector<AppendEnded> appends_ended;
-  std::vector<InstanceList> instance_lists;
-  std::vector<Heartbeat> heartbeats;
-  std::vector<RequestArrived> requests;
-  std::vector<AttemptEnded> attempts_ended;
-  std::vector<JobOperation> job_operations;
-  std::vector<WorkerAnswered> worker_answers;
-  bool stop = false;
-};
-
-// What a tick decided, for the traffic threads to carry out.
-struct Outbox {
-  std::vector<AppendRecord> appends;
-  std::vector<FollowStream> follows;
-  std::vector<UnfollowStream> unfollows;
-  std::vector<SendHeartbeat> heartbeats;
-  std::vector<FetchConfig> config_fetches;
-  std::vector<SendAttempt> attempts;
-  std::vector<EndExchange> ended_exchanges;
-  std::vector<ForwardJobOperation> forwards;
-  std::vector<EndJobOperation> ended_job_operations;
-  std::vector<SendWorkerCommands> worker_commands;
-};
-
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_CONTROL_WORLD_H_
+#endif  // CHICORYSTEP_TABLES_WORLD_H_
--- a/chicorystep/traffic/metrics.h
+++ b/chicorystep/traffic/metrics.h
@@ -7,7 +7,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include "chicorystep/control/world.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep {
 
--- a/tests/log_client_test.cc
+++ b/tests/log_client_test.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "chicorystep/platform/byte_budget.h"
-#include "chicorystep/platform/log_client.h"
+#include "chicorystep/clients/byte_budget.h"
+#include "chicorystep/clients/log_client.h"
 #include "tests/support/cluster.h"
 
 namespace chicorystep::testing {
--- a/tests/log_outage_test.cc
+++ b/tests/log_outage_test.cc
@@ -7,8 +7,8 @@
 #include <thread>
 #include <vector>
 
+#include "chicorystep/clients/config_reader.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/platform/config_reader.h"
 #include "tests/support/state_cluster.h"
 
 namespace chicorystep::testing {
--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -17,11 +17,12 @@
 #include <vector>
 
 #include "chicorystep/control/tick.h"
-#include "chicorystep/control/world.h"
 #include "chicorystep/encoding/job_record.h"
 #include "chicorystep/systems/cell_state.h"
 #include "chicorystep/systems/cells.h"
 #include "chicorystep/systems/job_operations.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 #include "tests/support/ready_config.h"
 
 namespace chicorystep::testing {
--- a/tests/support/gang_model.h
+++ b/tests/support/gang_model.h
@@ -15,7 +15,6 @@
 #include <utility>
 #include <vector>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/encoding/job_record.h"
 #include "chicorystep/standin/worker_standin.h"
 #include "chicorystep/systems/cell_state.h"
@@ -25,6 +24,8 @@
 #include "chicorystep/systems/packing.h"
 #include "chicorystep/systems/scheduling.h"
 #include "chicorystep/systems/worker_polls.h"
+#include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep::testing {
 
--- a/tests/support/ready_config.h
+++ b/tests/support/ready_config.h
@@ -3,8 +3,8 @@
 
 #include <chrono>
 
-#include "chicorystep/control/world.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/world.h"
 
 namespace chicorystep::testing {
 
--- a/tests/support/state_cluster.h
+++ b/tests/support/state_cluster.h
@@ -8,7 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/platform/log_client.h"
+#include "chicorystep/clients/log_client.h"
 #include "chicorystep/systems/config_stream.h"
 #include "tests/support/cluster.h"
 
