Discard a stream's read that began before it was to be loaded anew

Cause: an entry that lost a claim cleared its tables, but the read of the tail that was under way set the position again, so the newest records were never loaded: accepted workflows stayed unknown (LOST, and TWICE after a takeover). Ruled out: records missing in the store; the holder knew the workflow. Change: a reset marks the read under way as void; a lost claim keeps the tables, which only a holder has touched. Followers read every 400 ms and the holder's silence counts after 1.5 s.

--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflow_streams.h"
 #include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
@@ -13,10 +14,10 @@
 using std::chrono::milliseconds;
 
 // The holder writes at least this often, so that the others notice its end.
-constexpr Duration kHeartbeat = milliseconds(700);
+constexpr Duration kHeartbeat = milliseconds(400);
 // A holder that has not been read for this long counts as gone: three
 // heartbeats and a follower's reading period.
-constexpr Duration kHolderSilence = milliseconds(2600);
+constexpr Duration kHolderSilence = milliseconds(1500);
 // Entries near the store claim first: they write with the least delay.
 constexpr int kRoundTripsBeforeClaim = 6;
 constexpr Duration kLongestClaimDelay = milliseconds(700);
@@ -83,9 +84,7 @@
   holding.last_written = time.now;
   world.scheduling = Scheduling{};
   world.scheduling.placement_due = true;
-  StreamPosition& workers = world.streams[FollowedStream::kWorkers];
-  workers.next.reset();
-  workers.next_read = time.now;
+  LoadAnew(world, FollowedStream::kWorkers, time.now);
   std::size_t placed = 0;
   for (std::size_t i = 0; i < world.workflows.size(); ++i) {
     Workflow& workflow = world.workflows.rows[i];
@@ -172,17 +171,18 @@
       {{"epoch", holding.own_epoch.value},
        {"state", std::string(NameOf(holding.state))},
        {"why", why}});
+  const bool held = holding.state == HoldingState::kHolding;
   holding.state = HoldingState::kFollowing;
   holding.under_way.reset();
   holding.append_sent = false;
   holding.may_order = false;
   holding.heard = now;
-  world.scheduling = Scheduling{};
-  // What was decided but not written is void; the journal is read anew.
-  world.workflows = {};
-  StreamPosition& journal = world.streams[FollowedStream::kJournal];
-  journal.next.reset();
-  journal.next_read = now;
+  if (held) {
+    // What was decided but not written is void; the journal is read anew.
+    world.scheduling = Scheduling{};
+    world.workflows = {};
+    LoadAnew(world, FollowedStream::kJournal, now);
+  }
 }
 
 void EndHolderAppend(WorkflowWorld& world,
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -17,7 +17,7 @@
 constexpr Duration kHolderWait = milliseconds(1500);
 // Entries that do not schedule read the journal this often: callers see an end
 // half of it late on average, and each read is a priced call.
-constexpr Duration kFollowerPeriod = milliseconds(600);
+constexpr Duration kFollowerPeriod = milliseconds(400);
 // The holder collects records for this long before it reads on.
 constexpr Duration kHolderSpacing = milliseconds(15);
 // The list of workers lags by a heartbeat, so reading it more often gains
@@ -170,6 +170,10 @@
   for (const StreamRead& read : inbox.reads) {
     StreamPosition& position = world.streams[read.stream];
     position.read_under_way = false;
+    if (std::exchange(position.discard_read, false)) {
+      position.next_read = time.now;
+      continue;
+    }
     if (read.compacted) {
       Log(LogLevel::kWarn, "stream_compacted",
           {{"stream", std::string(NameOf(read.stream))}});
@@ -200,6 +204,13 @@
   }
 }
 
+void LoadAnew(WorkflowWorld& world, FollowedStream stream, TimePoint now) {
+  StreamPosition& position = world.streams[stream];
+  position.next.reset();
+  position.next_read = now;
+  position.discard_read = position.read_under_way;
+}
+
 bool IsFresh(const WorkflowWorld& world,
              FollowedStream stream,
              Duration bound,
@@ -231,7 +242,8 @@
     ReadStream read{.stream = stream, .from = position.next};
     if (stream == FollowedStream::kConfig) {
       read.wait = kConfigWait;
-    } else if (stream == FollowedStream::kJournal && schedules) {
+    } else if (stream == FollowedStream::kJournal &&
+               world.holding.state == HoldingState::kHolding) {
       read.wait = kHolderWait;
     }
     position.read_under_way = true;
--- a/chicorystep/systems/workflow_streams.h
+++ b/chicorystep/systems/workflow_streams.h
@@ -20,6 +20,10 @@
 // Asks for the next reads that are due.
 void FollowStreams(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox);
 
+// Lets the stream be loaded from the newest records on, and drops what a read
+// under way brings.
+void LoadAnew(WorkflowWorld& world, FollowedStream stream, TimePoint now);
+
 // When the next read is due.
 [[nodiscard]] TimePoint NextReadDue(const WorkflowWorld& world);
 
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -58,6 +58,8 @@
   // The next record to read; none until the newest records have been loaded.
   std::optional<Offset> next;
   bool read_under_way = false;
+  // The read under way was asked for before the stream was to be loaded anew.
+  bool discard_read = false;
   TimePoint next_read{};
   // When the newest successful read began: all that was written before is
   // known.
