Stop renewing the leases of a worker that does not answer

Ruled out: no room (most was free), a lost end. Change: after two holds without an answer the next ones ask without renewing.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -21,6 +21,9 @@
 // A hold that got no answer is repeated after this.
 constexpr Duration kHoldRetry = milliseconds(200);
 constexpr Duration kLongestHoldRetry = milliseconds(1500);
+// Holds without an answer after which leases are not renewed any more: one may
+// be lost with a connection that has gone dead.
+constexpr std::uint32_t kRenewalsWhileSilent = 2;
 // Ends that are not written yet are not asked for again before this.
 constexpr Duration kRecordPause = milliseconds(400);
 // A start that got no answer is repeated for this long; a gang's other members
@@ -485,7 +488,10 @@
                    .address = worker.listing.address,
                    .fence = world.holding.own_epoch,
                    .acknowledged = worker.acknowledged};
-  if (!worker.tasks.empty() && worker.clock_read != kLongAgo) {
+  // A worker that does not answer is not granted more time: its leases must
+  // lapse before its tasks can start elsewhere.
+  if (!worker.tasks.empty() && worker.clock_read != kLongAgo &&
+      worker.silent_holds < kRenewalsWhileSilent) {
     hold.until =
         FastestClock(worker, now) + WorkerClock(Millis(world.self.lease));
     worker.leased_until = std::max(worker.leased_until, *hold.until);
