--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -105,6 +105,10 @@
     return;
   }
   position.failures = 0;
+  if (!read.at_end) {
+    position.next_read = now;
+    return;
+  }
   switch (read.stream) {
     case FollowedStream::kConfig:
       position.next_read = now + kHolderSpacing;
@@ -136,6 +140,9 @@
     position.reachable_since = now;
   }
   position.succeeded = now;
+  if (!read.at_end) {
+    return;
+  }
   position.fresh = std::max(position.fresh, read.began);
   if (!position.waited) {
     position.round_trip = std::min(position.round_trip, now - read.began);
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -61,8 +61,8 @@
   // The read under way was asked for before the stream was to be loaded anew.
   bool discard_read = false;
   TimePoint next_read{};
-  // When the newest successful read began: all that was written before is
-  // known.
+  // When the newest read that reached the end began: all that was written
+  // before is known.
   TimePoint fresh = kLongAgo;
   // When a read last succeeded, and since when all have.
   TimePoint succeeded = kLongAgo;
@@ -132,6 +132,8 @@
   bool ok = false;
   // The records asked for are gone; the newest of each key must be loaded.
   bool compacted = false;
+  // The read brought all there was; a page has a largest size.
+  bool at_end = true;
   TimePoint began{};
   Offset next;
   std::vector<std::pair<Offset, JournalRecord>> journal;
--- /dev/null
+++ b/tests/workflow_streams_test.cc
@@ -0,0 +1,190 @@
+#define BOOST_TEST_MODULE workflow_streams
+#include <boost/test/unit_test.hpp>
+
+#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflow_streams.h"
+#include "tests/support/emulation.h"
+
+namespace chicorystep {
+namespace {
+
+constexpr WorkflowTime kStart{.now = TimePoint(seconds(100)),
+                              .wall = UnixMillis(1'000'000)};
+
+const WorkflowId kId("00000000000000aa");
+
+AcceptedRecord Accepted(const std::string& payload) {
+  AcceptedRecord record{.id = kId};
+  record.spec.payload = payload;
+  record.spec.steps = {MakeStep(2, 1)};
+  return record;
+}
+
+StreamRead JournalRead(std::vector<JournalRecord> records) {
+  StreamRead read{
+      .stream = FollowedStream::kJournal, .ok = true, .began = kStart.now};
+  std::uint64_t offset = 0;
+  for (JournalRecord& record : records) {
+    read.journal.emplace_back(Offset(offset++), std::move(record));
+  }
+  read.next = Offset(offset);
+  return read;
+}
+
+// Records in their order, and what the tables must then say.
+struct FoldCase {
+  std::string name;
+  std::vector<JournalRecord> records;
+  std::function<bool(const WorkflowWorld&)> holds;
+};
+
+const std::vector<FoldCase> kFoldCases = {
+    {"the first acceptance of an id wins",
+     {Accepted("first"), Accepted("second")},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->spec.payload == "first";
+     }},
+    {"a repeated acceptance leaves the progress",
+     {Accepted("p"),
+      ProgressRecord{.id = kId, .state = WorkflowState::kSucceeded},
+      Accepted("p")},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->shown == WorkflowState::kSucceeded;
+     }},
+    {"a cancel is kept with the workflow",
+     {Accepted("p"), CancelRecord{.id = kId}},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->cancel_requested;
+     }},
+    {"the highest claim names the holder",
+     {HolderRecord{.epoch = Epoch(2), .holder = EntryId("b")},
+      HolderRecord{.epoch = Epoch(1), .holder = EntryId("a")}},
+     [](const WorkflowWorld& world) {
+       return world.holding.holder == EntryId("b");
+     }},
+    {"of two claims with one epoch the first counts",
+     {HolderRecord{.epoch = Epoch(1),
+                   .holder = EntryId("a"),
+                   .incarnation = Incarnation(1)},
+      HolderRecord{.epoch = Epoch(1),
+                   .holder = EntryId("b"),
+                   .incarnation = Incarnation(2)}},
+     [](const WorkflowWorld& world) {
+       return world.holding.holder == EntryId("a");
+     }},
+    {"a forgotten workflow is gone",
+     {Accepted("p"), ForgetRecord{.id = kId}},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId) == nullptr;
+     }},
+};
+
+BOOST_AUTO_TEST_CASE(records_fold_in_their_order) {
+  for (const FoldCase& sample : kFoldCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      ApplyStreamReads(world, {.reads = {JournalRead(sample.records)}}, kStart);
+      BOOST_TEST(sample.holds(world));
+    }
+  }
+}
+
+// Versions in the order they are read, and the one in force afterwards.
+struct VersionCase {
+  std::string name;
+  std::vector<std::uint64_t> versions;
+  std::uint64_t in_force;
+};
+
+const std::vector<VersionCase> kVersionCases = {
+    {"rising", {3, 7}, 7},
+    {"an older one after a newer", {7, 3}, 7},
+    {"the same again", {5, 5}, 5},
+};
+
+BOOST_AUTO_TEST_CASE(the_configuration_never_goes_back) {
+  for (const VersionCase& sample : kVersionCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      for (const std::uint64_t version : sample.versions) {
+        ApplyStreamReads(
+            world,
+            {.reads = {{.stream = FollowedStream::kConfig,
+                        .ok = true,
+                        .config = Emulation::MakeConfig(version)}}},
+            kStart);
+      }
+      BOOST_TEST(world.config->version.value == sample.in_force);
+    }
+  }
+}
+
+// What a read brings, and whether the journal counts as known up to its begin.
+struct FreshCase {
+  std::string name;
+  bool ok;
+  bool at_end;
+  bool fresh;
+};
+
+const std::vector<FreshCase> kFreshCases = {
+    {"a read to the end", true, true, true},
+    {"a page that is not the last", true, false, false},
+    {"a read without an answer", false, true, false},
+};
+
+BOOST_AUTO_TEST_CASE(only_a_read_to_the_end_confirms_the_journal) {
+  for (const FreshCase& sample : kFreshCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      StreamRead read = JournalRead({});
+      read.ok = sample.ok;
+      read.at_end = sample.at_end;
+      ApplyStreamReads(world, {.reads = {read}}, kStart);
+      BOOST_TEST(IsFresh(world, FollowedStream::kJournal, seconds(1),
+                         kStart.now) == sample.fresh);
+    }
+  }
+}
+
+// Why a stream is loaded anew while a read of its tail is under way.
+struct ReloadCase {
+  std::string name;
+  std::function<void(WorkflowWorld&)> reload;
+};
+
+const std::vector<ReloadCase> kReloadCases = {
+    {"the holder's place was lost",
+     [](WorkflowWorld& world) {
+       world.holding.state = HoldingState::kHolding;
+       StopHolding(world, "test", kStart.now);
+     }},
+    {"the stream is to be loaded anew",
+     [](WorkflowWorld& world) {
+       LoadAnew(world, FollowedStream::kJournal, kStart.now);
+     }},
+};
+
+BOOST_AUTO_TEST_CASE(a_read_that_began_before_a_reload_is_dropped) {
+  for (const ReloadCase& sample : kReloadCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      ApplyStreamReads(world, {.reads = {JournalRead({Accepted("p")})}},
+                       kStart);
+      WorkflowOutbox first;
+      FollowStreams(world, kStart.now + seconds(1), first);
+      sample.reload(world);
+      ApplyStreamReads(world, {.reads = {JournalRead({})}}, kStart);
+      WorkflowOutbox second;
+      FollowStreams(world, kStart.now + seconds(2), second);
+      const bool whole = std::any_of(
+          second.reads.begin(), second.reads.end(), [](const ReadStream& read) {
+            return read.stream == FollowedStream::kJournal && !read.from;
+          });
+      BOOST_TEST(whole);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep
