Keep gangs in one rack and preempt what loses least

Cause: (1) a gang that wants one rack was spread at once when none had room, so it ran three times as long; (2) preemption freed whole workers until the unit fitted and stopped up to 29 tasks for 7. Ruled out: slow placing (half of the urgent jobs start within 170 ms), late notice of ends. Change: such a gang waits 10 s for a rack unless none could ever hold it; the victims of each task are those with the least work lost (accelerator and core time since the checkpoint), gangs counted whole.

--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -21,7 +22,13 @@
 // Without any event, placement is tried again after this: exclusions end.
 constexpr Duration kPlacementPeriod = milliseconds(250);
 // A gang that runs slower across racks waits this long for one rack.
-constexpr Duration kRackPatience = milliseconds(1500);
+constexpr Duration kRackPatience = std::chrono::seconds(10);
+// The platform prices an accelerator's time like that of this many cores.
+constexpr std::int64_t kAcceleratorCores = 8;
+// A task that goes on from its checkpoint loses about this.
+constexpr std::int64_t kRestoreMillis = 300;
+// Each stop costs calls and a start, so that fewer victims are better.
+constexpr std::int64_t kStopLoss = 2000;
 // The least urgent work that may have other work stopped for it.
 constexpr std::uint32_t kUrgentPriority = 0;
 
@@ -47,6 +54,11 @@
   std::int64_t deadline = 0;
 };
 
+TimePoint WaitingSince(const Unit& unit) {
+  return std::max(unit.run->ready_since,
+                  unit.run->tasks[unit.tasks.front().value].since);
+}
+
 auto UnitOrder(const Unit& unit) {
   return std::tuple(!unit.guaranteed, unit.workflow->terms.priority,
                     unit.lateness, unit.deadline, unit.id, unit.run->occurrence,
@@ -184,37 +196,63 @@
   return chosen;
 }
 
+// Whether one rack could hold the whole gang if nothing else ran there.
+bool FitsOneRack(const Pass& pass, const Unit& unit) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  return std::any_of(
+      pass.racks.begin(), pass.racks.end(), [&](const auto& rack) {
+        std::size_t places = 0;
+        for (const std::size_t index : rack.second) {
+          const Room& room = pass.rooms[index];
+          Capacity left = room.worker->listing.capacity;
+          while (Allows(unit, spec, room) && places < unit.tasks.size() &&
+                 Fits(spec.need, left)) {
+            Take(left, spec.need);
+            ++places;
+          }
+        }
+        return places >= unit.tasks.size();
+      });
+}
+
+// Whether the unit has to stay within one rack, outside of which it runs some
+// times longer. One that waits for long goes where it can.
+bool NeedsOneRack(const Pass& pass, const Unit& unit) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  return spec.gang && spec.same_rack && unit.tasks.size() > 1 &&
+         pass.time.now - WaitingSince(unit) < kRackPatience &&
+         FitsOneRack(pass, unit);
+}
+
+std::vector<std::size_t> AllRooms(const Pass& pass) {
+  std::vector<std::size_t> all(pass.rooms.size());
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    all[i] = i;
+  }
+  return all;
+}
+
 std::optional<std::vector<std::size_t>> ChooseRooms(const Pass& pass,
                                                     const Unit& unit,
                                                     bool soon) {
-  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  if (spec.gang && spec.same_rack && unit.tasks.size() > 1) {
-    std::optional<std::vector<std::size_t>> best;
-    Accelerators best_left{};
-    for (const auto& [rack, members] : pass.racks) {
-      if (auto chosen = Pack(pass, unit, members, soon)) {
-        Accelerators left{};
-        for (const std::size_t index : members) {
-          left += pass.rooms[index].now.accelerators;
-        }
-        if (!best || left < best_left) {
-          best = std::move(chosen);
-          best_left = left;
-        }
+  if (!NeedsOneRack(pass, unit)) {
+    return Pack(pass, unit, AllRooms(pass), soon);
+  }
+  std::optional<std::vector<std::size_t>> best;
+  Accelerators best_left{};
+  for (const auto& [rack, members] : pass.racks) {
+    if (auto chosen = Pack(pass, unit, members, soon)) {
+      Accelerators left{};
+      for (const std::size_t index : members) {
+        left += pass.rooms[index].now.accelerators;
       }
-    }
-    if (best || pass.time.now - unit.run->tasks.front().since < kRackPatience) {
-      // Workflows without a rack that could ever hold them do not wait.
-      if (best || soon) {
-        return best;
+      if (!best || left < best_left) {
+        best = std::move(chosen);
+        best_left = left;
       }
     }
   }
-  std::vector<std::size_t> all(pass.rooms.size());
-  for (std::size_t i = 0; i < all.size(); ++i) {
-    all[i] = i;
-  }
-  return Pack(pass, unit, all, soon);
+  return best;
 }
 
 void Place(Pass& pass,
@@ -255,45 +293,62 @@
        {"lateness", unit.lateness}});
 }
 
-// A running step that may be stopped for more urgent work.
+// Work that can be stopped for more urgent work: one task, or a whole gang.
 struct Victim {
-  TaskKey key;
-  std::size_t room;
-  // Accelerator-milliseconds of work that would be lost.
+  std::vector<TaskKey> tasks;
+  // The room of each task, and what it gives back there.
+  std::vector<std::size_t> rooms;
+  Capacity need;
+  // Accelerator-milliseconds of work that would be done again.
   std::int64_t loss = 0;
 };
 
-// Running tasks that yield to `unit`, those that lose least first.
+// What stopping the task now throws away. A task that saves its progress does
+// so at a stop, and only has to be restored.
+std::int64_t LossOf(const Pass& pass, const StepSpec& spec, const Task& task) {
+  const auto ran =
+      std::chrono::duration_cast<milliseconds>(pass.time.now - task.since)
+          .count();
+  const std::int64_t weight = kAcceleratorCores * spec.need.accelerators.value +
+                              spec.need.processors.value / 1000;
+  const std::int64_t again =
+      spec.saves_progress ? std::min<std::int64_t>(ran, kRestoreMillis) : ran;
+  return kStopLoss + weight * again;
+}
+
 std::vector<Victim> FindVictims(const Pass& pass, const Unit& unit) {
-  std::vector<Victim> victims;
-  WorkflowWorld& world = *pass.world;
+  std::map<WorkerId, std::size_t> room_of;
   for (std::size_t i = 0; i < pass.rooms.size(); ++i) {
-    if (!pass.rooms[i].usable) {
+    room_of[pass.rooms[i].worker->listing.id] = i;
+  }
+  std::vector<Victim> victims;
+  for (const WorkflowId& id : pass.world->scheduling.open) {
+    Workflow& workflow = *pass.world->workflows.find(id);
+    if (workflow.terms.priority <= unit.workflow->terms.priority) {
       continue;
     }
-    for (const auto& [key, run] : pass.rooms[i].worker->tasks) {
-      const TaskPlace place = FindTask(world, key);
-      if (!place ||
-          place.workflow->terms.priority <= unit.workflow->terms.priority ||
-          (place.task->state != TaskState::kRunning &&
-           place.task->state != TaskState::kStarting)) {
-        continue;
-      }
-      const auto ran = std::chrono::duration_cast<milliseconds>(
-                           pass.time.now - place.task->since)
-                           .count();
-      std::int64_t loss = ran;
-      if (place.spec->saves_progress) {
-        // A checkpoint keeps most of it.
-        loss /= 4;
+    for (StepRun& run : workflow.runs) {
+      const StepSpec& spec = workflow.spec.steps[run.step.value];
+      Victim gang{.need = spec.need};
+      for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
+        const Task& task = run.tasks[i];
+        const auto room = room_of.find(task.worker);
+        if ((task.state != TaskState::kStarting &&
+             task.state != TaskState::kRunning) ||
+            room == room_of.end()) {
+          continue;
+        }
+        gang.tasks.push_back(
+            TaskKey{id, run.occurrence, run.step, TaskIndex(i)});
+        gang.rooms.push_back(room->second);
+        gang.loss += LossOf(pass, spec, task);
+        if (!spec.gang) {
+          victims.push_back(std::exchange(gang, Victim{.need = spec.need}));
+        }
       }
-      if (place.spec->gang) {
-        loss *= static_cast<std::int64_t>(place.run->tasks.size());
+      if (!gang.tasks.empty()) {
+        victims.push_back(std::move(gang));
       }
-      // The least urgent goes first.
-      loss -=
-          1'000'000 * static_cast<std::int64_t>(place.workflow->terms.priority);
-      victims.push_back(Victim{.key = key, .room = i, .loss = loss});
     }
   }
   std::stable_sort(
@@ -302,81 +357,150 @@
   return victims;
 }
 
-// Stops as many less urgent tasks as the unit needs, and reserves their room
-// for it; false when even all of them would not do.
-bool Preempt(Pass& pass, const Unit& unit) {
-  WorkflowWorld& world = *pass.world;
-  Pass trial = pass;
-  std::vector<TaskKey> stopped;
-  std::optional<std::vector<std::size_t>> rooms;
-  for (const Victim& victim : FindVictims(pass, unit)) {
-    const TaskPlace place = FindTask(world, victim.key);
-    if (std::find(stopped.begin(), stopped.end(), victim.key) !=
-        stopped.end()) {
+// Rooms for a unit and the victims that have to go for it.
+struct PreemptionPlan {
+  std::vector<std::size_t> rooms;
+  std::set<std::size_t> victims;
+  std::int64_t loss = 0;
+};
+
+// The cheapest victims that let one task of `need` into the room, beside those
+// that go anyway; empty when even all would not do.
+std::optional<std::vector<std::size_t>> VictimsFor(
+    const std::vector<Victim>& victims,
+    const std::vector<std::vector<std::size_t>>& by_room,
+    const std::set<std::size_t>& going,
+    std::size_t room,
+    Capacity free,
+    const Capacity& need) {
+  std::vector<std::size_t> chosen;
+  for (const std::size_t index : by_room[room]) {
+    if (Fits(need, free)) {
+      break;
+    }
+    if (going.contains(index)) {
       continue;
     }
-    // A gang goes as a whole.
-    for (std::uint32_t i = 0; i < place.run->tasks.size(); ++i) {
-      const Task& member = place.run->tasks[i];
-      TaskKey key = victim.key;
-      key.task = TaskIndex(i);
-      if (!place.spec->gang && key != victim.key) {
+    for (const std::size_t of : victims[index].rooms) {
+      if (of == room) {
+        Give(free, victims[index].need);
+      }
+    }
+    chosen.push_back(index);
+  }
+  if (!Fits(need, free)) {
+    return std::nullopt;
+  }
+  return chosen;
+}
+
+// Plans the unit into `candidates`, one task after the other where that costs
+// least.
+std::optional<PreemptionPlan> PlanPreemption(
+    const Pass& pass,
+    const Unit& unit,
+    const std::vector<Victim>& victims,
+    const std::vector<std::vector<std::size_t>>& by_room,
+    const std::vector<std::size_t>& candidates) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  PreemptionPlan plan;
+  std::map<std::size_t, Capacity> soon;
+  std::map<std::size_t, std::uint32_t> placed;
+  for (const std::size_t index : candidates) {
+    if (Allows(unit, spec, pass.rooms[index])) {
+      soon[index] = pass.rooms[index].soon;
+    }
+  }
+  for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
+    std::optional<std::size_t> best;
+    std::vector<std::size_t> best_victims;
+    std::int64_t best_loss = 0;
+    for (const auto& [index, free] : soon) {
+      if (spec.max_per_worker > 0 &&
+          placed[index] +
+                  CountOnWorker(unit, pass.rooms[index].worker->listing.id) >=
+              spec.max_per_worker) {
         continue;
       }
-      if (!HoldsRoom(member.state) || member.state == TaskState::kStopping) {
+      auto chosen =
+          VictimsFor(victims, by_room, plan.victims, index, free, spec.need);
+      if (!chosen) {
         continue;
       }
-      for (Room& room : trial.rooms) {
-        if (room.worker->listing.id == member.worker) {
-          Give(room.soon, place.spec->need);
+      std::int64_t loss = 0;
+      for (const std::size_t victim : *chosen) {
+        loss += victims[victim].loss;
+      }
+      if (!best || loss < best_loss) {
+        best = index;
+        best_loss = loss;
+        best_victims = std::move(*chosen);
+      }
+    }
+    if (!best) {
+      return std::nullopt;
+    }
+    for (const std::size_t victim : best_victims) {
+      plan.victims.insert(victim);
+      for (const std::size_t room : victims[victim].rooms) {
+        if (const auto found = soon.find(room); found != soon.end()) {
+          Give(found->second, victims[victim].need);
         }
       }
-      stopped.push_back(key);
     }
-    rooms = ChooseRooms(trial, unit, true);
-    if (rooms) {
-      break;
+    plan.loss += best_loss;
+    plan.rooms.push_back(*best);
+    Take(soon[*best], spec.need);
+    ++placed[*best];
+  }
+  return plan;
+}
+
+// Stops the less urgent work whose loss is least, and reserves its room for
+// the unit; does nothing when even all of it would not make room.
+void Preempt(Pass& pass, const Unit& unit) {
+  const std::vector<Victim> victims = FindVictims(pass, unit);
+  std::vector<std::vector<std::size_t>> by_room(pass.rooms.size());
+  for (std::size_t i = 0; i < victims.size(); ++i) {
+    for (const std::size_t room : victims[i].rooms) {
+      if (by_room[room].empty() || by_room[room].back() != i) {
+        by_room[room].push_back(i);
+      }
     }
   }
-  if (!rooms) {
-    return false;
-  }
-  // Victims whose room is not part of the choice keep running.
-  std::vector<WorkerId> needed;
-  for (const std::size_t index : *rooms) {
-    needed.push_back(trial.rooms[index].worker->listing.id);
-  }
-  std::size_t stops = 0;
-  for (const TaskKey& key : stopped) {
-    const TaskPlace place = FindTask(world, key);
-    const bool helps =
-        place.spec->gang
-            ? std::any_of(place.run->tasks.begin(), place.run->tasks.end(),
-                          [&](const Task& member) {
-                            return std::find(needed.begin(), needed.end(),
-                                             member.worker) != needed.end();
-                          })
-            : std::find(needed.begin(), needed.end(), place.task->worker) !=
-                  needed.end();
-    if (helps) {
-      ++stops;
-      for (Room& room : pass.rooms) {
-        if (room.worker->listing.id == place.task->worker) {
-          Give(room.soon, place.spec->need);
-        }
+  std::optional<PreemptionPlan> best;
+  if (NeedsOneRack(pass, unit)) {
+    for (const auto& [rack, members] : pass.racks) {
+      auto plan = PlanPreemption(pass, unit, victims, by_room, members);
+      if (plan && (!best || plan->loss < best->loss)) {
+        best = std::move(plan);
       }
-      StopTask(world, key, place, pass.time.now);
+    }
+  } else {
+    best = PlanPreemption(pass, unit, victims, by_room, AllRooms(pass));
+  }
+  if (!best) {
+    return;
+  }
+  std::size_t stopped = 0;
+  for (const std::size_t index : best->victims) {
+    const Victim& victim = victims[index];
+    for (std::size_t i = 0; i < victim.tasks.size(); ++i) {
+      Give(pass.rooms[victim.rooms[i]].soon, victim.need);
+      StopTask(*pass.world, victim.tasks[i],
+               FindTask(*pass.world, victim.tasks[i]), pass.time.now);
+      ++stopped;
     }
   }
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  for (const std::size_t index : *rooms) {
+  for (const std::size_t index : best->rooms) {
     Take(pass.rooms[index].soon, spec.need);
   }
   Log(LogLevel::kInfo, "preempted",
       {{"for", unit.id.value},
-       {"tasks_stopped", stops},
-       {"tasks_wanted", unit.tasks.size()}});
-  return true;
+       {"tasks_stopped", stopped},
+       {"tasks_wanted", unit.tasks.size()},
+       {"loss", best->loss}});
 }
 
 // Places the unit, or reserves for it what is about to become free.
@@ -393,7 +517,7 @@
     return;
   }
   if (unit.workflow->terms.priority == kUrgentPriority) {
-    (void)Preempt(pass, unit);
+    Preempt(pass, unit);
   }
 }
 
@@ -443,6 +567,9 @@
     }
     for (StepRun& run : workflow.runs) {
       if (run.done < run.tasks.size() && DependenciesMet(workflow, run)) {
+        if (run.ready_since == kNever) {
+          run.ready_since = time.now;
+        }
         AddUnits(id, workflow, run, time, units);
       }
     }
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -140,6 +140,8 @@
   StepIndex step;
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  // Since when its tasks may run, as this process has seen; not in the journal.
+  TimePoint ready_since = kNever;
 };
 
 // What a workflow has from its route, kept with its acceptance so that it does
