Send several orders to one worker at once; log starts and what ended runs had done

Cause: the members of a gang on one worker were started one after the other, a round trip each (60 ms to the other region). Change: up to eight orders under way to a worker, one for each task.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -24,6 +24,9 @@
 // Holds without an answer after which leases are not renewed any more: one may
 // be lost with a connection that has gone dead.
 constexpr std::uint32_t kRenewalsWhileSilent = 2;
+// Orders to one worker at the same time, each on a connection of its own: the
+// members of a gang that come later keep the others waiting.
+constexpr std::size_t kMaxOrdersUnderWay = 8;
 // Ends that are not written yet are not asked for again before this.
 constexpr Duration kRecordPause = milliseconds(400);
 // A start that got no answer is repeated for this long; a gang's other members
@@ -238,7 +241,12 @@
        {"task", end.task.task.value},
        {"run", end.run.value},
        {"worker", worker.listing.id.value},
-       {"end", std::string(NameOf(end.end))}});
+       {"end", std::string(NameOf(end.end))},
+       {"ran_ms", Millis(now - task.since)},
+       {"accelerators", place.spec->need.accelerators.value},
+       {"state", std::string(NameOf(task.state))},
+       {"saves", place.spec->saves_progress},
+       {"cancelled", place.workflow->cancel_requested}});
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
@@ -418,6 +426,14 @@
   TaskWorker* worker = world.scheduling.workers.find(start.worker);
   switch (start.outcome) {
     case OrderOutcome::kDone:
+      Log(LogLevel::kInfo, "run_started",
+          {{"workflow", start.task.workflow.value},
+           {"step", start.task.step.value},
+           {"task", start.task.task.value},
+           {"run", start.run.value},
+           {"worker", start.worker.value},
+           {"placed_ms", Millis(now - place.task->since)},
+           {"answer_ms", Millis(start.answered - start.sent)}});
       place.task->state = TaskState::kRunning;
       place.task->since = now;
       place.task->ordered = false;
@@ -515,6 +531,33 @@
   outbox.orders.push_back(std::move(hold));
 }
 
+// Sends the queued orders of tasks that have none under way.
+void SendQueued(WorkflowWorld& world,
+                TaskWorker& worker,
+                TimePoint now,
+                WorkflowOutbox& outbox) {
+  std::deque<WorkerOrder> later;
+  while (!worker.orders.empty()) {
+    WorkerOrder order = std::move(worker.orders.front());
+    worker.orders.pop_front();
+    if (worker.ordering.size() >= kMaxOrdersUnderWay ||
+        worker.ordering.contains(order.task)) {
+      later.push_back(std::move(order));
+      continue;
+    }
+    order.address = worker.listing.address;
+    order.fence = world.holding.own_epoch;
+    if (order.kind == OrderKind::kStart) {
+      order.until =
+          FastestClock(worker, now) + WorkerClock(Millis(world.self.lease));
+      worker.leased_until = std::max(worker.leased_until, *order.until);
+    }
+    worker.ordering.insert(order.task);
+    outbox.orders.push_back(std::move(order));
+  }
+  worker.orders = std::move(later);
+}
+
 // Whether the worker has to be asked or told anything.
 bool WantsHold(const TaskWorker& worker) {
   if (worker.listing.address.empty()) {
@@ -572,7 +615,7 @@
       continue;
     }
     if (ended.kind != OrderKind::kHold) {
-      worker->order_under_way = false;
+      worker->ordering.erase(ended.task);
     }
     if (ended.outcome == OrderOutcome::kFenced) {
       StopHolding(world, "a worker has obeyed a higher fence", time.now);
@@ -623,7 +666,7 @@
       LoseTasks(world, id, "its leases have lapsed", time.now);
     }
     if (!worker->listed && worker->tasks.empty() && !worker->hold_under_way &&
-        !worker->order_under_way &&
+        worker->ordering.empty() &&
         (worker->silent_holds > 0 || worker->acknowledged == worker->told)) {
       world.scheduling.workers.erase(id);
     }
@@ -635,19 +678,7 @@
     return;
   }
   for (TaskWorker& worker : world.scheduling.workers.rows) {
-    if (!worker.orders.empty() && !worker.order_under_way) {
-      WorkerOrder order = std::move(worker.orders.front());
-      worker.orders.pop_front();
-      order.address = worker.listing.address;
-      order.fence = world.holding.own_epoch;
-      if (order.kind == OrderKind::kStart) {
-        order.until =
-            FastestClock(worker, now) + WorkerClock(Millis(world.self.lease));
-        worker.leased_until = std::max(worker.leased_until, *order.until);
-      }
-      worker.order_under_way = true;
-      outbox.orders.push_back(std::move(order));
-    }
+    SendQueued(world, worker, now, outbox);
     if (!worker.hold_under_way && now >= worker.next_hold &&
         WantsHold(worker)) {
       SendHold(world, worker, now, outbox);
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -150,7 +151,8 @@
   // It has obeyed this holder's fence in its present life.
   bool fenced = false;
   bool hold_under_way = false;
-  bool order_under_way = false;
+  // Tasks with a start or stop order under way, one order each.
+  std::set<TaskKey> ordering;
   std::deque<WorkerOrder> orders;
   TimePoint next_hold{};
   std::uint32_t silent_holds = 0;
