--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -58,6 +58,9 @@
   TaskKey task;
   RunNumber run;
   std::string checkpoint;
+  // What it used over the last half second; a rough figure, and none from a
+  // worker that does not say.
+  std::optional<Millicores> in_use;
 };
 // A run that a worker reports as ended.
 struct EndReport {
