Leave a worker out after the first failed run of a workflow

Cause: workers that fail all they start failed the same workflow twice, which is all that two of the three kinds are allowed; they were left out only after three failures in a row. Ruled out: tasks at fault, which fail on every worker: only a step's first failure counts against a worker. Change: three seconds without new tasks after such a failure, doubled up to eight.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -38,9 +38,10 @@
 // doubled with each further failure.
 constexpr Duration kFirstExclusion = milliseconds(500);
 constexpr Duration kLongestExclusion = milliseconds(8000);
-// Runs of different workflows that fail one after the other before a worker
-// counts as faulty.
-constexpr std::uint32_t kFaultyAfter = 3;
+// The first exclusion after a failed run is twice this: faulty workers were
+// seen to stay so for some seconds, and a second failure may be the last that
+// a workflow is allowed.
+constexpr Duration kFailureExclusion = milliseconds(1500);
 
 std::int64_t Millis(Duration duration) {
   return duration_cast<milliseconds>(duration).count();
@@ -286,6 +287,13 @@
   StopStepRun(world, end.task.workflow, *place.workflow, *place.run, now);
 }
 
+// Whether a run of any task of the step has failed before.
+bool HasFailedBefore(WorkflowWorld& world, const TaskKey& key) {
+  const TaskPlace place = FindTask(world, key);
+  return place && std::any_of(place.run->tasks.begin(), place.run->tasks.end(),
+                              [](const Task& t) { return t.failures > 0; });
+}
+
 void ApplyEnds(WorkflowWorld& world, const OrderEnded& hold, TimePoint now) {
   const WorkerId id = hold.worker;
   for (const EndReport& end : hold.ended) {
@@ -293,11 +301,16 @@
     if (end.number <= worker->applied) {
       continue;
     }
+    const bool first_failure =
+        end.end == RunEnd::kFailed && !HasFailedBefore(world, end.task);
     ApplyEnd(world, *worker, end, now);
     worker->applied = end.number;
     if (end.end == RunEnd::kFailed) {
-      if (++worker->failures_in_row >= kFaultyAfter) {
-        Exclude(*worker, "runs fail there", now);
+      // A task that fails on several workers is itself at fault.
+      if (first_failure) {
+        ++worker->failures_in_row;
+        worker->exclusion = std::max(worker->exclusion, kFailureExclusion);
+        Exclude(*worker, "a run failed there", now);
       }
     } else if (end.end == RunEnd::kDone) {
       worker->failures_in_row = 0;
