Leave out workers on which everything goes slowly, and move urgent work off

Cause: half of the late urgent jobs ran on a slow or standing worker; nothing but the end of a run told so. Reports give the processors that a run uses: about 0.2 of its need on slow workers, 0.6 to 1.05 on sound ones.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -17,7 +17,9 @@
 
 // How long a worker may wait for an end before it answers a hold. Each hold is
 // a priced call; each also renews the leases, which are several times longer.
-constexpr Duration kHoldWait = milliseconds(1500);
+constexpr Duration kHoldWait = milliseconds(900);
+// Where urgent tasks run, reports come more often, to notice slow ones early.
+constexpr Duration kUrgentHoldWait = milliseconds(500);
 // A hold that got no answer is repeated after this.
 constexpr Duration kHoldRetry = milliseconds(200);
 constexpr Duration kLongestHoldRetry = milliseconds(1500);
@@ -43,6 +45,17 @@
 // a workflow is allowed.
 constexpr Duration kFailureExclusion = milliseconds(1500);
 
+// A run tells its speed once the half second that a report covers lies well
+// after its start.
+constexpr Duration kSpeedSettled = milliseconds(700);
+// A measured speed is taken for the present one for this long: a hold's wait
+// and some time for its answer.
+constexpr Duration kSpeedLasts = milliseconds(1300);
+// Sound workers were seen at 0.6 and above, slow ones at 0.3 and below.
+constexpr double kSlowSpeed = 0.45;
+// At most one worker in this many is left out for going slowly.
+constexpr std::size_t kMostExcludedShare = 3;
+
 std::int64_t Millis(Duration duration) {
   return duration_cast<milliseconds>(duration).count();
 }
@@ -62,6 +75,15 @@
        {"for_ms", Millis(worker.exclusion)}});
 }
 
+// Whether signs that may be wrong have left out few enough workers so far.
+bool MayExcludeMore(const WorkflowWorld& world, TimePoint now) {
+  const auto& rows = world.scheduling.workers.rows;
+  const auto excluded = std::count_if(
+      rows.begin(), rows.end(),
+      [&](const TaskWorker& worker) { return worker.excluded_until > now; });
+  return static_cast<std::size_t>(excluded) * kMostExcludedShare < rows.size();
+}
+
 // Every task there has surely ended: the worker's process is another one, or
 // its leases have lapsed.
 void LoseTasks(WorkflowWorld& world,
@@ -319,10 +341,123 @@
   }
 }
 
+// Whether the task runs away from its data or from the rest of its gang, which
+// slows it on any worker.
+bool IsRemote(const WorkflowWorld& world, const TaskPlace& place) {
+  const auto rack_of = [&](const Task& task) {
+    const TaskWorker* worker = world.scheduling.workers.find(task.worker);
+    return worker == nullptr ? Rack() : worker->rack;
+  };
+  const Rack rack = rack_of(*place.task);
+  if (!place.spec->data_rack.empty() && rack != place.spec->data_rack) {
+    return true;
+  }
+  return place.spec->same_rack &&
+         std::any_of(place.run->tasks.begin(), place.run->tasks.end(),
+                     [&](const Task& t) { return rack_of(t) != rack; });
+}
+
+// Notes how fast a run goes; false when the report does not tell.
+bool MeasureSpeed(const WorkflowWorld& world,
+                  const TaskPlace& place,
+                  const RunningReport& report,
+                  TimePoint now) {
+  Task& task = *place.task;
+  const std::int64_t need = place.spec->need.processors.value;
+  if (!report.in_use || need == 0 || task.state != TaskState::kRunning ||
+      now - task.since < kSpeedSettled || place.spec->long_running ||
+      IsRemote(world, place)) {
+    return false;
+  }
+  const TimePoint from = std::max(task.measured, task.since);
+  task.speed = std::min(1.0, static_cast<double>(report.in_use->value) /
+                                 static_cast<double>(need));
+  const bool anew = task.measured < task.since && task.checkpoint.empty();
+  task.worked = (anew ? Duration() : task.worked) +
+                Duration(static_cast<Duration::rep>(
+                    task.speed * static_cast<double>((now - from).count())));
+  task.measured = now;
+  return true;
+}
+
+// The speed of a task or of its whole gang: members that have less to do than
+// others use nothing while they wait for these. Gangs of which a member has
+// not been measured lately count as sound.
+double SpeedOf(const TaskPlace& place, TimePoint now) {
+  if (!place.spec->gang) {
+    return place.task->speed;
+  }
+  double fastest = 0;
+  for (const Task& member : place.run->tasks) {
+    fastest = std::max(
+        fastest, now - member.measured <= kSpeedLasts ? member.speed : 1.0);
+  }
+  return fastest;
+}
+
+// Whether starting the task again elsewhere should end it clearly sooner.
+bool EndsSoonerElsewhere(const WorkflowWorld& world,
+                         const TaskPlace& place,
+                         double speed_here) {
+  const Task& task = *place.task;
+  const Duration work = place.spec->estimate;
+  const Duration left = std::max(work - task.worked, work / 4);
+  const double speed = std::max(speed_here, 0.05);
+  const auto here = Duration(
+      static_cast<Duration::rep>(static_cast<double>(left.count()) / speed));
+  const Duration again = place.spec->saves_progress ? left : work;
+  return here > (again + world.self.stop_grace) * 3 / 2;
+}
+
+// Leaves out a worker on which everything goes slowly, and moves urgent work
+// off it.
+void JudgeSpeed(WorkflowWorld& world,
+                const WorkerId& id,
+                const std::vector<TaskKey>& measured,
+                TimePoint now) {
+  if (measured.empty()) {
+    return;
+  }
+  const bool any_sound =
+      std::any_of(measured.begin(), measured.end(), [&](const TaskKey& key) {
+        return SpeedOf(FindTask(world, key), now) >= kSlowSpeed;
+      });
+  TaskWorker* worker = world.scheduling.workers.find(id);
+  if (any_sound) {
+    return;
+  }
+  if (now >= worker->excluded_until && MayExcludeMore(world, now)) {
+    worker->exclusion = std::max(worker->exclusion, kFailureExclusion);
+    Exclude(*worker, "tasks go slowly there", now);
+  }
+  for (const TaskKey& key : measured) {
+    const TaskPlace place = FindTask(world, key);
+    const bool may_move =
+        place.workflow->terms.priority == 0 || place.spec->saves_progress;
+    if (place.task->state != TaskState::kRunning || !may_move ||
+        !EndsSoonerElsewhere(world, place, SpeedOf(place, now))) {
+      continue;
+    }
+    Log(LogLevel::kInfo, "moved_off_slow_worker",
+        {{"workflow", key.workflow.value},
+         {"step", key.step.value},
+         {"task", key.task.value},
+         {"worker", id.value},
+         {"speed", place.task->speed},
+         {"worked_ms", Millis(place.task->worked)}});
+    if (place.spec->gang) {
+      StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
+    } else {
+      StopTask(world, key, place, now);
+    }
+  }
+}
+
 // Compares what runs there with what the tables say.
 void Reconcile(WorkflowWorld& world, const OrderEnded& hold, TimePoint now) {
   const WorkerId id = hold.worker;
   std::set<std::pair<TaskKey, RunNumber>> present;
+  std::vector<TaskKey> measured;
   for (const RunningReport& report : hold.running) {
     present.emplace(report.task, report.run);
     const TaskPlace place = FindTask(world, report.task);
@@ -361,7 +496,11 @@
       place.task->since = now;
       place.task->ordered = false;
     }
+    if (MeasureSpeed(world, place, report, now)) {
+      measured.push_back(report.task);
+    }
   }
+  JudgeSpeed(world, id, measured, now);
   // What the tables have running, and was settled before the worker was
   // asked, but is not there, never began or has gone.
   const auto tasks = world.scheduling.workers.find(id)->tasks;
@@ -519,6 +658,14 @@
   return worker.clock + WorkerClock(Millis(now - worker.clock_sent));
 }
 
+bool RunsUrgent(const WorkflowWorld& world, const TaskWorker& worker) {
+  return std::any_of(
+      worker.tasks.begin(), worker.tasks.end(), [&](const auto& row) {
+        const Workflow* workflow = world.workflows.find(row.first.workflow);
+        return workflow != nullptr && workflow->terms.priority == 0;
+      });
+}
+
 void SendHold(WorkflowWorld& world,
               TaskWorker& worker,
               TimePoint now,
@@ -536,7 +683,7 @@
         FastestClock(worker, now) + WorkerClock(Millis(world.self.lease));
     worker.leased_until = std::max(worker.leased_until, *hold.until);
     if (worker.fenced && worker.silent_holds == 0) {
-      hold.wait = kHoldWait;
+      hold.wait = RunsUrgent(world, worker) ? kUrgentHoldWait : kHoldWait;
     }
   }
   worker.told = worker.acknowledged;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -132,6 +132,11 @@
   TimePoint since{};
   // Whether the order for the current state is queued or under way.
   bool ordered = false;
+  // How fast the run goes compared with a sound worker, by the processors that
+  // it uses, when that was last said, and the work done until then.
+  double speed = 1.0;
+  TimePoint measured{};
+  Duration worked{};
 };
 
 // One run of one step for one occurrence.
