--- /dev/null
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -0,0 +1,103 @@
+#include "chicorystep/encoding/workflow_dump.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace chicorystep {
+namespace {
+
+using PlainJson = nlohmann::ordered_json;
+
+// More rows than an operator reads; a dump must not take long.
+constexpr std::size_t kMaxRows = 500;
+
+std::int64_t AgeMillis(TimePoint then, TimePoint now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now - then)
+      .count();
+}
+
+PlainJson DumpHolding(const Holding& holding, TimePoint now) {
+  PlainJson json = {{"state", std::string(NameOf(holding.state))},
+                    {"epoch", holding.epoch.value},
+                    {"holder", holding.holder.value},
+                    {"heard_ms_ago", AgeMillis(holding.heard, now)}};
+  if (holding.state == HoldingState::kHolding) {
+    json["confirmed_ms_ago"] = AgeMillis(holding.confirmed, now);
+    json["may_order"] = holding.may_order;
+  }
+  return json;
+}
+
+PlainJson DumpWorker(const TaskWorker& worker, TimePoint now) {
+  return {{"id", worker.listing.id.value},
+          {"zone", worker.listing.zone.value},
+          {"rack", worker.rack.value},
+          {"listed", worker.listed},
+          {"draining", worker.listing.draining},
+          {"obeys", worker.fenced},
+          {"silent_holds", worker.silent_holds},
+          {"excluded_for_ms",
+           std::max<std::int64_t>(0, AgeMillis(now, worker.excluded_until))},
+          {"free_accelerators", worker.free.accelerators.value},
+          {"tasks", worker.tasks.size()}};
+}
+
+PlainJson DumpWorkflow(const WorkflowId& id, const Workflow& workflow) {
+  std::array<std::size_t, kEnumNames<TaskState>.size()> counts{};
+  for (const StepRun& run : workflow.runs) {
+    for (const Task& task : run.tasks) {
+      ++counts[static_cast<std::size_t>(task.state)];
+    }
+  }
+  PlainJson tasks = PlainJson::object();
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i] > 0) {
+      tasks[std::string(NameOf(static_cast<TaskState>(i)))] = counts[i];
+    }
+  }
+  return {{"id", id.value},
+          {"route", workflow.terms.route.value},
+          {"workspace", workflow.terms.workspace.value},
+          {"priority", workflow.terms.priority},
+          {"shown", std::string(NameOf(workflow.shown))},
+          {"cancel_requested", workflow.cancel_requested},
+          {"accepted_unix_ms", workflow.accepted.value},
+          {"tasks", std::move(tasks)}};
+}
+
+}  // namespace
+
+std::string DumpWorkflowWorld(const WorkflowWorld& world, TimePoint now) {
+  PlainJson json;
+  json["entry"] = world.self.id.value;
+  json["config_version"] = world.config ? world.config->version.value : 0;
+  json["stopping"] = world.stopping;
+  json["holding"] = DumpHolding(world.holding, now);
+  json["streams"] = PlainJson::object();
+  for (const auto& [stream, position] : world.streams) {
+    json["streams"][std::string(NameOf(stream))] = {
+        {"loaded", position.next.has_value()},
+        {"fresh_ms_ago", AgeMillis(position.fresh, now)},
+        {"failures", position.failures}};
+  }
+  json["calls_waiting_for_the_store"] =
+      world.callers.queued.size() + world.callers.writing.size();
+  json["workflows"] = world.workflows.size();
+  json["open"] = PlainJson::array();
+  for (std::size_t i = 0;
+       i < world.workflows.size() && json["open"].size() < kMaxRows; ++i) {
+    if (!IsOver(world.workflows.rows[i].shown)) {
+      json["open"].push_back(
+          DumpWorkflow(world.workflows.keys[i], world.workflows.rows[i]));
+    }
+  }
+  json["workers"] = PlainJson::array();
+  for (const TaskWorker& worker : world.scheduling.workers.rows) {
+    if (json["workers"].size() < kMaxRows) {
+      json["workers"].push_back(DumpWorker(worker, now));
+    }
+  }
+  return json.dump(1);
+}
+
+}  // namespace chicorystep
