--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,418 @@
+#define BOOST_TEST_MODULE platform_codec
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+#include "platform/callers.h"
+#include "platform/codec.h"
+#include "platform/settings.h"
+
+namespace chicorystep::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A body and whether it holds a job.
+struct JobCase {
+  std::string name;
+  std::string body;
+  bool sound;
+};
+
+const std::vector<JobCase> kJobCases = {
+    {"one step", R"({"Spec":"x","Steps":[{"Count":2,"Cpu":500,"MemMb":1}]})",
+     true},
+    {"unknown fields are passed over",
+     R"({"Spec":"x","New":[1],"Steps":[{"Count":1,"Other":{}}]})", true},
+    {"every field",
+     R"({"Spec":"x","Steps":[{"Count":1},{"Count":3,"Cpu":1,"MemMb":2,"Gpu":4,
+        "EstimateMs":5,"DependsOn":[0],"SavesProgress":true,"Gang":true,
+        "SameRack":true,"Requires":"a","Affinity":"r1","MaxPerServer":2,
+        "Speculative":true,"LongRunning":true,"Fills":false}],
+        "Times":3,"StartTimeMs":1700000000000,"IntervalMs":500})",
+     true},
+    {"no JSON", "Count=2", false},
+    {"nothing", "", false},
+    {"no steps", R"({"Spec":"x"})", false},
+    {"an empty list of steps", R"({"Spec":"x","Steps":[]})", false},
+    {"steps of another type", R"({"Spec":"x","Steps":{"Count":1}})", false},
+    {"a step without tasks", R"({"Spec":"x","Steps":[{"Count":0}]})", false},
+    {"a negative count", R"({"Spec":"x","Steps":[{"Count":-1}]})", false},
+    {"a count beyond all bounds", R"({"Spec":"x","Steps":[{"Count":1e12}]})",
+     false},
+    {"a count that is a text", R"({"Spec":"x","Steps":[{"Count":"2"}]})",
+     false},
+    {"a step that depends on itself",
+     R"({"Spec":"x","Steps":[{"Count":1,"DependsOn":[0]}]})", false},
+    {"a step that depends on a later one",
+     R"({"Spec":"x","Steps":[{"Count":1,"DependsOn":[1]},{"Count":1}]})",
+     false},
+    {"a spec that is too long",
+     R"({"Spec":")" + std::string(4001, 'x') + R"(","Steps":[{"Count":1}]})",
+     false},
+};
+
+BOOST_AUTO_TEST_CASE(bodies_hold_a_job_or_are_rejected) {
+  for (const JobCase& sample : kJobCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto job = DecodeJob(sample.body);
+      BOOST_TEST(job.has_value() == sample.sound);
+      if (!job) {
+        BOOST_TEST(!job.error().detail.empty());
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_decoded_job_says_what_the_body_said) {
+  const auto job = DecodeJob(kJobCases[2].body);
+  BOOST_REQUIRE(job.has_value());
+  const StepSpec& step = job.value().steps[1];
+  BOOST_TEST(step.count == 3U);
+  BOOST_TEST(step.need.accelerators.value == 4);
+  BOOST_TEST(step.need.processors.value == 1);
+  BOOST_TEST(step.need.memory.value == 2);
+  BOOST_TEST((step.estimate == milliseconds(5)));
+  BOOST_TEST((step.depends_on == std::vector{StepIndex(0)}));
+  BOOST_TEST((step.gang && step.same_rack && step.saves_progress &&
+              step.speculative && step.long_running));
+  BOOST_TEST(step.required_label == "a");
+  BOOST_TEST(step.data_rack.value == "r1");
+  BOOST_TEST(step.max_per_worker == 2U);
+  BOOST_TEST(job.value().occurrences == 3U);
+  BOOST_TEST((job.value().interval == milliseconds(500)));
+}
+
+// An entry of the list of workers and whether it names one.
+struct ListingCase {
+  std::string name;
+  std::string text;
+  bool sound;
+  bool draining;
+};
+
+const std::vector<ListingCase> kListingCases = {
+    {"ready",
+     R"({"Service":"s","Address":"10.0.0.1:80","State":"ready",
+        "Capacity":{"Cpu":1,"MemMb":2,"Gpu":3},"Labels":["a","r1"],"Seq":4,
+        "born":17})",
+     true, false},
+    {"draining",
+     R"({"Service":"s","Address":"10.0.0.1:80","State":"draining",
+        "RemainingMs":900,"Capacity":{}})",
+     true, true},
+    {"no address", R"({"Service":"s","State":"ready","Capacity":{}})", false,
+     false},
+    {"a state of no known name",
+     R"({"Service":"s","Address":"a","State":"asleep","Capacity":{}})", false,
+     false},
+    {"an address of another type",
+     R"({"Service":"s","Address":7,"State":"ready","Capacity":{}})", false,
+     false},
+    {"bytes that are no text", "\xff\xfe\x00", false, false},
+};
+
+BOOST_AUTO_TEST_CASE(entries_name_a_worker_or_are_passed_over) {
+  for (const ListingCase& sample : kListingCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto listing = DecodeListing("i-1", sample.text);
+      BOOST_REQUIRE(listing.has_value() == sample.sound);
+      if (listing) {
+        BOOST_TEST(listing.value().draining == sample.draining);
+        BOOST_TEST(listing.value().id.value == "i-1");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_keeps_routes_keys_and_guarantees) {
+  const auto config = DecodeConfig(
+      R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",
+      "Service":"s","Priority":2,"MaxAttempts":4,"TargetDurationMs":1500,
+      "Stretch":1.5,"Public":true}],"Services":[{"Name":"s",
+      "EnforcesCapacity":false}],"Limits":{"MaxHeaderBytes":100,
+      "MaxBodyBytes":200,"HeaderTimeoutMs":300,"IdleTimeoutMs":400},
+      "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Guaranteed":{"Gpu":72}}]})");
+  BOOST_REQUIRE(config.has_value());
+  const WorkflowConfig& got = config.value();
+  BOOST_TEST(got.version.value == 7U);
+  BOOST_TEST(got.routes[0].max_attempts == 4U);
+  BOOST_TEST(got.routes[0].open);
+  BOOST_TEST(got.routes[0].stretch == 1.5);
+  BOOST_TEST(!got.services.at(Service("s")).enforces_capacity);
+  BOOST_TEST(got.limits.max_body.value == 200);
+  BOOST_TEST(got.keys.at(ApiKey("k2")).value == "t");
+  BOOST_TEST(got.workspaces.at(Workspace("t")).guaranteed.value == 72);
+  BOOST_TEST(!DecodeConfig(R"({"Routes":[]})").has_value());
+}
+
+// Names of tasks on the wire.
+struct NameCase {
+  std::string text;
+  bool sound;
+};
+
+const std::vector<NameCase> kNameCases = {
+    {"5c0e7a21d94b36f8.0.1.17", true},    {"5c0e7a21d94b36f8.0.1", false},
+    {"5c0e7a21d94b36f8.0.1.17.2", false}, {"5c0e7a21d94b36f8.0.x.17", false},
+    {"5c0e7a21d94b36f8", false},          {"", false},
+    {"5c0e7a21d94b36f8.0.1.-1", false},
+};
+
+BOOST_AUTO_TEST_CASE(task_names_are_read_back_as_written) {
+  for (const NameCase& sample : kNameCases) {
+    BOOST_TEST_CONTEXT(sample.text) {
+      const auto key = DecodeTaskName(sample.text);
+      BOOST_REQUIRE(key.has_value() == sample.sound);
+      if (key) {
+        BOOST_TEST(EncodeTaskName(*key) == sample.text);
+      }
+    }
+  }
+}
+
+// An answer of a worker and what it means.
+struct OrderCase {
+  std::string name;
+  int status;
+  std::string body;
+  OrderOutcome outcome;
+  std::size_t running;
+  std::size_t ended;
+};
+
+const std::vector<OrderCase> kOrderCases = {
+    {"a hold with both lists", 200,
+     R"({"ClockMs":5,"born":9,"Running":[["a.0.0.1",2,"",41,300]],
+        "Finished":[[58,"a.0.0.2",1,"done",""],[59,"a.0.0.3",1,"lapsed","c"]]})",
+     OrderOutcome::kDone, 1, 2},
+    {"an end of no known kind", 200,
+     R"({"ClockMs":5,"Running":[],"Finished":[[1,"a.0.0.2",1,"odd",""]]})",
+     OrderOutcome::kDone, 0, 1},
+    {"lists that cannot be read say nothing", 200,
+     R"({"ClockMs":5,"Running":[["a.0.0.1"]],"Finished":[]})",
+     OrderOutcome::kRejected, 0, 0},
+    {"a body that cannot be read", 200, "{", OrderOutcome::kRejected, 0, 0},
+    {"a lower fence", 409, R"({"ClockMs":5,"Reason":"fence"})",
+     OrderOutcome::kFenced, 0, 0},
+    {"an old run", 409, R"({"Reason":"old"})", OrderOutcome::kOldRun, 0, 0},
+    {"too late", 409, R"({"Reason":"late"})", OrderOutcome::kTooLate, 0, 0},
+    {"no room", 409, R"({"Reason":"room"})", OrderOutcome::kNoRoom, 0, 0},
+    {"another life", 421, "", OrderOutcome::kOtherLife, 0, 0},
+    {"unhealthy", 503, "", OrderOutcome::kUnhealthy, 0, 0},
+    {"busy", 429, "", OrderOutcome::kUnhealthy, 0, 0},
+    {"malformed", 400, "", OrderOutcome::kRejected, 0, 0},
+};
+
+BOOST_AUTO_TEST_CASE(answers_of_workers_are_told_apart) {
+  for (const OrderCase& sample : kOrderCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      OrderEnded ended{.kind = OrderKind::kHold};
+      DecodeOrderAnswer(sample.status, sample.body, ended);
+      BOOST_TEST((ended.outcome == sample.outcome));
+      BOOST_TEST(ended.running.size() == sample.running);
+      BOOST_TEST(ended.ended.size() == sample.ended);
+    }
+  }
+}
+
+// An answer of the store to an append and what it means.
+struct AppendCase {
+  std::string name;
+  int status;
+  std::string body;
+  AppendOutcome outcome;
+};
+
+const std::vector<AppendCase> kAppendCases = {
+    {"written", 200, R"({"Offset":3,"End":4})", AppendOutcome::kWritten},
+    {"fenced", 409, R"({"Reason":"fenced"})", AppendOutcome::kFenced},
+    {"out of sequence", 409, R"({"Reason":"seq","Seq":5})",
+     AppendOutcome::kOutOfSequence},
+    {"down", 503, "", AppendOutcome::kRejected},
+    {"beyond the rate", 429, "", AppendOutcome::kRejected},
+    {"full", 507, "", AppendOutcome::kRejected},
+    {"not on the pages", 500, "", AppendOutcome::kUnknown},
+};
+
+BOOST_AUTO_TEST_CASE(answers_to_appends_are_told_apart) {
+  for (const AppendCase& sample : kAppendCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      JournalAppended appended;
+      DecodeAppendAnswer(sample.status, sample.body, appended);
+      BOOST_TEST((appended.outcome == sample.outcome));
+    }
+  }
+}
+
+std::string Page(std::uint64_t end, const std::string& records) {
+  std::string page;
+  for (const std::uint64_t number : {end, std::uint64_t{0}}) {
+    for (int shift = 56; shift >= 0; shift -= 8) {
+      page.push_back(static_cast<char>((number >> shift) & 0xff));
+    }
+  }
+  return page + records;
+}
+
+BOOST_AUTO_TEST_CASE(records_are_read_back_as_written) {
+  const std::vector<KeyedValue> records = {
+      {"a", "value"}, {"gone", std::nullopt}, {"b", std::string("\0x", 2)}};
+  const auto page = DecodeLogPage(Page(9, EncodeLogRecords(records)));
+  BOOST_REQUIRE(page.has_value());
+  BOOST_TEST(page.value().end.value == 9U);
+  BOOST_TEST((page.value().records == records));
+}
+
+// Pages that hold something else than whole records.
+struct PageCase {
+  std::string name;
+  std::string body;
+  bool sound;
+  std::size_t records;
+};
+
+const std::vector<PageCase> kPageCases = {
+    {"no records", Page(3, ""), true, 0},
+    {"no offsets", "short", false, 0},
+    {"a record that is cut off", Page(3, std::string("\0\0\0\5ab", 6)), false,
+     0},
+    {"a key longer than its record keeps its place",
+     Page(3, std::string("\0\0\0\2\5a", 6)), true, 1},
+};
+
+BOOST_AUTO_TEST_CASE(pages_of_foreign_bytes_do_no_harm) {
+  for (const PageCase& sample : kPageCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto page = DecodeLogPage(sample.body);
+      BOOST_REQUIRE(page.has_value() == sample.sound);
+      if (page) {
+        BOOST_TEST(page.value().records.size() == sample.records);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(newest_records_are_decoded) {
+  const auto page = DecodeNewestPage(
+      R"({"items":[{"Key":"k","Value":"aGVsbG8=","Offset":4}],"HasMore":true,
+      "End":6})");
+  BOOST_REQUIRE(page.has_value());
+  BOOST_TEST(page.value().more);
+  BOOST_TEST(page.value().end.value == 6U);
+  BOOST_TEST(page.value().records[0].second.value.value() == "hello");
+}
+
+// A caller's request and the call that it makes.
+struct CallCase {
+  std::string name;
+  ServedRequest request;
+  std::optional<CallKind> kind;
+};
+
+const std::vector<CallCase> kCallCases = {
+    {"a submission",
+     {.method = "POST", .path = "/p/1", .body = "{}"},
+     CallKind::kSubmit},
+    {"a state", {.method = "GET", .path = "/p/1"}, CallKind::kGet},
+    {"a count", {.method = "GET", .path = "/p/"}, CallKind::kCount},
+    {"a cancel", {.method = "DELETE", .path = "/p/1"}, CallKind::kCancel},
+    {"another method", {.method = "PUT", .path = "/p/1"}, std::nullopt},
+};
+
+BOOST_AUTO_TEST_CASE(requests_make_calls) {
+  for (const CallCase& sample : kCallCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      ServedRequest request = sample.request;
+      request.headers = {{"host", "h"},
+                         {"authorization", "Token k"},
+                         {"x-deadline-ms", "1200"}};
+      const auto call = DecodeCall(request, ExchangeId(4));
+      BOOST_REQUIRE(call.has_value() == sample.kind.has_value());
+      if (call) {
+        BOOST_TEST((call->kind == *sample.kind));
+        BOOST_TEST(call->key.value == "k");
+        BOOST_TEST((call->patience == milliseconds(1200)));
+      }
+    }
+  }
+}
+
+// Answers and the status that callers see.
+struct StatusCase {
+  CallResult result;
+  int status;
+};
+
+const std::vector<StatusCase> kStatusCases = {
+    {CallResult::kOk, 200},           {CallResult::kMalformed, 400},
+    {CallResult::kUnauthorised, 401}, {CallResult::kNoRoute, 404},
+    {CallResult::kNoWorkflow, 410},   {CallResult::kRefused, 503},
+    {CallResult::kUnknown, 504},
+};
+
+BOOST_AUTO_TEST_CASE(answers_have_their_status) {
+  for (const StatusCase& sample : kStatusCases) {
+    const ServedResponse response = EncodeCallAnswer(
+        CallAnswer{.result = sample.result,
+                   .retry_after = sample.result == CallResult::kRefused
+                                      ? Duration(milliseconds(300))
+                                      : Duration()});
+    BOOST_TEST(response.status == sample.status);
+    BOOST_TEST(response.headers.empty() ==
+               (sample.result != CallResult::kRefused));
+  }
+}
+
+const std::string kSettings = R"(
+Node = "edge-1"
+Ip = "10.1.0.19"
+Zone = "z"
+InternalPortRange = [7000, 7015]
+[Listen]
+Front = "10.1.0.19:8521"
+Ready = "10.1.0.19:8523"
+[Bounds]
+MaxHoldMs = 3000
+RevokeMs = 5000.0
+GraceS = 6
+status_s = 1.5
+[platform]
+Address = "10.200.1.7:8524"
+)";
+
+// Settings files and whether they can be used.
+struct SettingsCase {
+  std::string name;
+  std::string text;
+  bool sound;
+};
+
+const std::vector<SettingsCase> kSettingsCases = {
+    {"as on the platform", kSettings, true},
+    {"with fields that are not known", "Fresh = [1]\n" + kSettings, true},
+    {"not in the format", "Node = = 1", false},
+    {"without a store", "Node = \"a\"\n[Listen]\nFront = \"1.2.3.4:5\"", false},
+    {"empty", "", false},
+};
+
+BOOST_AUTO_TEST_CASE(settings_are_read_or_say_what_is_wrong) {
+  for (const SettingsCase& sample : kSettingsCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto settings = ParseSettings(sample.text);
+      BOOST_REQUIRE(settings.has_value() == sample.sound);
+      if (!settings) {
+        BOOST_TEST(!settings.error().detail.empty());
+      }
+    }
+  }
+  const auto settings = ParseSettings(kSettings);
+  BOOST_TEST((settings.value().self.lease == milliseconds(3000)));
+  BOOST_TEST((settings.value().self.status_kept == milliseconds(1500)));
+  BOOST_TEST(settings.value().inspection.value == "10.1.0.19:7000");
+  BOOST_TEST(ParseSettings("\n\nNode = = 1").error().line == 3U);
+}
+
+}  // namespace
+}  // namespace chicorystep::platform
--- /dev/null
+++ b/tests/platform_http_test.cc
@@ -0,0 +1,151 @@
+#define BOOST_TEST_MODULE platform_http
+#include <boost/test/unit_test.hpp>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include "platform/http_client.h"
+#include "platform/http_server.h"
+#include "tests/support/raw_http.h"
+
+namespace chicorystep::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that echoes bodies, and a client, on one thread. `/silent` is never
+// answered, `/late` after 300 ms.
+struct Loopback {
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> guard{
+      context.get_executor()};
+  std::vector<Respond> held;
+  HttpClient client{context};
+  HttpServer server{context, [this](ServedRequest request, Respond respond) {
+                      if (request.path == "/silent") {
+                        this->held.push_back(std::move(respond));
+                        return;
+                      }
+                      respond(ServedResponse{.body = request.body});
+                    }};
+  Address address{"127.0.0.1:0"};
+  std::thread thread;
+
+  Loopback() {
+    for (int port = 21'000; port < 21'200; ++port) {
+      this->address = Address("127.0.0.1:" + std::to_string(port));
+      if (this->server.Listen(this->address)) {
+        break;
+      }
+    }
+    this->server.SetLimits(CallLimits{.max_head = Bytes(2000),
+                                      .max_body = Bytes(1000),
+                                      .head_timeout = milliseconds(300),
+                                      .idle_timeout = milliseconds(500)});
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+  ~Loopback() {
+    this->context.stop();
+    this->thread.join();
+  }
+
+  HttpReply Send(HttpRequest request) {
+    request.address = request.address.empty() ? this->address : request.address;
+    std::promise<HttpReply> reply;
+    asio::post(this->context, [&] {
+      this->client.Send(
+          request, [&](HttpReply got) { reply.set_value(std::move(got)); });
+    });
+    return reply.get_future().get();
+  }
+
+  std::uint64_t Opened() {
+    std::promise<std::uint64_t> opened;
+    asio::post(this->context, [&] { opened.set_value(this->client.Opened()); });
+    return opened.get_future().get();
+  }
+};
+
+// A request and what becomes of it.
+struct RequestCase {
+  std::string name;
+  HttpRequest request;
+  HttpOutcome outcome;
+  int status;
+};
+
+const std::vector<RequestCase> kRequestCases = {
+    {"answered",
+     {.method = "POST", .target = "/", .body = "hello"},
+     HttpOutcome::kAnswered,
+     200},
+    {"an empty body",
+     {.method = "POST", .target = "/"},
+     HttpOutcome::kAnswered,
+     200},
+    {"a body beyond the limit",
+     {.method = "POST", .target = "/", .body = std::string(1001, 'x')},
+     HttpOutcome::kAnswered,
+     413},
+    {"a head beyond the limit",
+     {.target = "/" + std::string(3000, 'x')},
+     HttpOutcome::kAnswered,
+     431},
+    {"no answer in time",
+     {.target = "/silent", .timeout = milliseconds(100)},
+     HttpOutcome::kNoAnswer,
+     0},
+    {"nobody listens",
+     {.address = Address("127.0.0.1:1"), .target = "/"},
+     HttpOutcome::kNotSent,
+     0},
+    {"no address",
+     {.address = Address("nowhere"), .target = "/"},
+     HttpOutcome::kNotSent,
+     0},
+};
+
+BOOST_AUTO_TEST_CASE(requests_end_in_one_of_three_ways) {
+  Loopback loopback;
+  for (const RequestCase& sample : kRequestCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const HttpReply reply = loopback.Send(sample.request);
+      BOOST_TEST((reply.outcome == sample.outcome));
+      BOOST_TEST(reply.status == sample.status);
+      if (reply.status == 200) {
+        BOOST_TEST(reply.body == sample.request.body);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(connections_are_reused_until_they_go_silent) {
+  Loopback loopback;
+  const HttpRequest sound{.method = "POST", .target = "/", .body = "b"};
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(loopback.Send(sound).status == 200);
+  }
+  BOOST_TEST(loopback.Opened() == 1U);
+  (void)loopback.Send({.target = "/silent", .timeout = milliseconds(50)});
+  BOOST_TEST(loopback.Send(sound).status == 200);
+  BOOST_TEST(loopback.Opened() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_the_server_closed_is_replaced) {
+  Loopback loopback;
+  const HttpRequest sound{.method = "POST", .target = "/", .body = "b"};
+  BOOST_TEST(loopback.Send(sound).status == 200);
+  // Longer than the server keeps an idle connection.
+  asio::io_context waiting;
+  asio::steady_timer timer(waiting, milliseconds(700));
+  timer.wait();
+  BOOST_TEST(loopback.Send(sound).status == 200);
+}
+
+}  // namespace
+}  // namespace chicorystep::platform
--- /dev/null
+++ b/tests/task_placement_test.cc
@@ -0,0 +1,339 @@
+#define BOOST_TEST_MODULE task_placement
+#include <boost/test/unit_test.hpp>
+
+#include "chicorystep/systems/task_placement.h"
+#include "chicorystep/systems/workflow_tables.h"
+#include "tests/support/emulation.h"
+
+namespace chicorystep {
+namespace {
+
+constexpr WorkflowTime kNow{.now = TimePoint(seconds(1000)),
+                            .wall = UnixMillis(5'000'000)};
+
+// A holder's world with `racks` racks of `per_rack` workers of 8 accelerators.
+WorkflowWorld MakeWorld(int racks, int per_rack) {
+  WorkflowWorld world;
+  world.config = Emulation::MakeConfig(1);
+  world.holding.state = HoldingState::kHolding;
+  for (int i = 0; i < racks * per_rack; ++i) {
+    const WorkerListing listing{
+        .id = WorkerId(fmt::format("w{}", i)),
+        .service = Service("service"),
+        .address = Address("10.0.0.1:80"),
+        .capacity =
+            Capacity{Accelerators(8), Millicores(32'000), Mebibytes(131'072)},
+        .labels = {i % 2 == 0 ? "even" : "odd",
+                   fmt::format("r{}", i / per_rack)}};
+    world.scheduling.workers.insert(listing.id,
+                                    TaskWorker{.listing = listing,
+                                               .rack = Rack(listing.labels[1]),
+                                               .free = listing.capacity,
+                                               .fenced = true});
+  }
+  return world;
+}
+
+// Adds an accepted workflow of one step.
+WorkflowId Add(WorkflowWorld& world,
+               int number,
+               std::uint32_t priority,
+               const StepSpec& step) {
+  const WorkflowId id = Emulation::MakeId(number);
+  Workflow workflow;
+  workflow.spec.steps = {step};
+  workflow.terms = WorkflowTerms{.workspace = Workspace("team"),
+                                 .service = Service("service"),
+                                 .priority = priority,
+                                 .max_attempts = 3,
+                                 .target = seconds(1),
+                                 .stretch = 2.0};
+  workflow.accepted = UnixMillis(kNow.wall.value - 100 + number);
+  StepRun run;
+  run.tasks.resize(step.count);
+  workflow.runs = {run};
+  workflow.occurrences_begun = 1;
+  world.workflows.insert(id, workflow);
+  world.scheduling.open.insert(id);
+  return id;
+}
+
+void Run(WorkflowWorld& world, const WorkflowTime& time) {
+  world.scheduling.placement_due = true;
+  world.scheduling.next_placement = time.now;
+  PlaceTasks(world, time);
+}
+
+std::size_t CountIn(const WorkflowWorld& world,
+                    const WorkflowId& id,
+                    TaskState state) {
+  std::size_t count = 0;
+  for (const StepRun& run : world.workflows.find(id)->runs) {
+    for (const Task& task : run.tasks) {
+      count += task.state == state ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::set<Rack> RacksOf(WorkflowWorld& world, const WorkflowId& id) {
+  std::set<Rack> racks;
+  for (const Task& task : world.workflows.find(id)->runs[0].tasks) {
+    if (const TaskWorker* worker = world.scheduling.workers.find(task.worker)) {
+      racks.insert(worker->rack);
+    }
+  }
+  return racks;
+}
+
+// Lets a workflow's placed tasks run.
+void BeginRunning(WorkflowWorld& world, const WorkflowId& id, TimePoint since) {
+  for (StepRun& run : world.workflows.find(id)->runs) {
+    for (Task& task : run.tasks) {
+      if (task.state == TaskState::kPlaced) {
+        task.state = TaskState::kRunning;
+        task.since = since;
+      }
+    }
+  }
+}
+
+// A step on an empty cell of 2 racks of 2 workers, and how many of its tasks
+// are placed.
+struct FitCase {
+  std::string name;
+  StepSpec step;
+  std::size_t placed;
+};
+
+StepSpec With(StepSpec step, const std::function<void(StepSpec&)>& change) {
+  change(step);
+  return step;
+}
+
+const std::vector<FitCase> kFitCases = {
+    {"single tasks", MakeStep(5, 1), 5},
+    {"more single tasks than room", MakeStep(40, 1), 32},
+    {"a gang that fills the cell", MakeStep(4, 8, true), 4},
+    {"a gang that does not fit is not placed in part", MakeStep(5, 8, true), 0},
+    {"a label",
+     With(MakeStep(4, 8), [](StepSpec& s) { s.required_label = "odd"; }), 2},
+    {"a label that no worker has",
+     With(MakeStep(1, 1), [](StepSpec& s) { s.required_label = "none"; }), 0},
+    {"most tasks on one worker",
+     With(MakeStep(12, 1), [](StepSpec& s) { s.max_per_worker = 2; }), 8},
+    {"memory binds before accelerators",
+     With(MakeStep(12, 1),
+          [](StepSpec& s) { s.need.memory = Mebibytes(65'536); }),
+     8},
+    {"a gang within one rack",
+     With(MakeStep(2, 8, true), [](StepSpec& s) { s.same_rack = true; }), 2},
+    {"a gang too wide for any rack goes over racks",
+     With(MakeStep(3, 8, true), [](StepSpec& s) { s.same_rack = true; }), 3},
+};
+
+BOOST_AUTO_TEST_CASE(tasks_go_where_they_fit) {
+  for (const FitCase& sample : kFitCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(2, 2);
+      const WorkflowId id = Add(world, 1, 1, sample.step);
+      Run(world, kNow);
+      BOOST_TEST(CountIn(world, id, TaskState::kPlaced) == sample.placed);
+      for (const TaskWorker& worker : world.scheduling.workers.rows) {
+        BOOST_TEST(worker.free.accelerators.value >= 0);
+        BOOST_TEST(worker.free.memory.value >= 0);
+      }
+    }
+  }
+}
+
+// A worker that must get nothing.
+struct UnusableCase {
+  std::string name;
+  std::function<void(TaskWorker&)> change;
+};
+
+const std::vector<UnusableCase> kUnusableCases = {
+    {"draining", [](TaskWorker& w) { w.listing.draining = true; }},
+    {"not listed", [](TaskWorker& w) { w.listed = false; }},
+    {"has not obeyed this holder", [](TaskWorker& w) { w.fenced = false; }},
+    {"silent", [](TaskWorker& w) { w.silent_holds = 1; }},
+    {"left out",
+     [](TaskWorker& w) { w.excluded_until = kNow.now + seconds(1); }},
+    {"of another service",
+     [](TaskWorker& w) { w.listing.service = Service("other"); }},
+};
+
+BOOST_AUTO_TEST_CASE(unusable_workers_get_nothing) {
+  for (const UnusableCase& sample : kUnusableCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 1);
+      sample.change(world.scheduling.workers.rows[0]);
+      const WorkflowId id = Add(world, 1, 0, MakeStep(1, 1));
+      Run(world, kNow);
+      BOOST_TEST(CountIn(world, id, TaskState::kWaiting) == 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_waits_for_its_rack_but_not_for_ever) {
+  struct WaitCase {
+    std::string name;
+    Duration waited;
+    std::size_t placed;
+  };
+  const std::vector<WaitCase> cases = {
+      {"just come", Duration(), 0},
+      {"waiting for long", seconds(11), 2},
+  };
+  for (const WaitCase& sample : cases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(2, 2);
+      // One worker of each rack is taken by work of the same priority.
+      for (const int index : {0, 2}) {
+        world.scheduling.workers.rows[static_cast<std::size_t>(index)]
+            .free.accelerators = Accelerators(0);
+      }
+      StepSpec step = MakeStep(2, 8, true);
+      step.same_rack = true;
+      const WorkflowId id = Add(world, 1, 1, step);
+      world.workflows.find(id)->runs[0].ready_since = kNow.now - sample.waited;
+      Run(world, kNow);
+      BOOST_TEST(CountIn(world, id, TaskState::kPlaced) == sample.placed);
+    }
+  }
+}
+
+// Whole workers are broken up last: small tasks fill those that are in use.
+BOOST_AUTO_TEST_CASE(small_tasks_leave_whole_workers_free) {
+  WorkflowWorld world = MakeWorld(2, 2);
+  world.scheduling.workers.rows[3].free.accelerators = Accelerators(4);
+  const WorkflowId id = Add(world, 1, 2, MakeStep(4, 1));
+  Run(world, kNow);
+  for (const Task& task : world.workflows.find(id)->runs[0].tasks) {
+    BOOST_TEST(task.worker.value == "w3");
+  }
+}
+
+// What runs when an urgent gang of two whole workers comes to a full cell of
+// one rack, and which of it is stopped.
+struct PreemptionCase {
+  std::string name;
+  // Priority, tasks, accelerators of a task, whether it saves progress, and
+  // how long it has run, for each workflow that runs.
+  struct Running {
+    std::uint32_t priority;
+    std::uint32_t tasks;
+    std::int64_t accelerators;
+    bool saves;
+    Duration ran;
+    std::size_t stopped;
+  };
+  std::vector<Running> running;
+};
+
+const std::vector<PreemptionCase> kPreemptionCases = {
+    {"what has just begun goes before what has run for long",
+     {{2, 2, 8, false, seconds(9), 0}, {2, 2, 8, false, seconds(1), 2}}},
+    {"what saves its progress goes before what does not",
+     {{2, 2, 8, false, seconds(2), 0}, {2, 2, 8, true, seconds(9), 2}}},
+    {"no more is stopped than the gang needs",
+     {{2, 32, 1, false, seconds(1), 16}}},
+    {"work that is as urgent stays",
+     {{0, 2, 8, false, seconds(1), 0}, {0, 2, 8, false, seconds(1), 0}}},
+    {"nothing is stopped when it would not make room",
+     {{0, 3, 8, false, seconds(1), 0}, {2, 1, 8, false, seconds(1), 0}}},
+};
+
+BOOST_AUTO_TEST_CASE(urgent_gangs_stop_what_loses_least) {
+  for (const PreemptionCase& sample : kPreemptionCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 4);
+      std::vector<WorkflowId> ids;
+      int number = 0;
+      for (const auto& running : sample.running) {
+        StepSpec step = MakeStep(running.tasks, running.accelerators);
+        step.saves_progress = running.saves;
+        ids.push_back(Add(world, ++number, running.priority, step));
+        Run(world, kNow);
+        BeginRunning(world, ids.back(), kNow.now - running.ran);
+      }
+      StepSpec step = MakeStep(2, 8, true);
+      step.same_rack = true;
+      Add(world, 99, 0, step);
+      Run(world, kNow);
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        BOOST_TEST(CountIn(world, ids[i], TaskState::kStopping) ==
+                   sample.running[i].stopped);
+      }
+      // Another pass before they have ended stops nothing more.
+      const auto stopping = [&] {
+        std::size_t count = 0;
+        for (const WorkflowId& id : ids) {
+          count += CountIn(world, id, TaskState::kStopping);
+        }
+        return count;
+      };
+      const std::size_t before = stopping();
+      Run(world,
+          WorkflowTime{.now = kNow.now + milliseconds(50), .wall = kNow.wall});
+      BOOST_TEST(stopping() == before);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(urgent_gangs_stay_in_one_rack_when_they_preempt) {
+  WorkflowWorld world = MakeWorld(2, 2);
+  const WorkflowId bulk = Add(world, 1, 2, MakeStep(4, 8));
+  Run(world, kNow);
+  BeginRunning(world, bulk, kNow.now - seconds(1));
+  StepSpec step = MakeStep(2, 8, true);
+  step.same_rack = true;
+  const WorkflowId urgent = Add(world, 2, 0, step);
+  Run(world, kNow);
+  BOOST_TEST(CountIn(world, bulk, TaskState::kStopping) == 2U);
+  // The stopped tasks end, and the gang takes their room.
+  const auto runs = world.workflows.find(bulk)->runs[0].tasks;
+  for (std::uint32_t i = 0; i < runs.size(); ++i) {
+    if (runs[i].state == TaskState::kStopping) {
+      const TaskKey key{bulk, Occurrence(0), StepIndex(0), TaskIndex(i)};
+      ReturnToWaiting(world, key, FindTask(world, key), kNow.now);
+    }
+  }
+  Run(world, WorkflowTime{.now = kNow.now + seconds(1), .wall = kNow.wall});
+  BOOST_TEST(CountIn(world, urgent, TaskState::kPlaced) == 2U);
+  BOOST_TEST(RacksOf(world, urgent).size() == 1U);
+}
+
+// Two workflows that compete for the only worker, and which of them gets it.
+struct OrderCase {
+  std::string name;
+  std::uint32_t first_priority;
+  std::uint32_t second_priority;
+  bool first_wins;
+};
+
+const std::vector<OrderCase> kOrderCases = {
+    {"the more urgent before the less urgent", 2, 0, false},
+    {"the earlier deadline among equals", 1, 1, true},
+};
+
+BOOST_AUTO_TEST_CASE(units_are_placed_in_their_order) {
+  for (const OrderCase& sample : kOrderCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 1);
+      const WorkflowId first =
+          Add(world, 1, sample.first_priority, MakeStep(1, 8));
+      const WorkflowId second =
+          Add(world, 2, sample.second_priority, MakeStep(1, 8));
+      Run(world, kNow);
+      BOOST_TEST((CountIn(world, first, TaskState::kPlaced) == 1) ==
+                 sample.first_wins);
+      BOOST_TEST((CountIn(world, second, TaskState::kPlaced) == 1) !=
+                 sample.first_wins);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep
--- /dev/null
+++ b/tests/workflow_calls_test.cc
@@ -0,0 +1,251 @@
+#define BOOST_TEST_MODULE workflow_calls
+#include <boost/test/unit_test.hpp>
+
+#include "chicorystep/systems/workflow_calls.h"
+#include "tests/support/emulation.h"
+
+namespace chicorystep {
+namespace {
+
+constexpr WorkflowTime kNow{.now = TimePoint(seconds(1000)),
+                            .wall = UnixMillis(5'000'000)};
+
+WorkflowWorld MakeWorld() {
+  WorkflowWorld world;
+  world.config = Emulation::MakeConfig(3);
+  for (const FollowedStream stream :
+       {FollowedStream::kConfig, FollowedStream::kJournal}) {
+    world.streams[stream].next = Offset(1);
+    world.streams[stream].fresh = kNow.now;
+    world.streams[stream].succeeded = kNow.now;
+  }
+  return world;
+}
+
+const WorkflowId kKnown("00000000000000aa");
+const WorkflowId kOther("00000000000000bb");
+
+WorkflowCall MakeCall(CallKind kind, const std::string& path) {
+  WorkflowCall call{.exchange = ExchangeId(1),
+                    .kind = kind,
+                    .host = "host",
+                    .path = path,
+                    .key = ApiKey("key")};
+  if (kind == CallKind::kSubmit) {
+    call.spec = WorkflowSpec{.steps = {MakeStep(1, 1)}};
+  }
+  return call;
+}
+
+// A call that is answered at once, and how.
+struct AnswerCase {
+  std::string name;
+  WorkflowCall call;
+  std::function<void(WorkflowWorld&, WorkflowCall&)> change;
+  CallResult result;
+};
+
+const std::vector<AnswerCase> kAnswerCases = {
+    {"without a configuration",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) { world.config.reset(); },
+     CallResult::kRefused},
+    {"a host without routes",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld&, WorkflowCall& call) { call.host = "elsewhere"; },
+     CallResult::kNoRoute},
+    {"a path without a route",
+     MakeCall(CallKind::kGet, "/none/" + kKnown.value),
+     {},
+     CallResult::kNoRoute},
+    {"a key that nobody has", MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
+     [](WorkflowWorld&, WorkflowCall& call) { call.key = ApiKey("old"); },
+     CallResult::kUnauthorised},
+    {"no key on an open route",
+     MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall& call) {
+       call.key = ApiKey();
+       world.config->routes[2].open = true;
+     },
+     CallResult::kOk},
+    {"a configuration that was not confirmed for too long",
+     MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh =
+           kNow.now - milliseconds(4900);
+     },
+     CallResult::kRefused},
+    {"a configuration that was confirmed in time",
+     MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh =
+           kNow.now - milliseconds(4000);
+     },
+     CallResult::kOk},
+    {"a body that holds no job",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld&, WorkflowCall& call) { call.spec.reset(); },
+     CallResult::kMalformed},
+    {"an id that is none",
+     MakeCall(CallKind::kSubmit, "/bulk/xyz"),
+     {},
+     CallResult::kMalformed},
+    {"a job that is known already",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kKnown.value),
+     {},
+     CallResult::kOk},
+    {"the state of a known job",
+     MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
+     {},
+     CallResult::kOk},
+    {"the count of a queue",
+     MakeCall(CallKind::kCount, "/bulk/"),
+     {},
+     CallResult::kOk},
+    {"while the store is silent",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.callers.silent_since = kNow.now + milliseconds(1);
+     },
+     CallResult::kRefused},
+};
+
+BOOST_AUTO_TEST_CASE(calls_are_answered_from_the_tables) {
+  for (const AnswerCase& sample : kAnswerCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      world.workflows.insert(kKnown,
+                             Workflow{.terms = {.route = RouteName("bulk")}});
+      WorkflowCall call = sample.call;
+      if (sample.change) {
+        sample.change(world, call);
+      }
+      WorkflowOutbox outbox;
+      HandleCalls(world, {.calls = {call}}, kNow, outbox);
+      BOOST_REQUIRE(outbox.answers.size() == 1U);
+      BOOST_TEST((outbox.answers[0].result == sample.result));
+      const bool says_when = outbox.answers[0].retry_after > Duration::zero();
+      BOOST_TEST(says_when == (sample.result == CallResult::kRefused));
+    }
+  }
+}
+
+// What becomes of the appends of one submission, in turn, and its answer.
+struct AppendCase {
+  std::string name;
+  std::vector<AppendOutcome> outcomes;
+  CallResult result;
+};
+
+const std::vector<AppendCase> kAppendCases = {
+    {"written", {AppendOutcome::kWritten}, CallResult::kOk},
+    {"rejected", {AppendOutcome::kRejected}, CallResult::kRefused},
+    {"no answer, then written",
+     {AppendOutcome::kUnknown, AppendOutcome::kWritten},
+     CallResult::kOk},
+    {"no answer, then rejected: never refused, since it may yet be written",
+     {AppendOutcome::kUnknown, AppendOutcome::kRejected,
+      AppendOutcome::kRejected},
+     CallResult::kUnknown},
+    {"never an answer",
+     {AppendOutcome::kUnknown, AppendOutcome::kUnknown},
+     CallResult::kUnknown},
+};
+
+BOOST_AUTO_TEST_CASE(a_submission_ends_as_its_append_allows) {
+  for (const AppendCase& sample : kAppendCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      WorkflowOutbox outbox;
+      HandleCalls(
+          world,
+          {.calls = {MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value)}},
+          kNow, outbox);
+      WorkflowTime time = kNow;
+      for (const AppendOutcome outcome : sample.outcomes) {
+        time.now += milliseconds(200);
+        const std::size_t before = outbox.appends.size();
+        AppendCalls(world, time.now, outbox);
+        BOOST_REQUIRE(outbox.appends.size() == before + 1);
+        time.now += milliseconds(200);
+        EndCalls(world,
+                 {.appended = {{.lane = AppendLane::kCallers,
+                                .batch = outbox.appends.back().batch,
+                                .outcome = outcome}}},
+                 time, outbox);
+      }
+      time.now = kNow.now + seconds(3);
+      EndCalls(world, {}, time, outbox);
+      BOOST_REQUIRE(outbox.answers.size() == 1U);
+      BOOST_TEST((outbox.answers[0].result == sample.result));
+      const bool accepted = world.workflows.find(kOther) != nullptr;
+      BOOST_TEST(accepted == (sample.result == CallResult::kOk));
+    }
+  }
+}
+
+// When the journal was last read, relative to a call for an unknown workflow.
+struct UnknownCase {
+  std::string name;
+  Duration read_after;
+  std::optional<CallResult> result;
+};
+
+const std::vector<UnknownCase> kUnknownCases = {
+    {"a read that began before the call shows nothing", milliseconds(-1),
+     std::nullopt},
+    {"a read that began after the call shows that there is none",
+     milliseconds(1), CallResult::kNoWorkflow},
+};
+
+BOOST_AUTO_TEST_CASE(only_a_later_read_shows_that_there_is_no_workflow) {
+  for (const UnknownCase& sample : kUnknownCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      WorkflowOutbox outbox;
+      HandleCalls(
+          world, {.calls = {MakeCall(CallKind::kGet, "/bulk/" + kOther.value)}},
+          kNow, outbox);
+      world.streams[FollowedStream::kJournal].fresh =
+          kNow.now + sample.read_after;
+      EndCalls(
+          world, {},
+          WorkflowTime{.now = kNow.now + milliseconds(5), .wall = kNow.wall},
+          outbox);
+      BOOST_TEST(outbox.answers.size() == (sample.result ? 1U : 0U));
+      if (sample.result && !outbox.answers.empty()) {
+        BOOST_TEST((outbox.answers[0].result == *sample.result));
+      }
+    }
+  }
+}
+
+// Paths and the prefix of the route that must be chosen; empty for none.
+struct RouteCase {
+  std::string name;
+  std::string path;
+  std::string prefix;
+};
+
+const std::vector<RouteCase> kRouteCases = {
+    {"the only prefix that matches", "/a/b", "/a/"},
+    {"the longest of two", "/a/long/b", "/a/long/"},
+    {"a part of a name is none", "/ab", ""},
+};
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_chooses_the_route) {
+  WorkflowConfig config;
+  for (const char* prefix : {"/a/", "/a/long/"}) {
+    config.routes.push_back(
+        WorkflowRoute{.host = "host", .path_prefix = prefix});
+  }
+  for (const RouteCase& sample : kRouteCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const WorkflowRoute* route = MatchRoute(config, "host", sample.path);
+      BOOST_TEST((route == nullptr ? "" : route->path_prefix) == sample.prefix);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep
