--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -14,7 +14,7 @@
 namespace chicorystep {
 
 // The settings of chicorystep-entry. Each member is one key of the INI file;
-// docs/OPERATING.md lists them with their units.
+// docs/OPERATIONS.md lists them with their units.
 struct EntrySettings {
   // [instance]
   EntryId id;
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -43,7 +43,11 @@
         {{"call", std::string(NameOf(pending.call.kind))},
          {"workflow", pending.workflow.value},
          {"result", std::string(NameOf(answer.result))},
-         {"detail", answer.detail}});
+         {"detail", answer.detail},
+         {"config_version", pending.config_version.value},
+         {"config_age_ms",
+          std::chrono::duration_cast<milliseconds>(pending.config_age).count()},
+         {"doubtful", pending.doubtful}});
   }
   outbox.answers.push_back(std::move(answer));
 }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -211,6 +211,10 @@
   WorkflowId workflow;
   TimePoint arrived{};
   TimePoint deadline{};
+  // What it was judged by: the configuration, and how long before the call
+  // that was last confirmed.
+  ConfigVersion config_version;
+  Duration config_age{};
   // What is to be appended for it; empty when it waits for a read.
   std::optional<JournalRecord> record;
   // Some append of it got no answer, so it may yet be written.
--- a/chicorystep/traffic/metrics.h
+++ b/chicorystep/traffic/metrics.h
@@ -12,7 +12,7 @@
 
 namespace chicorystep {
 
-// The process's metrics; docs/OPERATING.md lists them with their units.
+// The process's metrics; docs/OPERATIONS.md lists them with their units.
 struct Metrics {
   prometheus::Registry registry;
 
--- a/tests/operating_page_test.cc
+++ b/tests/operations_page_test.cc
@@ -1,4 +1,4 @@
-#define BOOST_TEST_MODULE operating_page
+#define BOOST_TEST_MODULE operations_page
 #include <boost/test/unit_test.hpp>
 
 #include <filesystem>
@@ -15,15 +15,17 @@
 namespace {
 
 std::string Page() {
-  return ReadFile(std::string(CHICORYSTEP_SOURCE_DIR) + "/docs/OPERATING.md");
+  return ReadFile(std::string(CHICORYSTEP_SOURCE_DIR) + "/docs/OPERATIONS.md");
 }
 
 std::string AllSources() {
   std::string text;
-  for (const auto& file : std::filesystem::recursive_directory_iterator(
-           std::string(CHICORYSTEP_SOURCE_DIR) + "/chicorystep")) {
-    if (file.path().extension() == ".cc") {
-      text += ReadFile(file.path());
+  for (const char* folder : {"/chicorystep", "/platform"}) {
+    for (const auto& file : std::filesystem::recursive_directory_iterator(
+             std::string(CHICORYSTEP_SOURCE_DIR) + folder)) {
+      if (file.path().extension() == ".cc") {
+        text += ReadFile(file.path());
+      }
     }
   }
   return text;
@@ -56,7 +58,7 @@
     BOOST_TEST(names.size() >= sample.at_least, sample.name);
     for (const std::string& name : names) {
       BOOST_TEST(page.find("\n| `" + name + "` |") != std::string::npos,
-                 sample.name + " of docs/OPERATING.md lack a row for " + name);
+                 sample.name + " of docs/OPERATIONS.md lack a row for " + name);
     }
   }
 }
@@ -72,7 +74,7 @@
     const std::string row =
         fmt::format("\n| `{}` | {} | ", setting.name, value);
     BOOST_TEST(page.find(row) != std::string::npos,
-               "docs/OPERATING.md lacks the row" + row);
+               "docs/OPERATIONS.md lacks the row" + row);
   }
   const Outcome help = Run("chicorystep-entry", {"--help-settings"});
   BOOST_TEST(help.code == 0);
