Forget ended workflows after their time; tests of lifecycles in the emulation

Change: the holder drops the three keys of a workflow half a minute after callers may no longer ask for it. Tests: how workflows end, occurrences, cancels through a takeover, forgetting, sick workers (that one does not pass yet).

--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -49,6 +49,7 @@
   EndCalls(world, inbox, time, outbox);
 
   AdvanceWorkflows(world, time);
+  ForgetEnded(world, time);
   PlaceTasks(world, time);
   WriteHolderRecords(world, time, outbox);
   AppendCalls(world, time.now, outbox);
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -33,6 +33,8 @@
   // Its clock began at zero when it started, and may run slow.
   TimePoint started{};
   double clock_rate = 1.0;
+  // How fast its tasks go, compared with a sound worker.
+  double speed = 1.0;
 
   Epoch fence;
   WorkerClock leased_until;
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -317,6 +317,9 @@
     scheduling.dirty.erase(
         scheduling.dirty.begin(),
         scheduling.dirty.begin() + static_cast<std::ptrdiff_t>(count));
+    for (const WorkflowId& id : std::exchange(scheduling.to_forget, {})) {
+      append.records.push_back(ForgetRecord{.id = id});
+    }
     if (append.records.empty() || release) {
       append.records.push_back(
           HolderRecord{.epoch = holding.own_epoch,
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflow_progress.cc
@@ -10,6 +10,12 @@
 namespace chicorystep {
 namespace {
 
+// Ended workflows are looked through this often.
+constexpr Duration kForgetPeriod = std::chrono::seconds(2);
+// A repeat of a submission may come seconds after its answer, and clocks of
+// entries differ, so the id is kept for longer than callers may ask.
+constexpr Duration kForgetMargin = std::chrono::seconds(30);
+
 std::uint32_t OccurrenceCount(const WorkflowSpec& spec) {
   return std::max<std::uint32_t>(1, spec.occurrences);
 }
@@ -128,6 +134,29 @@
   }
 }
 
+void ForgetEnded(WorkflowWorld& world, const WorkflowTime& time) {
+  Scheduling& scheduling = world.scheduling;
+  if (world.holding.state != HoldingState::kHolding ||
+      time.now < scheduling.next_forget) {
+    return;
+  }
+  scheduling.next_forget = time.now + kForgetPeriod;
+  const Duration kept = world.self.status_kept + kForgetMargin;
+  const std::int64_t before =
+      time.wall.value -
+      std::chrono::duration_cast<std::chrono::milliseconds>(kept).count();
+  for (std::size_t i = 0; i < world.workflows.size(); ++i) {
+    const Workflow& workflow = world.workflows.rows[i];
+    if (IsOver(workflow.shown) && !workflow.dirty &&
+        workflow.over_since.value < before) {
+      scheduling.to_forget.push_back(world.workflows.keys[i]);
+    }
+  }
+  for (const WorkflowId& id : scheduling.to_forget) {
+    world.workflows.erase(id);
+  }
+}
+
 TimePoint NextOccurrenceDue(const WorkflowWorld& world,
                             const WorkflowTime& time) {
   TimePoint due = kNever;
--- a/chicorystep/systems/workflow_progress.h
+++ b/chicorystep/systems/workflow_progress.h
@@ -9,6 +9,10 @@
 // ends workflows of which nothing is left to run.
 void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time);
 
+// Marks ended workflows for removal from the journal once callers may no longer
+// ask for them.
+void ForgetEnded(WorkflowWorld& world, const WorkflowTime& time);
+
 // When the next occurrence is due, on the clock of ticks.
 [[nodiscard]] TimePoint NextOccurrenceDue(const WorkflowWorld& world,
                                           const WorkflowTime& time);
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -297,11 +297,12 @@
   std::vector<AwaitedStart> recording;
   std::vector<AwaitedStart> to_record;
   std::vector<AwaitedEnds> recording_ends;
+  // Ended workflows whose records go with the next batch.
+  std::vector<WorkflowId> to_forget;
+  TimePoint next_forget{};
   // Something may be placed that could not before.
   bool placement_due = false;
   TimePoint next_placement{};
-  // Accelerators in use by the most urgent work of each workspace.
-  std::map<Workspace, Accelerators> urgent_in_use;
 };
 
 // All control state of the workflow scheduler in one entry process.
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -571,7 +571,9 @@
       } else if (this->now - run.present_since > seconds(3)) {
         EndRun(worker, key, RunEnd::kAlone);
       }
-    } else if (this->now - run.working_since >= run.work) {
+    } else if (static_cast<double>((this->now - run.working_since).count()) *
+                   worker.speed >=
+               static_cast<double>(run.work.count())) {
       end(run.run.value <= what.failing_runs ? RunEnd::kFailed : RunEnd::kDone);
     }
   }
--- /dev/null
+++ b/tests/workflow_lifecycle_test.cc
@@ -0,0 +1,206 @@
+#define BOOST_TEST_MODULE workflow_lifecycle
+#include <boost/test/unit_test.hpp>
+
+#include "tests/support/emulation.h"
+
+namespace chicorystep {
+namespace {
+
+// A run of three entries and 8 workers with a holder.
+struct Fixture {
+  Emulation run;
+
+  Fixture() {
+    this->run.store.configs.push_back(Emulation::MakeConfig(1));
+    this->run.AddWorkers(8);
+    this->run.AddEntries(3);
+    BOOST_REQUIRE(
+        this->run.RunFor(seconds(5), [&] { return this->run.Holder() >= 0; }));
+  }
+};
+
+// A workflow and how it must end.
+struct EndCase {
+  std::string name;
+  Emulation::Submitted what;
+  WorkflowState state;
+  // How often its tasks begin.
+  std::uint64_t starts;
+};
+
+Emulation::Submitted Make(std::vector<StepSpec> steps,
+                          std::uint32_t failing_runs = 0) {
+  Emulation::Submitted what{.work = milliseconds(300),
+                            .failing_runs = failing_runs};
+  what.spec.steps = std::move(steps);
+  return what;
+}
+
+StepSpec After(StepSpec step, std::uint32_t needed) {
+  step.depends_on = {StepIndex(needed)};
+  return step;
+}
+
+Emulation::Submitted Timed(std::uint32_t times) {
+  Emulation::Submitted what = Make({MakeStep(2, 1)});
+  what.spec.occurrences = times;
+  what.spec.first_due = UnixMillis(Emulation::kWallStart + 2000);
+  what.spec.interval = milliseconds(500);
+  return what;
+}
+
+const std::vector<EndCase> kEndCases = {
+    {"one task", Make({MakeStep(1, 1)}), WorkflowState::kSucceeded, 1},
+    {"a gang", Make({MakeStep(4, 8, true)}), WorkflowState::kSucceeded, 4},
+    {"steps that depend on each other",
+     Make({MakeStep(2, 1), After(MakeStep(3, 1), 0), After(MakeStep(1, 1), 1)}),
+     WorkflowState::kSucceeded, 6},
+    {"a task that fails and then ends well", Make({MakeStep(1, 1)}, 2),
+     WorkflowState::kSucceeded, 3},
+    {"a task that always fails", Make({MakeStep(1, 1)}, 99),
+     WorkflowState::kFailed, 3},
+    {"a gang that always fails", Make({MakeStep(2, 1, true)}, 99),
+     WorkflowState::kFailed, 6},
+    {"occurrences", Timed(3), WorkflowState::kSucceeded, 6},
+};
+
+BOOST_AUTO_TEST_CASE(workflows_end_as_their_tasks_do) {
+  for (const EndCase& sample : kEndCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Fixture fixture;
+      Emulation& run = fixture.run;
+      const WorkflowId id = Emulation::MakeId(1);
+      const ExchangeId call = run.Submit(0, "normal", id, sample.what);
+      BOOST_TEST(run.RunFor(seconds(30), [&] { return run.AllOver(); }));
+      BOOST_REQUIRE(run.AnswerTo(call).has_value());
+      BOOST_TEST((run.AnswerTo(call)->result == CallResult::kOk));
+      BOOST_TEST((run.Shown(id) == sample.state));
+      BOOST_TEST(run.starts == sample.starts);
+      BOOST_TEST(run.violations.empty());
+      // Every end that a worker listed is noted.
+      run.RunFor(seconds(2));
+      for (const EmulatedWorker& worker : run.workers) {
+        BOOST_TEST(worker.ended.empty());
+      }
+      // Every entry says the same.
+      for (int entry = 0; entry < 3; ++entry) {
+        const ExchangeId asked = run.Ask(entry, CallKind::kGet, "normal", id);
+        run.RunFor(seconds(1));
+        BOOST_TEST((run.AnswerTo(asked)->state == sample.state));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(occurrences_begin_no_earlier_than_due) {
+  Fixture fixture;
+  Emulation& run = fixture.run;
+  run.Submit(0, "normal", Emulation::MakeId(1), Timed(3));
+  run.RunFor(seconds(10));
+  BOOST_REQUIRE(run.start_times.size() == 6U);
+  for (std::size_t i = 0; i < run.start_times.size(); ++i) {
+    const TimePoint due =
+        TimePoint(milliseconds(2000 + 500 * static_cast<int>(i / 2)));
+    BOOST_TEST((run.start_times[i] >= due));
+    BOOST_TEST((run.start_times[i] < due + milliseconds(300)));
+  }
+}
+
+// When a running workflow is cancelled, and through which entry.
+struct CancelCase {
+  std::string name;
+  Duration after;
+  int entry;
+  // The holder is killed right after the cancel is acknowledged.
+  bool kill_holder;
+};
+
+const std::vector<CancelCase> kCancelCases = {
+    {"at once", milliseconds(0), 0, false},
+    {"while it runs", milliseconds(500), 0, false},
+    {"through another entry", milliseconds(500), 2, false},
+    {"before a takeover", milliseconds(500), 1, true},
+};
+
+BOOST_AUTO_TEST_CASE(cancelled_work_is_gone_in_time) {
+  for (const CancelCase& sample : kCancelCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Fixture fixture;
+      Emulation& run = fixture.run;
+      const WorkflowId id = Emulation::MakeId(1);
+      Emulation::Submitted what = Make({MakeStep(6, 2)});
+      what.work = seconds(60);
+      run.Submit(sample.entry, "bulk", id, what);
+      run.RunFor(milliseconds(300) + sample.after);
+      const ExchangeId cancel =
+          run.Ask(sample.entry, CallKind::kCancel, "bulk", id);
+      run.RunFor(seconds(1), [&] { return run.AnswerTo(cancel).has_value(); });
+      BOOST_REQUIRE(run.AnswerTo(cancel).has_value());
+      BOOST_TEST((run.AnswerTo(cancel)->result == CallResult::kOk));
+      if (sample.kill_holder) {
+        run.KillEntry(run.Holder());
+      }
+      // The least bound of the deployments, and the grace of a stop.
+      run.RunFor(seconds(3) + run.stop_grace);
+      BOOST_TEST(run.RunningTasks() == 0U);
+      BOOST_TEST((run.Shown(id) == WorkflowState::kCancelled));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ended_workflows_are_forgotten_after_their_time) {
+  Fixture fixture;
+  Emulation& run = fixture.run;
+  for (const auto& entry : run.entries) {
+    entry->world.self.status_kept = seconds(20);
+  }
+  const WorkflowId id = Emulation::MakeId(1);
+  run.Submit(0, "normal", id, Make({MakeStep(1, 1)}));
+  run.RunFor(seconds(20));
+  BOOST_TEST((run.Shown(id) == WorkflowState::kSucceeded));
+  run.RunFor(seconds(60));
+  for (const auto& entry : run.entries) {
+    BOOST_TEST((entry->world.workflows.find(id) == nullptr));
+  }
+  // Only the holder's own record is left.
+  BOOST_TEST(run.store.newest.size() == 1U);
+}
+
+// A worker that does what sick workers do, and what becomes of an urgent job
+// that was placed on it.
+struct SickCase {
+  std::string name;
+  double speed;
+  bool moved;
+};
+
+const std::vector<SickCase> kSickCases = {
+    {"sound", 1.0, false},
+    {"as slow as noise may show a sound one", 0.6, false},
+    {"five times slower", 0.2, true},
+    {"standing still", 0.0, true},
+};
+
+BOOST_AUTO_TEST_CASE(urgent_work_leaves_slow_workers) {
+  for (const SickCase& sample : kSickCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Fixture fixture;
+      Emulation& run = fixture.run;
+      Emulation::Submitted what = Make({MakeStep(1, 8)});
+      what.work = seconds(2);
+      what.spec.steps[0].estimate = seconds(2);
+      run.Submit(0, "urgent", Emulation::MakeId(1), what);
+      run.RunFor(seconds(2), [&] { return run.RunningTasks() > 0; });
+      for (EmulatedWorker& worker : run.workers) {
+        worker.speed = worker.running.empty() ? 1.0 : sample.speed;
+      }
+      run.RunFor(seconds(20), [&] { return run.AllOver(); });
+      BOOST_TEST(run.AllOver());
+      BOOST_TEST((run.starts > 1) == sample.moved);
+      BOOST_TEST(run.violations.empty());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep
