--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -113,7 +113,10 @@
         return end.number <= worker.acknowledged;
       });
       for (const auto& [key, present] : worker.running) {
-        ended.running.push_back(RunningReport{.task = key, .run = present.run});
+        const auto used = static_cast<std::int64_t>(
+            worker.speed * static_cast<double>(present.need.processors.value));
+        ended.running.push_back(RunningReport{
+            .task = key, .run = present.run, .in_use = Millicores(used)});
       }
       ended.ended = worker.ended;
       break;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -110,7 +110,7 @@
     {"an address of another type",
      R"({"Service":"s","Address":7,"State":"ready","Capacity":{}})", false,
      false},
-    {"bytes that are no text", "\xff\xfe\x00", false, false},
+    {"bytes that are no text", "\xff\xfe", false, false},
 };
 
 BOOST_AUTO_TEST_CASE(entries_name_a_worker_or_are_passed_over) {
@@ -246,6 +246,10 @@
   }
 }
 
+std::string Text(std::initializer_list<char> bytes) {
+  return std::string(bytes);
+}
+
 std::string Page(std::uint64_t end, const std::string& records) {
   std::string page;
   for (const std::uint64_t number : {end, std::uint64_t{0}}) {
@@ -258,7 +262,7 @@
 
 BOOST_AUTO_TEST_CASE(records_are_read_back_as_written) {
   const std::vector<KeyedValue> records = {
-      {"a", "value"}, {"gone", std::nullopt}, {"b", std::string("\0x", 2)}};
+      {"a", "value"}, {"gone", std::nullopt}, {"b", Text({0, 'x'})}};
   const auto page = DecodeLogPage(Page(9, EncodeLogRecords(records)));
   BOOST_REQUIRE(page.has_value());
   BOOST_TEST(page.value().end.value == 9U);
@@ -276,10 +280,10 @@
 const std::vector<PageCase> kPageCases = {
     {"no records", Page(3, ""), true, 0},
     {"no offsets", "short", false, 0},
-    {"a record that is cut off", Page(3, std::string("\0\0\0\5ab", 6)), false,
+    {"a record that is cut off", Page(3, Text({0, 0, 0, 5, 'a', 'b'})), false,
      0},
     {"a key longer than its record keeps its place",
-     Page(3, std::string("\0\0\0\2\5a", 6)), true, 1},
+     Page(3, Text({0, 0, 0, 2, 5, 'a'})), true, 1},
 };
 
 BOOST_AUTO_TEST_CASE(pages_of_foreign_bytes_do_no_harm) {
--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -26,7 +26,8 @@
       context.get_executor()};
   std::vector<Respond> held;
   HttpClient client{context};
-  HttpServer server{context, [this](ServedRequest request, Respond respond) {
+  HttpServer server{context,
+                    [this](const ServedRequest& request, Respond respond) {
                       if (request.path == "/silent") {
                         this->held.push_back(std::move(respond));
                         return;
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -39,7 +39,7 @@
                int number,
                std::uint32_t priority,
                const StepSpec& step) {
-  const WorkflowId id = Emulation::MakeId(number);
+  WorkflowId id = Emulation::MakeId(number);
   Workflow workflow;
   workflow.spec.steps = {step};
   workflow.terms = WorkflowTerms{.workspace = Workspace("team"),
