--- a/chicorystep/control/workflow_loop.h
+++ b/chicorystep/control/workflow_loop.h
@@ -12,7 +12,7 @@
 
 namespace chicorystep {
 
-// The time since the start of the machine, including time in which it was
+// The time since the operating system started, including time in which it was
 // suspended; every time that a workflow tick sees is on this clock.
 [[nodiscard]] TimePoint BootTimeNow();
 [[nodiscard]] UnixMillis WallClockNow();
--- a/chicorystep/tables/workflow_config.h
+++ b/chicorystep/tables/workflow_config.h
@@ -36,7 +36,7 @@
 struct WorkflowService {
   // Workers reject what does not fit.
   bool enforces_capacity = true;
-  // The pool's machines are switched off.
+  // The pool's workers are switched off.
   bool standby = false;
 };
 
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -341,7 +341,7 @@
 
 // The two clocks that a tick is given.
 struct WorkflowTime {
-  // Counts time in which the machine was suspended, too.
+  // Counts time in which the instance was suspended, too.
   TimePoint now{};
   UnixMillis wall;
 };
