Let a placement cell span zones, so that a repeat finds its job

Cause: each listed zone was a cell, and the cell of a job without a guarantee was drawn from the zones listed at the moment.

Ruled out: rendezvous hashing over the listed zones (still moves a third of the repeats); a list that only grows (not known after a restart); a registrar cell that hands jobs on (two records and a hop more for each job).

Change: a cell has a name and spans the zones that `jobs.cells` gives it, all of them unless set; a job's cell follows from settings and guarantees alone. Guaranteed shapes keep to their zone within a cell, and racks are told apart by zone and name. A job id of a cell that does not exist is unknown at once.

Tests that waited for the id "z1.0..." to be unknown now use the cell "all".

--- a/chicorystep/clients/worker_client.cc
+++ b/chicorystep/clients/worker_client.cc
@@ -55,7 +55,7 @@
 
 WorkerAnswered WorkerClient::Exchange(const SendWorkerCommands& message) {
   WorkerAnswered answer{.worker = message.worker,
-                        .zone = message.zone,
+                        .cell = message.cell,
                         .epoch = message.epoch,
                         .sequence = message.sequence};
   auto client = this->clients.Take(message.address);
--- a/chicorystep/core/ids.h
+++ b/chicorystep/core/ids.h
@@ -20,6 +20,8 @@
 using Zone = Id<struct ZoneTag, std::string>;
 using Region = Id<struct RegionTag, std::string>;
 using Rack = Id<struct RackTag, std::string>;
+// A placement cell: the zones whose workers one entry process places jobs on.
+using CellName = Id<struct CellNameTag, std::string>;
 // A network endpoint, "ip:port".
 using Address = Id<struct AddressTag, std::string>;
 
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -114,11 +114,12 @@
     if (slot.workers.empty()) {
       unmet.push_back({{"pool", slot.pool.name.value},
                        {"workspace", slot.pool.workspace.value},
+                       {"zone", slot.zone.value},
                        {"shape", JsonWriter::ToJson(slot.shape)},
-                       {"reason", WhyUnmet(cell, slot.shape)}});
+                       {"reason", WhyUnmet(cell, slot)}});
     }
   }
-  return {{"zone", cell.zone.value},
+  return {{"cell", cell.name.value},
           {"epoch", cell.epoch.value},
           {"recovered", cell.recovered},
           {"guaranteed_shapes", cell.slots.size()},
@@ -131,7 +132,7 @@
 
 std::string EncodeStateDump(const World& world, TimePoint now) {
   Json cells = Json::array();
-  for (const auto& [zone, cell] : world.jobs.cells) {
+  for (const auto& [name, cell] : world.jobs.cells) {
     cells.push_back(impl::DumpCell(cell));
   }
   const Json dump = {{"id", world.self.id.value},
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -58,6 +58,7 @@
       .max_waiting_jobs = static_cast<std::size_t>(settings.max_waiting_jobs),
       .job_limits = {.max_pieces = settings.max_pieces,
                      .max_command = settings.max_command},
+      .cells = settings.cells,
       .link_bytes_per_second = settings.link_bytes_per_second,
       .max_claims = static_cast<std::size_t>(settings.max_claims),
       .claim_window = settings.claim_window,
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -124,6 +124,47 @@
           kNames.at(static_cast<std::size_t>(EntrySettings{}.log_level))};
 }
 
+// Reads "west=z1,z2 east=z3"; nothing when a name is malformed or a zone stands
+// in two cells.
+std::optional<CellMap> ParseCells(std::string_view text) {
+  CellMap map;
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  if (text == kWholeCell.value) {
+    return map;
+  }
+  while (!text.empty()) {
+    const std::string_view cell = text.substr(0, text.find(' '));
+    text.remove_prefix(std::min(text.size(), cell.size() + 1));
+    const std::size_t equals = cell.find('=');
+    if (equals == std::string_view::npos || !IsName(cell.substr(0, equals))) {
+      return std::nullopt;
+    }
+    const CellName name(std::string(cell.substr(0, equals)));
+    std::string_view zones = cell.substr(equals + 1);
+    do {
+      const std::string_view zone = zones.substr(0, zones.find(','));
+      zones.remove_prefix(std::min(zones.size(), zone.size() + 1));
+      if (!IsName(zone) ||
+          !map.cell_of_zone.emplace(Zone(std::string(zone)), name).second) {
+        return std::nullopt;
+      }
+    } while (!zones.empty());
+  }
+  return map;
+}
+
+Field CellsField() {
+  return {"jobs",
+          "cells",
+          false,
+          "all, or cells and their zones such as west=z1,z2 east=z3",
+          Store(&EntrySettings::cells, ParseCells,
+                [](const CellMap&) { return true; }),
+          kWholeCell.value};
+}
+
 const std::vector<Field>& Fields() {
   using S = EntrySettings;
   using std::chrono::milliseconds;
@@ -164,6 +205,7 @@
       CountField("claims", "max", &S::max_claims, 1, 10'000'000),
       DurationField("claims", "window", &S::claim_window, milliseconds(100)),
       DurationField("claims", "timeout", &S::claim_timeout, milliseconds(10)),
+      CellsField(),
       CountField("jobs", "max_waiting", &S::max_waiting_jobs, 1, 10'000'000),
       CountField("jobs", "max_pieces", &S::max_pieces, 1, 100'000),
       BytesField("jobs", "max_command", &S::max_command),
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -10,6 +10,7 @@
 #include "chicorystep/core/result.h"
 #include "chicorystep/core/units.h"
 #include "chicorystep/settings/ini.h"
+#include "chicorystep/tables/cell_map.h"
 
 namespace chicorystep {
 
@@ -56,6 +57,8 @@
   Duration claim_timeout = std::chrono::seconds(2);
 
   // [jobs]
+  // Must be the same for all entry processes.
+  CellMap cells;
   std::int64_t max_waiting_jobs = 20'000;
   std::int64_t max_pieces = 1024;
   Bytes max_command{64 << 10};
--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells.cc
@@ -42,20 +42,25 @@
   return changed;
 }
 
-// Numbers the racks, for grouping workers without comparing names.
+// Numbers the racks, for grouping workers without comparing names. Two zones
+// may use one name for different racks.
 void NumberRacks(Cell& cell) {
-  std::map<Rack, std::size_t> racks;
+  std::map<std::pair<Zone, Rack>, std::size_t> racks;
   for (Worker& worker : cell.workers.rows) {
-    worker.rack = racks.emplace(worker.listed.rack, racks.size()).first->second;
+    const std::pair place(worker.listed.zone, worker.listed.rack);
+    worker.rack = racks.emplace(place, racks.size()).first->second;
   }
   cell.racks = racks.size();
 }
 
-void UpdateWorkers(Cell& cell, const InstanceList& list, TimePoint now) {
+void UpdateWorkers(const CellMap& map,
+                   Cell& cell,
+                   const InstanceList& list,
+                   TimePoint now) {
   std::set<WorkerId> listed;
   bool changed = false;
   for (const ListedWorker& worker : list.workers) {
-    if (worker.zone == cell.zone) {
+    if (CellOf(map, worker.zone) == cell.name) {
       listed.insert(worker.id);
       changed |= UpdateWorker(cell, worker, now);
     }
@@ -147,13 +152,13 @@
   cell.newest_claim = Epoch(record.offset.value + 1);
   if (IsHeld(cell)) {
     Log(LogLevel::kInfo, "cell_lost",
-        {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
+        {{"cell", cell.name.value}, {"epoch", cell.epoch.value}});
     LoseCell(cell, now + world.self.member_timeout, now);
   } else if (record.id == cell.claim) {
     cell.epoch = cell.newest_claim;
     cell.recovered_by = now + world.self.lease_time + world.self.lease_time / 2;
     Log(LogLevel::kInfo, "cell_claimed",
-        {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
+        {{"cell", cell.name.value}, {"epoch", cell.epoch.value}});
   }
 }
 
@@ -213,7 +218,7 @@
   }
   if (!decoded) {
     Log(LogLevel::kWarn, "cell_record_skipped",
-        {{"zone", cell.zone.value},
+        {{"cell", cell.name.value},
          {"offset", record.offset.value},
          {"error", decoded.error().detail}});
     return;
@@ -240,46 +245,48 @@
 // Follows the cells that this process should hold, and drops the others once
 // nobody waits for their records.
 void FollowPreferred(World& world, TimePoint now, Outbox& outbox) {
-  for (const Zone& zone : world.jobs.zones) {
+  for (const CellName& name : world.jobs.known) {
     const bool preferred =
-        !world.stopping && PreferredHolder(world, zone, now) == world.self.id;
-    const auto known = world.jobs.cells.find(zone);
+        !world.stopping && PreferredHolder(world, name, now) == world.self.id;
+    const auto known = world.jobs.cells.find(name);
     if (known == world.jobs.cells.end()) {
       if (preferred) {
         Cell& cell =
-            world.jobs.cells.emplace(zone, Cell{.zone = zone}).first->second;
-        UpdateWorkers(cell, world.instances, now);
-        outbox.follows.push_back(FollowStream{CellStream(zone), Offset{}});
+            world.jobs.cells.emplace(name, Cell{.name = name}).first->second;
+        UpdateWorkers(world.self.cells, cell, world.instances, now);
+        outbox.follows.push_back(FollowStream{CellStream(name), Offset{}});
       }
       continue;
     }
     known->second.leaving = !preferred;
     if (!preferred && known->second.pending.empty()) {
       world.jobs.cells.erase(known);
-      outbox.unfollows.push_back(UnfollowStream{CellStream(zone)});
-      Log(LogLevel::kInfo, "cell_dropped", {{"zone", zone.value}});
+      outbox.unfollows.push_back(UnfollowStream{CellStream(name)});
+      Log(LogLevel::kInfo, "cell_dropped", {{"cell", name.value}});
     }
   }
 }
 
 }  // namespace impl
 
-Stream CellStream(const Zone& zone) {
-  return Stream("cell." + zone.value);
+Stream CellStream(const CellName& name) {
+  return Stream("cell." + name.value);
 }
 
 bool IsHeld(const Cell& cell) noexcept {
   return cell.epoch != Epoch{};
 }
 
-EntryId PreferredHolder(const World& world, const Zone& zone, TimePoint now) {
+EntryId PreferredHolder(const World& world,
+                        const CellName& name,
+                        TimePoint now) {
   EntryId best = world.self.id;
-  std::uint64_t best_weight = RendezvousWeight(zone.value, best);
+  std::uint64_t best_weight = RendezvousWeight(name.value, best);
   for (const Member& member : world.members.table.rows) {
     if (!IsAlive(member, world.self, now)) {
       continue;
     }
-    const std::uint64_t weight = RendezvousWeight(zone.value, member.id);
+    const std::uint64_t weight = RendezvousWeight(name.value, member.id);
     if (std::pair(weight, member.id) > std::pair(best_weight, best)) {
       best = member.id;
       best_weight = weight;
@@ -296,7 +303,7 @@
                           world.self.incarnation.value,
                           ++world.jobs.records_written));
   outbox.appends.push_back(
-      AppendRecord{CellStream(cell.zone), id, EncodeCellRecord(record)});
+      AppendRecord{CellStream(cell.name), id, EncodeCellRecord(record)});
   return id;
 }
 
@@ -321,12 +328,12 @@
                  TimePoint now,
                  Outbox& outbox) {
   if (!inbox.instance_lists.empty()) {
-    world.jobs.zones.clear();
+    world.jobs.known = CellsOf(world.self.cells);
     for (const ListedWorker& worker : world.instances.workers) {
-      world.jobs.zones.insert(worker.zone);
+      world.jobs.known.insert(CellOf(world.self.cells, worker.zone));
     }
-    for (auto& [zone, cell] : world.jobs.cells) {
-      impl::UpdateWorkers(cell, world.instances, now);
+    for (auto& [name, cell] : world.jobs.cells) {
+      impl::UpdateWorkers(world.self.cells, cell, world.instances, now);
     }
   }
   // A starting process first learns who else is alive.
@@ -335,7 +342,7 @@
     return;
   }
   impl::FollowPreferred(world, now, outbox);
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     if (cell.caught_up && cell.claim.empty() && !cell.leaving &&
         now >= cell.claim_due) {
       cell.claim = AppendCellRecord(
@@ -351,8 +358,8 @@
                       TimePoint now,
                       Outbox& outbox) {
   for (const LogBatch& batch : inbox.log_batches) {
-    for (auto& [zone, cell] : world.jobs.cells) {
-      if (batch.stream != CellStream(zone)) {
+    for (auto& [name, cell] : world.jobs.cells) {
+      if (batch.stream != CellStream(name)) {
         continue;
       }
       for (const LogRecord& record : batch.records) {
@@ -374,7 +381,7 @@
     if (ended.acknowledged) {
       continue;
     }
-    for (auto& [zone, cell] : world.jobs.cells) {
+    for (auto& [name, cell] : world.jobs.cells) {
       if (cell.claim == ended.id && !IsHeld(cell)) {
         cell.claim = RecordId{};
       }
--- a/chicorystep/systems/cells.h
+++ b/chicorystep/systems/cells.h
@@ -9,13 +9,13 @@
 
 namespace chicorystep {
 
-// The stream of the cell of `zone`.
-[[nodiscard]] Stream CellStream(const Zone& zone);
+// The stream of the cell `name`.
+[[nodiscard]] Stream CellStream(const CellName& name);
 
-// The entry process that rendezvous hashing names for the cell of `zone` among
+// The entry process that rendezvous hashing names for the cell `name` among
 // those alive; every process with the same view names the same one.
 [[nodiscard]] EntryId PreferredHolder(const World& world,
-                                      const Zone& zone,
+                                      const CellName& name,
                                       TimePoint now);
 
 // Claims the cells that this process should hold and drops the others.
--- a/chicorystep/systems/gang_recovery.cc
+++ b/chicorystep/systems/gang_recovery.cc
@@ -135,7 +135,7 @@
     PollAt(cell, worker, now);
   }
   Log(LogLevel::kInfo, "cell_recovered",
-      {{"zone", cell.zone.value},
+      {{"cell", cell.name.value},
        {"workers", cell.workers.size()},
        {"gangs", cell.active.size()}});
 }
@@ -143,7 +143,7 @@
 }  // namespace impl
 
 void RecoverGangs(World& world, TimePoint now, Outbox& outbox) {
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     if (cell.recovered || !IsHeld(cell)) {
       continue;
     }
--- a/chicorystep/systems/gangs.cc
+++ b/chicorystep/systems/gangs.cc
@@ -250,7 +250,7 @@
     if (now >= record.repeat) {
       record.repeat = kNever;
       outbox.appends.push_back(
-          AppendRecord{CellStream(cell.zone), id, record.data});
+          AppendRecord{CellStream(cell.name), id, record.data});
     }
   }
 }
@@ -318,7 +318,7 @@
 }  // namespace impl
 
 void AdvanceGangs(World& world, TimePoint now, Outbox& outbox) {
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     impl::ForgetEndedJobs(world.self, cell, now);
     if (IsHeld(cell) && cell.recovered) {
       impl::AdvanceCell(world, cell, now, outbox);
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -33,30 +33,20 @@
   return XXH3_64bits(key.data(), key.size());
 }
 
-// The zones where `pool` guarantees capacity, or all zones with workers.
-std::set<Zone> ZonesOf(const World& world, const Pool& pool) {
-  std::set<Zone> zones;
+// The cell that takes the job: the same for every repeat, as it depends on the
+// tables and the settings alone.
+CellName ChooseCell(const CellMap& map,
+                    const Pool& pool,
+                    const JobSpec& spec) {
+  std::set<CellName> cells;
   for (const Guarantee& guarantee : pool.guarantees) {
-    zones.insert(guarantee.zone);
+    cells.insert(CellOf(map, guarantee.zone));
   }
-  if (zones.empty()) {
-    for (const ListedWorker& worker : world.instances.workers) {
-      zones.insert(worker.zone);
-    }
-  }
-  return zones;
-}
-
-// The zone whose cell takes the job: the same for every repeat.
-std::optional<Zone> ChooseZone(const World& world,
-                               const Pool& pool,
-                               const JobSpec& spec) {
-  const std::set<Zone> zones = ZonesOf(world, pool);
-  if (zones.empty()) {
-    return std::nullopt;
+  if (cells.empty()) {
+    cells = CellsOf(map);
   }
-  const auto step = HashOf(spec.workspace, spec.request_id) % zones.size();
-  return *std::next(zones.begin(), static_cast<std::ptrdiff_t>(step));
+  const auto step = HashOf(spec.workspace, spec.request_id) % cells.size();
+  return *std::next(cells.begin(), static_cast<std::ptrdiff_t>(step));
 }
 
 // Checks a submission and gives it its id, or refuses it.
@@ -82,13 +72,13 @@
            spec.workspace.value);
     return false;
   }
-  const auto zone = ChooseZone(world, pool->second, spec);
-  if (!zone) {
+  if (world.instances.workers.empty()) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kNeverRunnable,
            "no availability zone has workers");
     return false;
   }
-  spec.id = MakeJobId(*zone, spec.workspace, spec.request_id);
+  const CellName cell = ChooseCell(world.self.cells, pool->second, spec);
+  spec.id = MakeJobId(cell, spec.workspace, spec.request_id);
   spec.idempotent = route->second.idempotent;
   return true;
 }
@@ -97,7 +87,7 @@
              const JobOperation& operation,
              TimePoint now,
              Outbox& outbox) {
-  const EntryId holder = PreferredHolder(world, ZoneOf(operation.spec.id), now);
+  const EntryId holder = PreferredHolder(world, CellNameOf(operation.spec.id), now);
   const Member* member = world.members.table.find(holder);
   if (operation.forwarded || member == nullptr) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kNotReady,
@@ -123,7 +113,7 @@
       world.config.pools.find(PoolKey{route->second.pool, spec.workspace});
   return pool == world.config.pools.end()
              ? ""
-             : WhyNeverRunnable(cell, pool->second, spec.shape);
+             : WhyNeverRunnable(world.self.cells, cell, pool->second, spec.shape);
 }
 
 void Submit(World& world,
@@ -193,7 +183,13 @@
       !PrepareSubmission(world, operation, outbox)) {
     return;
   }
-  const auto cell = world.jobs.cells.find(ZoneOf(operation.spec.id));
+  const CellName name = CellNameOf(operation.spec.id);
+  if (!world.jobs.known.empty() && !world.jobs.known.contains(name)) {
+    Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownJob,
+           operation.spec.id.value);
+    return;
+  }
+  const auto cell = world.jobs.cells.find(name);
   if (cell == world.jobs.cells.end() || !IsHeld(cell->second) ||
       cell->second.leaving) {
     Forward(world, operation, now, outbox);
@@ -219,15 +215,15 @@
 
 }  // namespace impl
 
-JobId MakeJobId(const Zone& zone,
+JobId MakeJobId(const CellName& cell,
                 const Workspace& workspace,
                 const RequestId& request_id) {
-  return JobId(fmt::format("{}.{:016x}", zone.value,
+  return JobId(fmt::format("{}.{:016x}", cell.value,
                            impl::HashOf(workspace, request_id)));
 }
 
-Zone ZoneOf(const JobId& id) {
-  return Zone(id.value.substr(0, id.value.rfind('.')));
+CellName CellNameOf(const JobId& id) {
+  return CellName(id.value.substr(0, id.value.rfind('.')));
 }
 
 void HandleJobOperations(World& world,
--- a/chicorystep/systems/job_operations.h
+++ b/chicorystep/systems/job_operations.h
@@ -14,12 +14,12 @@
                          Outbox& outbox);
 
 // The id of a job: the same for every repeat of one submission.
-[[nodiscard]] JobId MakeJobId(const Zone& zone,
+[[nodiscard]] JobId MakeJobId(const CellName& cell,
                               const Workspace& workspace,
                               const RequestId& request_id);
 
 // The cell that `id` belongs to.
-[[nodiscard]] Zone ZoneOf(const JobId& id);
+[[nodiscard]] CellName CellNameOf(const JobId& id);
 
 }  // namespace chicorystep
 
--- a/chicorystep/systems/job_status.cc
+++ b/chicorystep/systems/job_status.cc
@@ -75,7 +75,7 @@
     case Adjacency::kNone:
       break;
   }
-  return "the zone";
+  return "the cell";
 }
 
 std::int64_t WaitingBefore(const Cell& cell, const Job& job) {
--- a/chicorystep/systems/packing.cc
+++ b/chicorystep/systems/packing.cc
@@ -30,10 +30,11 @@
   return NoLessThanZero(CapacityOf(worker.listed) - ReservedOn(worker));
 }
 
-Offers OfferUnreserved(const Cell& cell) {
+Offers OfferUnreserved(const Cell& cell, const Zone& zone) {
   Offers offers;
   for (const Worker& worker : cell.workers.rows) {
-    offers.room.push_back(UnreservedOn(worker));
+    offers.room.push_back(worker.listed.zone == zone ? UnreservedOn(worker)
+                                                     : Capacity{});
   }
   return offers;
 }
@@ -74,14 +75,16 @@
   slot.workers.clear();
 }
 
-// The slots that the tables ask for in the cell's zone.
-std::vector<GuaranteeSlot> WantedSlots(const Config& config, const Zone& zone) {
+// The slots that the tables ask for in the cell's zones.
+std::vector<GuaranteeSlot> WantedSlots(const World& world, const Cell& cell) {
   std::vector<GuaranteeSlot> slots;
-  for (const auto& [key, pool] : config.pools) {
+  for (const auto& [key, pool] : world.config.pools) {
     for (const Guarantee& guarantee : pool.guarantees) {
-      if (guarantee.zone == zone) {
+      if (CellOf(world.self.cells, guarantee.zone) == cell.name) {
         slots.insert(slots.end(), static_cast<std::size_t>(guarantee.count),
-                     GuaranteeSlot{.pool = key, .shape = guarantee.shape});
+                     GuaranteeSlot{.pool = key,
+                                   .zone = guarantee.zone,
+                                   .shape = guarantee.shape});
       }
     }
   }
@@ -101,7 +104,7 @@
     const auto same = std::find_if(
         before.begin(), before.end(), [&](const GuaranteeSlot& old) {
           return !old.workers.empty() && old.pool == slot.pool &&
-                 old.shape == slot.shape;
+                 old.zone == slot.zone && old.shape == slot.shape;
         });
     if (same != before.end()) {
       TryReserve(cell, slot, same->workers);
@@ -114,6 +117,15 @@
   return Holds(CapacityOf(slot), CapacityOf(piece));
 }
 
+// Whether every piece of the gang runs in `zone`.
+bool RunsIn(const Cell& cell, const Job& job, const Zone& zone) {
+  return std::all_of(
+      job.pieces.begin(), job.pieces.end(), [&](const Piece& piece) {
+        const Worker* worker = cell.workers.find(piece.worker);
+        return worker != nullptr && worker->listed.zone == zone;
+      });
+}
+
 // Puts slots where a gang of their workspace already runs.
 void KeepSlotsUnderGangs(Cell& cell, std::vector<GuaranteeSlot>& slots) {
   std::vector<const Job*> gangs;
@@ -130,7 +142,8 @@
           return candidate.workers.empty() && candidate.pool == pool &&
                  candidate.shape.pieces == std::ssize(job->pieces) &&
                  IsCoveredBy(job->spec.shape, candidate.shape) &&
-                 job->spec.shape.adjacency >= candidate.shape.adjacency;
+                 job->spec.shape.adjacency >= candidate.shape.adjacency &&
+                 RunsIn(cell, *job, candidate.zone);
         });
     if (slot != slots.end()) {
       std::vector<WorkerId> workers;
@@ -147,7 +160,7 @@
     if (!slot.workers.empty()) {
       continue;
     }
-    const auto rows = ChooseWorkers(cell, slot.shape, OfferUnreserved(cell));
+    const auto rows = ChooseWorkers(cell, slot.shape, OfferUnreserved(cell, slot.zone));
     if (!rows) {
       continue;
     }
@@ -225,27 +238,28 @@
   for (const GuaranteeSlot& slot : cell.slots) {
     if (slot.workers.empty()) {
       Log(LogLevel::kWarn, "guarantee_unmet",
-          {{"zone", cell.zone.value},
+          {{"cell", cell.name.value},
+           {"zone", slot.zone.value},
            {"pool", slot.pool.name.value},
            {"workspace", slot.pool.workspace.value},
-           {"reason", WhyUnmet(cell, slot.shape)}});
+           {"reason", WhyUnmet(cell, slot)}});
     }
   }
   if (unmet.empty()) {
-    Log(LogLevel::kInfo, "guarantees_met", {{"zone", cell.zone.value}});
+    Log(LogLevel::kInfo, "guarantees_met", {{"cell", cell.name.value}});
   }
 }
 
-void PlanCell(Cell& cell, const Config& config) {
+void PlanCell(const World& world, Cell& cell) {
   const std::vector<GuaranteeSlot> before = std::move(cell.slots);
-  std::vector<GuaranteeSlot> stable = WantedSlots(config, cell.zone);
+  std::vector<GuaranteeSlot> stable = WantedSlots(world, cell);
   ClearReservations(cell);
   KeepSlots(cell, stable, before);
   KeepSlotsUnderGangs(cell, stable);
   PlaceSlots(cell, stable);
   if (const std::int64_t unmet = UnmetAccelerators(stable); unmet > 0) {
     // Start over: other places may leave room for all.
-    std::vector<GuaranteeSlot> fresh = WantedSlots(config, cell.zone);
+    std::vector<GuaranteeSlot> fresh = WantedSlots(world, cell);
     ClearReservations(cell);
     PlaceSlots(cell, fresh);
     if (UnmetAccelerators(fresh) < unmet) {
@@ -263,12 +277,12 @@
 }  // namespace impl
 
 void PlanGuarantees(World& world, TimePoint now) {
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     if (!IsHeld(cell) || !cell.recovered ||
         (!cell.plan_stale && cell.planned_revision == world.config.revision)) {
       continue;
     }
-    impl::PlanCell(cell, world.config);
+    impl::PlanCell(world, cell);
     cell.plan_stale = false;
     cell.planned_revision = world.config.revision;
     cell.placement_due = true;
@@ -276,16 +290,18 @@
   }
 }
 
-std::string WhyUnmet(const Cell& cell, const Shape& shape) {
+std::string WhyUnmet(const Cell& cell, const GuaranteeSlot& slot) {
+  const Shape& shape = slot.shape;
   Offers whole;
   for (const Worker& worker : cell.workers.rows) {
-    whole.room.push_back(worker.listed.state == InstanceState::kLive
+    whole.room.push_back(worker.listed.state == InstanceState::kLive &&
+                                 worker.listed.zone == slot.zone
                              ? CapacityOf(worker.listed)
                              : Capacity{});
   }
   if (!ChooseWorkers(cell, shape, whole)) {
     return fmt::format(
-        "no set of {} workers that is adjacent as asked ({}) has {} "
+        "no set of {} workers of the zone that is adjacent as asked ({}) has {} "
         "accelerators each",
         shape.pieces, NameOf(shape.adjacency), shape.accelerators.value);
   }
@@ -330,7 +346,7 @@
     }
     const std::vector<WorkerId> before = slot.workers;
     impl::Unreserve(cell, slot);
-    Offers offers = impl::OfferUnreserved(cell);
+    Offers offers = impl::OfferUnreserved(cell, slot.zone);
     for (std::size_t row = 0; row < offers.room.size(); ++row) {
       offers.room[row] = usable[row]
                              ? Min(offers.room[row],
--- a/chicorystep/systems/packing.h
+++ b/chicorystep/systems/packing.h
@@ -15,8 +15,8 @@
 // their pool's shapes become borrowers.
 void PlanGuarantees(World& world, TimePoint now);
 
-// Why the cell cannot hold `shape` beside the other guaranteed shapes.
-[[nodiscard]] std::string WhyUnmet(const Cell& cell, const Shape& shape);
+// Why the slot's zone cannot hold it beside the other guaranteed shapes.
+[[nodiscard]] std::string WhyUnmet(const Cell& cell, const GuaranteeSlot& slot);
 
 // What is kept for any pool on the worker, and what of it is in use.
 [[nodiscard]] Capacity ReservedOn(const Worker& worker) noexcept;
--- a/chicorystep/systems/scheduling.cc
+++ b/chicorystep/systems/scheduling.cc
@@ -401,7 +401,7 @@
 }  // namespace impl
 
 void PlaceGangs(World& world, TimePoint now) {
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     if (IsHeld(cell) && cell.recovered && cell.placement_due &&
         now >= cell.next_placement) {
       impl::PlaceInCell(world, cell, now);
@@ -409,7 +409,8 @@
   }
 }
 
-std::string WhyNeverRunnable(const Cell& cell,
+std::string WhyNeverRunnable(const CellMap& map,
+                             const Cell& cell,
                              const Pool& pool,
                              const Shape& shape) {
   Offers whole;
@@ -427,10 +428,12 @@
   }
   const bool guaranteed =
       std::any_of(pool.guarantees.begin(), pool.guarantees.end(),
-                  [&](const Guarantee& row) { return row.zone == cell.zone; });
+                  [&](const Guarantee& row) {
+                    return CellOf(map, row.zone) == cell.name;
+                  });
   return guaranteed ? ""
                     : "the workspace borrows nothing and has no guarantee in "
-                      "this zone";
+                      "this cell";
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/scheduling.h
+++ b/chicorystep/systems/scheduling.h
@@ -14,7 +14,8 @@
 
 // Why the cell could never hold a gang of `spec` for `pool`; empty when it
 // could.
-[[nodiscard]] std::string WhyNeverRunnable(const Cell& cell,
+[[nodiscard]] std::string WhyNeverRunnable(const CellMap& map,
+                                           const Cell& cell,
                                            const Pool& pool,
                                            const Shape& shape);
 
--- a/chicorystep/systems/worker_polls.cc
+++ b/chicorystep/systems/worker_polls.cc
@@ -59,7 +59,7 @@
 // Another process holds the cell.
 void NoteSuperseded(const World& world, Cell& cell, TimePoint now) {
   Log(LogLevel::kInfo, "cell_superseded",
-      {{"zone", cell.zone.value}, {"epoch", cell.epoch.value}});
+      {{"cell", cell.name.value}, {"epoch", cell.epoch.value}});
   LoseCell(cell, now + world.self.member_timeout, now);
 }
 
@@ -189,7 +189,7 @@
       worker.heard == TimePoint::min() || IsResponsive(worker, world.self, now);
   SendWorkerCommands message{.worker = worker.listed.id,
                              .address = worker.listed.address,
-                             .zone = cell.zone,
+                             .cell = cell.name,
                              .holder = world.self.id,
                              .epoch = cell.epoch,
                              .sequence = worker.sequence,
@@ -215,7 +215,7 @@
 
 void ApplyWorkerAnswers(World& world, const Inbox& inbox, TimePoint now) {
   for (const WorkerAnswered& answer : inbox.worker_answers) {
-    if (const auto cell = world.jobs.cells.find(answer.zone);
+    if (const auto cell = world.jobs.cells.find(answer.cell);
         cell != world.jobs.cells.end() && IsHeld(cell->second)) {
       impl::ApplyAnswer(world, cell->second, answer, now);
     }
@@ -223,7 +223,7 @@
 }
 
 void PollWorkers(World& world, TimePoint now, Outbox& outbox) {
-  for (auto& [zone, cell] : world.jobs.cells) {
+  for (auto& [name, cell] : world.jobs.cells) {
     if (!IsHeld(cell)) {
       continue;
     }
@@ -239,7 +239,7 @@
 
 TimePoint NextPollDue(const World& world) {
   TimePoint due = kNever;
-  for (const auto& [zone, cell] : world.jobs.cells) {
+  for (const auto& [name, cell] : world.jobs.cells) {
     if (!IsHeld(cell)) {
       if (cell.caught_up && cell.claim.empty() && !cell.leaving) {
         due = std::min(due, cell.claim_due);
--- a/chicorystep/tables/jobs.h
+++ b/chicorystep/tables/jobs.h
@@ -215,6 +215,8 @@
 // none when the cell cannot hold it beside the others.
 struct GuaranteeSlot {
   PoolKey pool;
+  // The zone where the shape is promised.
+  Zone zone;
   Shape shape;
   std::vector<WorkerId> workers;
 };
@@ -266,9 +268,9 @@
   TimePoint due{};
 };
 
-// A placement cell: the workers of one zone and the jobs placed on them.
+// A placement cell: the workers of its zones and the jobs placed on them.
 struct Cell {
-  Zone zone;
+  CellName name;
   // Zero until this process has read back its own claim.
   Epoch epoch;
   // The epoch of the newest claim read; records of an earlier one are void.
@@ -314,12 +316,12 @@
 };
 
 struct Jobs {
-  // The zones with workers, as last listed.
-  std::set<Zone> zones;
+  // The cells with workers, as last listed, and those of the settings.
+  std::set<CellName> known;
   // Makes the ids of this process's records distinct.
   std::uint64_t records_written = 0;
   // The cells that this process holds or is claiming.
-  std::map<Zone, Cell> cells;
+  std::map<CellName, Cell> cells;
 };
 
 // What a caller or a peer asks about jobs.
@@ -389,7 +391,7 @@
 struct SendWorkerCommands {
   WorkerId worker;
   Address address;
-  Zone zone;
+  CellName cell;
   EntryId holder;
   Epoch epoch;
   MessageSequence sequence;
@@ -402,7 +404,7 @@
 // The worker's answer; `answered` is false when it may or may not have acted.
 struct WorkerAnswered {
   WorkerId worker;
-  Zone zone;
+  CellName cell;
   Epoch epoch;
   MessageSequence sequence;
   bool answered = false;
--- a/chicorystep/tables/world.h
+++ b/chicorystep/tables/world.h
@@ -3,6 +3,7 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/cell_map.h"
 #include "chicorystep/tables/claims.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/config_sync.h"
@@ -44,6 +45,7 @@
   std::size_t max_waiting_requests = 0;
   std::size_t max_waiting_jobs = 0;
   JobLimits job_limits;
+  CellMap cells;
   SlotPolicy slot_policy = SlotPolicy::kLearntLimit;
   // Bytes a second that this process may spend on requests to other regions.
   Bytes link_bytes_per_second;
--- a/examples/rendezvous.cc
+++ b/examples/rendezvous.cc
@@ -1,4 +1,4 @@
-// Which entry process should hold a zone's cell, asked of the systems alone.
+// Which entry process should hold a cell, asked of the systems alone.
 #include <fmt/format.h>
 
 #include <string>
@@ -15,7 +15,8 @@
     world.members.table.insert(EntryId(id),
                                Member{.id = EntryId(id), .heard = now});
   }
-  for (const std::string zone : {"Tanger", "Fes", "Agadir"}) {
-    fmt::print("{}: {}\n", zone, PreferredHolder(world, Zone(zone), now).value);
+  for (const std::string cell : {"north", "south", "all"}) {
+    fmt::print("{}: {}\n", cell,
+               PreferredHolder(world, CellName(cell), now).value);
   }
 }
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -18,7 +18,7 @@
     BOOST_REQUIRE_EQUAL(this->Publish(kTables), 0);
     BOOST_REQUIRE(Eventually([&] { return this->Serves("warm-up"); }));
     BOOST_REQUIRE(Eventually([&] {
-      const auto response = this->Caller(0)->Get("/v1/jobs/z1.0000000000000000",
+      const auto response = this->Caller(0)->Get("/v1/jobs/all.0000000000000000",
                                                  CallHeaders("-"));
       return response && response->status == 404;
     }));
@@ -288,8 +288,8 @@
     "",
     "no JSON",
     R"({"kind":"job_accepted"})",
-    R"({"kind":"job_accepted","job":{"id":"z1.1","shape":{"pieces":-1}}})",
-    R"({"kind":"job_accepted","job":{"id":"z1.2","shape":{"pieces":)" + kMost +
+    R"({"kind":"job_accepted","job":{"id":"all.1","shape":{"pieces":-1}}})",
+    R"({"kind":"job_accepted","job":{"id":"all.2","shape":{"pieces":)" + kMost +
         "}}}",
 };
 
--- a/tests/checkers_test.cc
+++ b/tests/checkers_test.cc
@@ -21,7 +21,7 @@
 const EntryId kEntry("entry-0");
 const TargetId kTarget("executor-0");
 const RequestId kRequest("r1");
-const JobId kJob("z1.1");
+const JobId kJob("all.1");
 
 CallBegun Call(int at, int call, bool idempotent = false) {
   return {.at = At(at),
--- a/tests/job_zone_test.cc
+++ b/tests/job_zone_test.cc
@@ -1,7 +1,10 @@
 #define BOOST_TEST_MODULE job_zone
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,8 +19,9 @@
 
 // A process that holds no cell, so that it passes each submission on, with
 // workers in `zones` and a pool that guarantees nothing.
-World MakeWorld(const std::vector<std::string>& zones) {
+World MakeWorld(const std::vector<std::string>& zones, const CellMap& cells) {
   World world;
+  world.self.cells = cells;
   MakeConfigReady(world);
   world.self.member_timeout = std::chrono::seconds(2);
   const Kind kind("train");
@@ -33,12 +37,10 @@
         ListedWorker{.id = WorkerId("worker-" + zone), .zone = Zone(zone)});
   }
   const auto holds_one = [&] {
-    for (const std::string zone : {"z1", "z2", "z3"}) {
-      if (PreferredHolder(world, Zone(zone), kNow) == world.self.id) {
-        return true;
-      }
-    }
-    return false;
+    const std::set<CellName> names = CellsOf(cells);
+    return std::any_of(names.begin(), names.end(), [&](const CellName& name) {
+      return PreferredHolder(world, name, kNow) == world.self.id;
+    });
   };
   for (int i = 0; i == 0 || holds_one(); ++i) {
     world.self.id = EntryId(fmt::format("self-{}", i));
@@ -46,8 +48,10 @@
   return world;
 }
 
-JobId IdGiven(const std::vector<std::string>& zones, int request) {
-  World world = MakeWorld(zones);
+JobId IdGiven(const std::vector<std::string>& zones,
+              const CellMap& cells,
+              int request) {
+  World world = MakeWorld(zones, cells);
   Inbox inbox;
   inbox.job_operations.push_back(JobOperation{
       .kind = JobOperationKind::kSubmit,
@@ -72,15 +76,27 @@
     {"the same list", {"z1", "z2"}, {"z1", "z2"}},
     {"another order", {"z1", "z2"}, {"z2", "z1"}},
     {"a zone is listed late", {"z1", "z2"}, {"z1", "z2", "z3"}},
+    {"a zone is gone", {"z1", "z2", "z3"}, {"z3"}},
+};
+
+// One cell of all zones, as installed, and a cell for each of three zones.
+const std::map<std::string, CellMap> kCellMaps = {
+    {"one cell", CellMap{}},
+    {"three cells", CellMap{{{Zone("z1"), CellName("c1")},
+                             {Zone("z2"), CellName("c2")},
+                             {Zone("z3"), CellName("c3")}}}},
 };
 
 BOOST_AUTO_TEST_CASE(repeat_of_a_submission_names_the_same_job) {
-  for (const ZoneCase& sample : kZoneCases) {
-    for (int request = 0; request < 16; ++request) {
-      BOOST_TEST_CONTEXT(sample.name << ", request " << request) {
-        const JobId first = IdGiven(sample.at_submission, request);
-        BOOST_TEST(!first.empty());
-        BOOST_TEST((IdGiven(sample.at_repeat, request) == first));
+  for (const auto& [cells_name, cells] : kCellMaps) {
+    for (const ZoneCase& sample : kZoneCases) {
+      for (int request = 0; request < 16; ++request) {
+        BOOST_TEST_CONTEXT(cells_name << ", " << sample.name << ", request "
+                                      << request) {
+          const JobId first = IdGiven(sample.at_submission, cells, request);
+          BOOST_TEST(!first.empty());
+          BOOST_TEST((IdGiven(sample.at_repeat, cells, request) == first));
+        }
       }
     }
   }
--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -110,7 +110,7 @@
     return;
   }
   ++job.starts;
-  const Job* row = sim.world.jobs.cells.at(kSimulatedZone).jobs.find(task.job);
+  const Job* row = sim.world.jobs.cells.at(kWholeCell).jobs.find(task.job);
   if (row->guaranteed) {
     sim.guaranteed_starts.push_back(
         GuaranteedStart{task.job, sim.now - row->placed});
@@ -170,7 +170,7 @@
   ++sim.messages;
   sim.commands += message.commands.size();
   WorkerAnswered answer{.worker = message.worker,
-                        .zone = message.zone,
+                        .cell = message.cell,
                         .epoch = message.epoch,
                         .sequence = message.sequence,
                         .answered = !worker.dead};
@@ -202,7 +202,7 @@
   inbox.log_batches.push_back(
       LogBatch{append.stream, {record}, Offset(sim.log.size())});
   // The cell's process also writes to the stream of the configuration.
-  if (append.stream != CellStream(kSimulatedZone)) {
+  if (append.stream != CellStream(kWholeCell)) {
     return;
   }
   const auto decoded = DecodeCellRecord(append.data);
@@ -329,7 +329,7 @@
                     JobSpec spec,
                     Duration run_time,
                     bool checkpoint_hangs = false) {
-  JobId id = MakeJobId(kSimulatedZone, spec.workspace, spec.request_id);
+  JobId id = MakeJobId(kWholeCell, spec.workspace, spec.request_id);
   sim.jobs[id] = SimulatedJob{.spec = spec,
                               .submitted = sim.now,
                               .remaining = run_time,
@@ -342,7 +342,7 @@
 }
 
 inline const Cell& CellOf(const CellSimulation& sim) {
-  return sim.world.jobs.cells.at(kSimulatedZone);
+  return sim.world.jobs.cells.at(kWholeCell);
 }
 
 }  // namespace chicorystep::testing
--- a/tests/support/fakes.h
+++ b/tests/support/fakes.h
@@ -349,7 +349,7 @@
 // Lets the worker obey one message; its answer.
 inline WorkerAnswered Obey(Fakes& fakes, const SendWorkerCommands& message) {
   WorkerAnswered answer{.worker = message.worker,
-                        .zone = message.zone,
+                        .cell = message.cell,
                         .epoch = message.epoch,
                         .sequence = message.sequence,
                         .answered = true};
@@ -382,7 +382,7 @@
                         bool arrives,
                         bool answered) {
   WorkerAnswered answer{.worker = flight.message.worker,
-                        .zone = flight.message.zone,
+                        .cell = flight.message.cell,
                         .epoch = flight.message.epoch,
                         .sequence = flight.message.sequence};
   if (arrives) {
@@ -504,7 +504,7 @@
                                .memory = Mebibytes{1024},
                                .adjacency = Adjacency::kRack};
   fakes.history.jobs.push_back({fakes.now,
-                                MakeJobId(Zone("z1"), operation.spec.workspace,
+                                MakeJobId(kWholeCell, operation.spec.workspace,
                                           operation.spec.request_id),
                                 2, false});
   fakes.nodes[node].inbox.job_operations.push_back(std::move(operation));
--- a/tests/support/gang_model.h
+++ b/tests/support/gang_model.h
@@ -133,7 +133,7 @@
 
 inline WorkerAnswered AnswerTo(const SendWorkerCommands& message) {
   return WorkerAnswered{.worker = message.worker,
-                        .zone = message.zone,
+                        .cell = message.cell,
                         .epoch = message.epoch,
                         .sequence = message.sequence};
 }
@@ -170,7 +170,7 @@
                     .lease_time = kModelLease,
                     .worker_poll_interval = kModelStep,
                     .max_waiting_jobs = 10};
-  Cell cell{.zone = kZone, .caught_up = true};
+  Cell cell{.name = kWholeCell, .caught_up = true};
   cell.racks = 1;
   cell.next = Offset(1);
   for (std::size_t i = 0; i < kWorkers; ++i) {
@@ -190,12 +190,12 @@
                                      .pool = pool.name,
                                      .accepted = Offset{}}),
           TimePoint{});
-  world.jobs.cells.emplace(kZone, std::move(cell));
+  world.jobs.cells.emplace(kWholeCell, std::move(cell));
   return world;
 }
 
 inline Cell* CellOf(World& world) {
-  const auto found = world.jobs.cells.find(kZone);
+  const auto found = world.jobs.cells.find(kWholeCell);
   return found == world.jobs.cells.end() ? nullptr : &found->second;
 }
 
@@ -253,7 +253,7 @@
   }
   const int starts = ++model.starts[event.piece];
   const World& any = model.holders[0];
-  const Job* job = any.jobs.cells.at(kZone).jobs.find(kJob);
+  const Job* job = any.jobs.cells.at(kWholeCell).jobs.find(kJob);
   if (starts > 1 && !job->spec.idempotent) {
     Break(model, fmt::format("piece {} started twice", event.piece.value));
   }
@@ -263,7 +263,7 @@
 inline std::string Describe(const GangModel& model) {
   std::string text;
   for (std::size_t i = 0; i < kHolders; ++i) {
-    const Cell& cell = model.holders[i].jobs.cells.at(kZone);
+    const Cell& cell = model.holders[i].jobs.cells.at(kWholeCell);
     text += fmt::format("holder {} alive={} epoch={} recovered={} job={} ", i,
                         model.alive[i], cell.epoch.value, cell.recovered,
                         NameOf(cell.jobs.find(kJob)->state));
@@ -346,7 +346,7 @@
   Inbox inbox;
   const auto from = static_cast<std::ptrdiff_t>(cell->next.value);
   inbox.log_batches.push_back(
-      LogBatch{CellStream(kZone),
+      LogBatch{CellStream(kWholeCell),
                {model.log.begin() + from, model.log.end()},
                Offset(model.log.size())});
   RunHolder(model, holder, inbox);
@@ -490,7 +490,7 @@
   const FaultBudget& budget = model.budget;
   const std::size_t alive = model.alive[0] && model.alive[1] ? 2 : 1;
   for (std::size_t i = 0; i < kHolders; ++i) {
-    const Cell& cell = model.holders[i].jobs.cells.at(impl::kZone);
+    const Cell& cell = model.holders[i].jobs.cells.at(kWholeCell);
     const bool held = model.alive[i] && IsHeld(cell);
     add(model.alive[i] && cell.claim.empty() && !IsHeld(cell) &&
             model.now >= cell.claim_due &&
@@ -610,7 +610,7 @@
   const auto settled = [&] {
     for (std::size_t i = 0; i < kHolders; ++i) {
       const Job* job =
-          model.holders[i].jobs.cells.at(impl::kZone).jobs.find(impl::kJob);
+          model.holders[i].jobs.cells.at(kWholeCell).jobs.find(impl::kJob);
       if (model.alive[i] && job != nullptr && !HasEnded(job->state)) {
         return false;
       }
@@ -639,7 +639,7 @@
   std::set<JobState> ends;
   for (std::size_t i = 0; i < kHolders; ++i) {
     const Job* job =
-        model.holders[i].jobs.cells.at(impl::kZone).jobs.find(impl::kJob);
+        model.holders[i].jobs.cells.at(kWholeCell).jobs.find(impl::kJob);
     if (model.alive[i] && job != nullptr) {
       ends.insert(job->state);
     }
@@ -680,7 +680,7 @@
           ? -1
           : model.partial_since.time_since_epoch().count());
   for (const World& world : model.holders) {
-    const Cell& cell = world.jobs.cells.at(impl::kZone);
+    const Cell& cell = world.jobs.cells.at(kWholeCell);
     add(cell.next.value, cell.claim.value, cell.epoch.value, cell.recovered,
         cell.unconfirmed.size(), cell.placement_due,
         cell.next_scan.time_since_epoch().count(),
