Split the systems of workers and placement by what they decide

Change, without a change of behaviour: task_workers keeps the table as the platform lists it, task_reports applies what workers say, task_speed judges slow runs, task_worker_exclusion leaves workers out, task_orders sends, task_worker_clock bounds clocks; task_rooms packs, task_preemption stops work, task_placement orders what waits. Capacity and its arithmetic are one header for both schedulers, and whole milliseconds one function (nine copies before).

--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -275,8 +275,7 @@
       "[platform]\nlog = {}\ninstances = {}\n"
       "[callers]\nthreads = {}\n",
       callers.value, LocalAddress(FreePort()).value, admin.value, log.value,
-      LocalAddress(platform.instances_server.Port()).value,
-      connected + 100);
+      LocalAddress(platform.instances_server.Port()).value, connected + 100);
   const Child entry(
       {bin + "/chicorystep-entry", "--settings", settings.string()});
   if (!Publish(bin, folder, log)) {
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -446,11 +446,9 @@
              kAgainstBaseline * baseline.fragmentation_sum,
          systems.fragmentation_sum / systems.fragmentation_samples);
   const Duration limit = sim.world.self.reclaim_grace + seconds(1);
-  const auto late =
-      std::count_if(sim.guaranteed_starts.begin(), sim.guaranteed_starts.end(),
-                    [&](const GuaranteedStart& start) {
-                      return start.delay > limit;
-                    });
+  const auto late = std::count_if(
+      sim.guaranteed_starts.begin(), sim.guaranteed_starts.end(),
+      [&](const GuaranteedStart& start) { return start.delay > limit; });
   expect("reclaim", late == 0, static_cast<double>(late));
 }
 
--- a/chicorystep/clients/log_client.cc
+++ b/chicorystep/clients/log_client.cc
@@ -81,11 +81,9 @@
                                       Offset from,
                                       Duration wait,
                                       LogTraffic& traffic) {
-  const auto wait_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-  const auto response =
-      client.Get(fmt::format("/v1/streams/{}/records?from={}&max={}&wait_ms={}",
-                             stream.value, from.value, kMaxBatch, wait_ms));
+  const auto response = client.Get(
+      fmt::format("/v1/streams/{}/records?from={}&max={}&wait_ms={}",
+                  stream.value, from.value, kMaxBatch, WholeMillis(wait)));
   traffic = TrafficOf(response, 0);
   if (!response || response->status != 200) {
     return failure(ErrorOf(response));
--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/task_orders.h"
 #include "chicorystep/systems/task_placement.h"
+#include "chicorystep/systems/task_reports.h"
 #include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_calls.h"
 #include "chicorystep/systems/workflow_holder.h"
--- a/chicorystep/core/units.h
+++ b/chicorystep/core/units.h
@@ -32,6 +32,12 @@
 };
 using TimePoint = ProcessClock::time_point;
 
+// Whole milliseconds, rounded towards zero.
+[[nodiscard]] constexpr std::int64_t WholeMillis(Duration duration) noexcept {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 // A due time that never comes.
 inline constexpr TimePoint kNever = TimePoint::max();
 // A time before anything that a process has seen; unlike the earliest time
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -11,11 +11,6 @@
 namespace chicorystep {
 namespace impl {
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 Json DumpConfig(const Config& config) {
   Json routes = Json::array();
   for (const auto& [kind, route] : config.routes) {
@@ -54,7 +49,7 @@
                 {"stopping", member.stopping},
                 {"config_next", member.config_next.value}};
     if (member.heard != TimePoint::min()) {
-      row["heard_ms_ago"] = Milliseconds(now - member.heard);
+      row["heard_ms_ago"] = WholeMillis(now - member.heard);
     }
     members.push_back(std::move(row));
   }
@@ -141,7 +136,7 @@
                      {"region", world.self.region.value},
                      {"ready", world.config_ready && !world.stopping},
                      {"stopping", world.stopping},
-                     {"up_ms", impl::Milliseconds(now.time_since_epoch())},
+                     {"up_ms", WholeMillis(now.time_since_epoch())},
                      {"config", impl::DumpConfig(world.config)},
                      {"config_sync", impl::DumpConfigSync(world.config_sync)},
                      {"members", impl::DumpMembers(world, now)},
--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -12,8 +12,7 @@
 constexpr std::size_t kMaxRows = 500;
 
 std::int64_t AgeMillis(TimePoint then, TimePoint now) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now - then)
-      .count();
+  return WholeMillis(now - then);
 }
 
 PlainJson DumpHolding(const Holding& holding, TimePoint now) {
--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -6,21 +6,12 @@
 namespace chicorystep {
 namespace {
 
-std::int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 bool HasRoom(const EmulatedWorker& worker, const Capacity& need) {
   Capacity used = need;
   for (const auto& [key, run] : worker.running) {
-    used.accelerators += run.need.accelerators;
-    used.processors += run.need.processors;
-    used.memory += run.need.memory;
+    used = used + run.need;
   }
-  return used.accelerators <= worker.listing.capacity.accelerators &&
-         used.processors <= worker.listing.capacity.processors &&
-         used.memory <= worker.listing.capacity.memory;
+  return Holds(worker.listing.capacity, used);
 }
 
 void Extend(EmulatedWorker& worker,
@@ -29,7 +20,7 @@
             TimePoint now) {
   if (until) {
     const WorkerClock most =
-        ClockOf(worker, now) + WorkerClock(Millis(longest));
+        ClockOf(worker, now) + WorkerClock(WholeMillis(longest));
     worker.leased_until = std::max(worker.leased_until, std::min(*until, most));
   }
 }
@@ -73,7 +64,8 @@
 
 WorkerClock ClockOf(const EmulatedWorker& worker, TimePoint now) {
   return WorkerClock(static_cast<std::int64_t>(
-      static_cast<double>(Millis(now - worker.started)) * worker.clock_rate));
+      static_cast<double>(WholeMillis(now - worker.started)) *
+      worker.clock_rate));
 }
 
 OrderEnded CarryOut(EmulatedWorker& worker,
--- a/chicorystep/systems/cell_state.cc
+++ b/chicorystep/systems/cell_state.cc
@@ -86,37 +86,6 @@
   return Capacity{worker.accelerators, worker.processors, worker.memory};
 }
 
-Capacity operator+(Capacity a, const Capacity& b) noexcept {
-  a.accelerators += b.accelerators;
-  a.processors += b.processors;
-  a.memory += b.memory;
-  return a;
-}
-
-Capacity operator-(Capacity a, const Capacity& b) noexcept {
-  a.accelerators -= b.accelerators;
-  a.processors -= b.processors;
-  a.memory -= b.memory;
-  return a;
-}
-
-Capacity Min(const Capacity& a, const Capacity& b) noexcept {
-  return Capacity{std::min(a.accelerators, b.accelerators),
-                  std::min(a.processors, b.processors),
-                  std::min(a.memory, b.memory)};
-}
-
-Capacity NoLessThanZero(const Capacity& value) noexcept {
-  return Capacity{std::max(value.accelerators, Accelerators{0}),
-                  std::max(value.processors, Millicores{0}),
-                  std::max(value.memory, Mebibytes{0})};
-}
-
-bool Holds(const Capacity& room, const Capacity& need) noexcept {
-  return room.accelerators >= need.accelerators &&
-         room.processors >= need.processors && room.memory >= need.memory;
-}
-
 Accelerators AcceleratorsOf(const Shape& shape) noexcept {
   return shape.accelerators * shape.pieces;
 }
--- a/chicorystep/systems/cell_state.h
+++ b/chicorystep/systems/cell_state.h
@@ -23,13 +23,6 @@
 // What one piece of `shape` takes from a worker, and the whole of `worker`.
 [[nodiscard]] Capacity CapacityOf(const Shape& shape) noexcept;
 [[nodiscard]] Capacity CapacityOf(const ListedWorker& worker) noexcept;
-[[nodiscard]] Capacity operator+(Capacity a, const Capacity& b) noexcept;
-[[nodiscard]] Capacity operator-(Capacity a, const Capacity& b) noexcept;
-// The smaller of each unit, and each unit no less than zero.
-[[nodiscard]] Capacity Min(const Capacity& a, const Capacity& b) noexcept;
-[[nodiscard]] Capacity NoLessThanZero(const Capacity& value) noexcept;
-// Whether `room` holds `need` in every unit.
-[[nodiscard]] bool Holds(const Capacity& room, const Capacity& need) noexcept;
 
 // The accelerators that the whole gang takes.
 [[nodiscard]] Accelerators AcceleratorsOf(const Shape& shape) noexcept;
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -35,9 +35,7 @@
 
 // The cell that takes the job: the same for every repeat, as it depends on the
 // tables and the settings alone.
-CellName ChooseCell(const CellMap& map,
-                    const Pool& pool,
-                    const JobSpec& spec) {
+CellName ChooseCell(const CellMap& map, const Pool& pool, const JobSpec& spec) {
   std::set<CellName> cells;
   for (const Guarantee& guarantee : pool.guarantees) {
     cells.insert(CellOf(map, guarantee.zone));
@@ -87,7 +85,8 @@
              const JobOperation& operation,
              TimePoint now,
              Outbox& outbox) {
-  const EntryId holder = PreferredHolder(world, CellNameOf(operation.spec.id), now);
+  const EntryId holder =
+      PreferredHolder(world, CellNameOf(operation.spec.id), now);
   const Member* member = world.members.table.find(holder);
   if (operation.forwarded || member == nullptr) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kNotReady,
@@ -113,7 +112,8 @@
       world.config.pools.find(PoolKey{route->second.pool, spec.workspace});
   return pool == world.config.pools.end()
              ? ""
-             : WhyNeverRunnable(world.self.cells, cell, pool->second, spec.shape);
+             : WhyNeverRunnable(world.self.cells, cell, pool->second,
+                                spec.shape);
 }
 
 void Submit(World& world,
--- a/chicorystep/systems/packing.cc
+++ b/chicorystep/systems/packing.cc
@@ -81,10 +81,10 @@
   for (const auto& [key, pool] : world.config.pools) {
     for (const Guarantee& guarantee : pool.guarantees) {
       if (CellOf(world.self.cells, guarantee.zone) == cell.name) {
-        slots.insert(slots.end(), static_cast<std::size_t>(guarantee.count),
-                     GuaranteeSlot{.pool = key,
-                                   .zone = guarantee.zone,
-                                   .shape = guarantee.shape});
+        slots.insert(
+            slots.end(), static_cast<std::size_t>(guarantee.count),
+            GuaranteeSlot{
+                .pool = key, .zone = guarantee.zone, .shape = guarantee.shape});
       }
     }
   }
@@ -119,11 +119,11 @@
 
 // Whether every piece of the gang runs in `zone`.
 bool RunsIn(const Cell& cell, const Job& job, const Zone& zone) {
-  return std::all_of(
-      job.pieces.begin(), job.pieces.end(), [&](const Piece& piece) {
-        const Worker* worker = cell.workers.find(piece.worker);
-        return worker != nullptr && worker->listed.zone == zone;
-      });
+  return std::all_of(job.pieces.begin(), job.pieces.end(),
+                     [&](const Piece& piece) {
+                       const Worker* worker = cell.workers.find(piece.worker);
+                       return worker != nullptr && worker->listed.zone == zone;
+                     });
 }
 
 // Puts slots where a gang of their workspace already runs.
@@ -160,7 +160,8 @@
     if (!slot.workers.empty()) {
       continue;
     }
-    const auto rows = ChooseWorkers(cell, slot.shape, OfferUnreserved(cell, slot.zone));
+    const auto rows =
+        ChooseWorkers(cell, slot.shape, OfferUnreserved(cell, slot.zone));
     if (!rows) {
       continue;
     }
@@ -301,7 +302,8 @@
   }
   if (!ChooseWorkers(cell, shape, whole)) {
     return fmt::format(
-        "no set of {} workers of the zone that is adjacent as asked ({}) has {} "
+        "no set of {} workers of the zone that is adjacent as asked ({}) has "
+        "{} "
         "accelerators each",
         shape.pieces, NameOf(shape.adjacency), shape.accelerators.value);
   }
--- a/chicorystep/systems/scheduling.cc
+++ b/chicorystep/systems/scheduling.cc
@@ -426,11 +426,9 @@
   if (pool.borrows) {
     return "";
   }
-  const bool guaranteed =
-      std::any_of(pool.guarantees.begin(), pool.guarantees.end(),
-                  [&](const Guarantee& row) {
-                    return CellOf(map, row.zone) == cell.name;
-                  });
+  const bool guaranteed = std::any_of(
+      pool.guarantees.begin(), pool.guarantees.end(),
+      [&](const Guarantee& row) { return CellOf(map, row.zone) == cell.name; });
   return guaranteed ? ""
                     : "the workspace borrows nothing and has no guarantee in "
                       "this cell";
--- /dev/null
+++ b/chicorystep/systems/task_orders.cc
@@ -0,0 +1,120 @@
+#include "chicorystep/systems/task_orders.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include "chicorystep/systems/task_worker_clock.h"
+
+namespace chicorystep {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long a worker may wait for an end before it answers a hold. Each hold is
+// a priced call; each also renews the leases, which are several times longer.
+constexpr Duration kHoldWait = milliseconds(900);
+// Where urgent tasks run, reports come more often, to notice slow ones early.
+constexpr Duration kUrgentHoldWait = milliseconds(500);
+// Holds without an answer after which leases are not renewed any more: one may
+// be lost with a connection that has gone dead.
+constexpr std::uint32_t kRenewalsWhileSilent = 2;
+// Orders to one worker at the same time, each on a connection of its own: the
+// members of a gang that come later keep the others waiting.
+constexpr std::size_t kMaxOrdersUnderWay = 8;
+
+bool RunsUrgent(const WorkflowWorld& world, const TaskWorker& worker) {
+  return std::any_of(
+      worker.tasks.begin(), worker.tasks.end(), [&](const auto& row) {
+        const Workflow* workflow = world.workflows.find(row.first.workflow);
+        return workflow != nullptr && workflow->terms.priority == 0;
+      });
+}
+
+void SendHold(WorkflowWorld& world,
+              TaskWorker& worker,
+              TimePoint now,
+              WorkflowOutbox& outbox) {
+  WorkerOrder hold{.kind = OrderKind::kHold,
+                   .worker = worker.listing.id,
+                   .address = worker.listing.address,
+                   .fence = world.holding.own_epoch,
+                   .acknowledged = worker.acknowledged};
+  // A worker that does not answer is not granted more time: its leases must
+  // lapse before its tasks can start elsewhere.
+  if (!worker.tasks.empty() && worker.clock_read != kLongAgo &&
+      worker.silent_holds < kRenewalsWhileSilent) {
+    hold.until =
+        FastestClock(worker, now) + WorkerClock(WholeMillis(world.self.lease));
+    worker.leased_until = std::max(worker.leased_until, *hold.until);
+    if (worker.fenced && worker.silent_holds == 0) {
+      hold.wait = RunsUrgent(world, worker) ? kUrgentHoldWait : kHoldWait;
+    }
+  }
+  worker.told = worker.acknowledged;
+  worker.hold_under_way = true;
+  outbox.orders.push_back(std::move(hold));
+}
+
+// Sends the queued orders of tasks that have none under way.
+void SendQueued(WorkflowWorld& world,
+                TaskWorker& worker,
+                TimePoint now,
+                WorkflowOutbox& outbox) {
+  std::deque<WorkerOrder> later;
+  while (!worker.orders.empty()) {
+    WorkerOrder order = std::move(worker.orders.front());
+    worker.orders.pop_front();
+    if (worker.ordering.size() >= kMaxOrdersUnderWay ||
+        worker.ordering.contains(order.task)) {
+      later.push_back(std::move(order));
+      continue;
+    }
+    order.address = worker.listing.address;
+    order.fence = world.holding.own_epoch;
+    if (order.kind == OrderKind::kStart) {
+      order.until = FastestClock(worker, now) +
+                    WorkerClock(WholeMillis(world.self.lease));
+      worker.leased_until = std::max(worker.leased_until, *order.until);
+    }
+    worker.ordering.insert(order.task);
+    outbox.orders.push_back(std::move(order));
+  }
+  worker.orders = std::move(later);
+}
+
+// Whether the worker has to be asked or told anything.
+bool WantsHold(const TaskWorker& worker) {
+  if (worker.listing.address.empty()) {
+    return false;
+  }
+  return !worker.tasks.empty() || worker.acknowledged > worker.told ||
+         (!worker.fenced && worker.listed);
+}
+
+}  // namespace
+
+void SendOrders(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox) {
+  if (!world.holding.may_order) {
+    return;
+  }
+  for (TaskWorker& worker : world.scheduling.workers.rows) {
+    SendQueued(world, worker, now, outbox);
+    if (!worker.hold_under_way && now >= worker.next_hold &&
+        WantsHold(worker)) {
+      SendHold(world, worker, now, outbox);
+    }
+  }
+}
+
+TimePoint NextOrderDue(const WorkflowWorld& world) {
+  TimePoint due = kNever;
+  for (const TaskWorker& worker : world.scheduling.workers.rows) {
+    if (!worker.hold_under_way && WantsHold(worker)) {
+      due = std::min(due, worker.next_hold);
+    }
+  }
+  return due;
+}
+
+}  // namespace chicorystep
--- /dev/null
+++ b/chicorystep/systems/task_speed.cc
@@ -0,0 +1,132 @@
+#include "chicorystep/systems/task_speed.h"
+
+#include <algorithm>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/task_worker_exclusion.h"
+
+namespace chicorystep {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A run tells its speed once the half second that a report covers lies well
+// after its start.
+constexpr Duration kSpeedSettled = milliseconds(700);
+// A measured speed is taken for the present one for this long: a hold's wait
+// and some time for its answer.
+constexpr Duration kSpeedLasts = milliseconds(1300);
+// Sound workers were seen at 0.6 and above, slow ones at 0.3 and below.
+constexpr double kSlowSpeed = 0.45;
+
+// Whether the task runs away from its data or from the rest of its gang, which
+// slows it on any worker.
+bool IsRemote(const WorkflowWorld& world, const TaskPlace& place) {
+  const auto rack_of = [&](const Task& task) {
+    const TaskWorker* worker = world.scheduling.workers.find(task.worker);
+    return worker == nullptr ? Rack() : worker->rack;
+  };
+  const Rack rack = rack_of(*place.task);
+  if (!place.spec->data_rack.empty() && rack != place.spec->data_rack) {
+    return true;
+  }
+  return place.spec->same_rack &&
+         std::any_of(place.run->tasks.begin(), place.run->tasks.end(),
+                     [&](const Task& t) { return rack_of(t) != rack; });
+}
+
+// The speed of a task or of its whole gang: members that have less to do than
+// others use nothing while they wait for these. Gangs of which a member has
+// not been measured lately count as sound.
+double SpeedOf(const TaskPlace& place, TimePoint now) {
+  if (!place.spec->gang) {
+    return place.task->speed;
+  }
+  double fastest = 0;
+  for (const Task& member : place.run->tasks) {
+    fastest = std::max(
+        fastest, now - member.measured <= kSpeedLasts ? member.speed : 1.0);
+  }
+  return fastest;
+}
+
+// Whether starting the task again elsewhere should end it clearly sooner.
+bool EndsSoonerElsewhere(const WorkflowWorld& world,
+                         const TaskPlace& place,
+                         double speed_here) {
+  const Task& task = *place.task;
+  const Duration work = place.spec->estimate;
+  const Duration left = std::max(work - task.worked, work / 4);
+  const double speed = std::max(speed_here, 0.05);
+  const auto here = Duration(
+      static_cast<Duration::rep>(static_cast<double>(left.count()) / speed));
+  const Duration again = place.spec->saves_progress ? left : work;
+  return here > (again + world.self.stop_grace) * 3 / 2;
+}
+
+}  // namespace
+
+bool MeasureSpeed(const WorkflowWorld& world,
+                  const TaskPlace& place,
+                  const RunningReport& report,
+                  TimePoint now) {
+  Task& task = *place.task;
+  const std::int64_t need = place.spec->need.processors.value;
+  if (!report.in_use || need == 0 || task.state != TaskState::kRunning ||
+      now - task.since < kSpeedSettled || place.spec->long_running ||
+      IsRemote(world, place)) {
+    return false;
+  }
+  const TimePoint from = std::max(task.measured, task.since);
+  task.speed = std::min(1.0, static_cast<double>(report.in_use->value) /
+                                 static_cast<double>(need));
+  const bool anew = task.measured < task.since && task.checkpoint.empty();
+  task.worked = (anew ? Duration() : task.worked) +
+                Duration(static_cast<Duration::rep>(
+                    task.speed * static_cast<double>((now - from).count())));
+  task.measured = now;
+  return true;
+}
+
+void JudgeSpeed(WorkflowWorld& world,
+                const WorkerId& id,
+                const std::vector<TaskKey>& measured,
+                TimePoint now) {
+  if (measured.empty()) {
+    return;
+  }
+  const bool any_sound =
+      std::any_of(measured.begin(), measured.end(), [&](const TaskKey& key) {
+        return SpeedOf(FindTask(world, key), now) >= kSlowSpeed;
+      });
+  TaskWorker* worker = world.scheduling.workers.find(id);
+  if (any_sound) {
+    return;
+  }
+  if (now >= worker->excluded_until && MayExcludeMore(world, now)) {
+    ExcludeFaultyWorker(*worker, "tasks go slowly there", now);
+  }
+  for (const TaskKey& key : measured) {
+    const TaskPlace place = FindTask(world, key);
+    const bool may_move =
+        place.workflow->terms.priority == 0 || place.spec->saves_progress;
+    if (place.task->state != TaskState::kRunning || !may_move ||
+        !EndsSoonerElsewhere(world, place, SpeedOf(place, now))) {
+      continue;
+    }
+    Log(LogLevel::kInfo, "moved_off_slow_worker",
+        {{"workflow", key.workflow.value},
+         {"step", key.step.value},
+         {"task", key.task.value},
+         {"worker", id.value},
+         {"speed", place.task->speed},
+         {"worked_ms", WholeMillis(place.task->worked)}});
+    if (place.spec->gang) {
+      StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
+    } else {
+      StopTask(world, key, place, now);
+    }
+  }
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/task_workers.h
+++ b/chicorystep/systems/task_workers.h
@@ -1,6 +1,8 @@
 #ifndef CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
 #define CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
 
+#include <string_view>
+
 #include "chicorystep/tables/workflow_world.h"
 
 namespace chicorystep {
@@ -10,24 +12,23 @@
                          const WorkflowInbox& inbox,
                          const WorkflowTime& time);
 
-// Applies what workers answered: ends, what runs, clocks, and a higher fence.
-void ApplyOrdersEnded(WorkflowWorld& world,
-                      const WorkflowInbox& inbox,
-                      const WorkflowTime& time);
+// Every task there has surely ended: the worker's process is another one, or
+// its leases have lapsed.
+void LoseTasks(WorkflowWorld& world,
+               const WorkerId& id,
+               std::string_view why,
+               TimePoint now);
+
+// The worker's process has started anew: it holds and knows nothing.
+void BeginLife(WorkflowWorld& world,
+               const WorkerId& id,
+               WorkerLife life,
+               TimePoint now);
 
 // Returns the tasks of workers whose leases have surely lapsed, and forgets
 // workers that have left.
 void ExpireWorkers(WorkflowWorld& world, const WorkflowTime& time);
 
-// Sends the queued orders, one at a time to each worker, and the holds that
-// are due.
-void SendOrders(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox);
-
-[[nodiscard]] TimePoint NextOrderDue(const WorkflowWorld& world);
-
-// The earliest that the worker's clock can read now.
-[[nodiscard]] WorkerClock SlowestClock(const TaskWorker& worker, TimePoint now);
-
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -45,8 +45,7 @@
          {"result", std::string(NameOf(answer.result))},
          {"detail", answer.detail},
          {"config_version", pending.config_version.value},
-         {"config_age_ms",
-          std::chrono::duration_cast<milliseconds>(pending.config_age).count()},
+         {"config_age_ms", WholeMillis(pending.config_age)},
          {"doubtful", pending.doubtful}});
   }
   outbox.answers.push_back(std::move(answer));
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -77,9 +77,7 @@
   Log(LogLevel::kInfo, "claim_begins",
       {{"epoch", holding.own_epoch.value},
        {"previous", holding.holder.value},
-       {"previous_silent_ms",
-        std::chrono::duration_cast<milliseconds>(time.now - holding.heard)
-            .count()}});
+       {"previous_silent_ms", WholeMillis(time.now - holding.heard)}});
 }
 
 // Takes up scheduling where the journal says that the last holder left it.
@@ -117,9 +115,7 @@
       {{"epoch", holding.own_epoch.value},
        {"open", world.scheduling.open.size()},
        {"placed", placed},
-       {"claim_ms",
-        std::chrono::duration_cast<milliseconds>(time.now - holding.claimed)
-            .count()}});
+       {"claim_ms", WholeMillis(time.now - holding.claimed)}});
 }
 
 bool IsRelease(const AppendJournal& append) {
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflow_progress.cc
@@ -25,9 +25,7 @@
   if (spec.occurrences == 0) {
     return UnixMillis();
   }
-  const auto interval =
-      std::chrono::duration_cast<std::chrono::milliseconds>(spec.interval);
-  return spec.first_due + UnixMillis(interval.count() * index);
+  return spec.first_due + UnixMillis(WholeMillis(spec.interval) * index);
 }
 
 void BeginOccurrences(WorkflowWorld& world,
@@ -142,9 +140,7 @@
   }
   scheduling.next_forget = time.now + kForgetPeriod;
   const Duration kept = world.self.status_kept + kForgetMargin;
-  const std::int64_t before =
-      time.wall.value -
-      std::chrono::duration_cast<std::chrono::milliseconds>(kept).count();
+  const std::int64_t before = time.wall.value - WholeMillis(kept);
   for (std::size_t i = 0; i < world.workflows.size(); ++i) {
     const Workflow& workflow = world.workflows.rows[i];
     if (IsOver(workflow.shown) && !workflow.dirty &&
--- a/chicorystep/systems/workflow_tables.cc
+++ b/chicorystep/systems/workflow_tables.cc
@@ -42,9 +42,7 @@
   if (const auto held = worker->tasks.find(key);
       held != worker->tasks.end() && held->second == task.run) {
     worker->tasks.erase(held);
-    worker->free.accelerators += spec.need.accelerators;
-    worker->free.processors += spec.need.processors;
-    worker->free.memory += spec.need.memory;
+    worker->free = worker->free + spec.need;
     world.scheduling.placement_due = true;
   }
 }
--- a/chicorystep/tables/jobs.h
+++ b/chicorystep/tables/jobs.h
@@ -21,6 +21,7 @@
 #include "chicorystep/core/outcome.h"
 #include "chicorystep/core/table.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/capacity.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/instances.h"
 
@@ -165,15 +166,6 @@
   PieceIndex piece;
 };
 
-// An amount of everything that a piece takes from a worker.
-struct Capacity {
-  Accelerators accelerators;
-  Millicores processors;
-  Mebibytes memory;
-
-  friend auto operator<=>(const Capacity&, const Capacity&) = default;
-};
-
 // What one pool of one workspace holds of a worker.
 struct Reservation {
   PoolKey pool;
--- a/chicorystep/traffic/executor_attempt.cc
+++ b/chicorystep/traffic/executor_attempt.cc
@@ -13,12 +13,10 @@
 
 httplib::Headers MakeHeaders(const SendAttempt& attempt,
                              const RequestBytes& request) {
-  const auto deadline =
-      std::chrono::duration_cast<std::chrono::milliseconds>(attempt.timeout);
   return {{kRequestIdHeader, request.id.value},
           {kWorkspaceHeader, request.workspace.value},
           {kAttemptHeader, std::to_string(attempt.attempt.value)},
-          {kDeadlineHeader, std::to_string(deadline.count())}};
+          {kDeadlineHeader, std::to_string(WholeMillis(attempt.timeout))}};
 }
 
 AttemptResult ResultOfError(httplib::Error error, bool headers_received) {
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -18,8 +18,8 @@
     BOOST_REQUIRE_EQUAL(this->Publish(kTables), 0);
     BOOST_REQUIRE(Eventually([&] { return this->Serves("warm-up"); }));
     BOOST_REQUIRE(Eventually([&] {
-      const auto response = this->Caller(0)->Get("/v1/jobs/all.0000000000000000",
-                                                 CallHeaders("-"));
+      const auto response = this->Caller(0)->Get(
+          "/v1/jobs/all.0000000000000000", CallHeaders("-"));
       return response && response->status == 404;
     }));
   }
--- a/tests/cell_span_test.cc
+++ b/tests/cell_span_test.cc
@@ -32,13 +32,13 @@
   world.jobs.cells.emplace(kWholeCell, std::move(cell));
   Inbox inbox;
   for (const WorkerPlace& place : places) {
-    world.instances.workers.push_back(ListedWorker{
-        .id = WorkerId(place.id),
-        .zone = Zone(place.zone),
-        .rack = Rack(place.rack),
-        .accelerators = Accelerators(8),
-        .processors = Millicores(8000),
-        .memory = Mebibytes(8000)});
+    world.instances.workers.push_back(
+        ListedWorker{.id = WorkerId(place.id),
+                     .zone = Zone(place.zone),
+                     .rack = Rack(place.rack),
+                     .accelerators = Accelerators(8),
+                     .processors = Millicores(8000),
+                     .memory = Mebibytes(8000)});
   }
   inbox.instance_lists.push_back(world.instances);
   Outbox outbox;
@@ -84,12 +84,12 @@
   for (const GuaranteeCase& sample : kGuaranteeCases) {
     BOOST_TEST_CONTEXT(sample.name) {
       World world = MakeWorld(sample.workers);
-      world.config.pools[kPool] = Pool{
-          .key = kPool,
-          .guarantees = {Guarantee{.zone = Zone(sample.zone),
-                                   .count = 1,
-                                   .shape = MakeShape(sample.pieces,
-                                                      Adjacency::kNone)}}};
+      world.config.pools[kPool] =
+          Pool{.key = kPool,
+               .guarantees = {Guarantee{
+                   .zone = Zone(sample.zone),
+                   .count = 1,
+                   .shape = MakeShape(sample.pieces, Adjacency::kNone)}}};
       world.config.revision = Revision(1);
       PlanGuarantees(world, kNow);
       const Cell& cell = world.jobs.cells.at(kWholeCell);
