Ask silent workers until they answer, and doubt a rejected repeat of a start

A start got no answer in 700 ms though it was carried out; its task ran and ended well; the repeat was rejected as old, and the task was placed anew. 2. Once the leases on a silent worker had lapsed it held no task, so it was sent no hold: it stayed silent for ever, was never used again, and its ends were never read. Wide gangs then found no room with most of it free. 3. Holds answered later than 700 ms beyond their wait were dropped, with the ends in them.

Change: a rejection of a repeated start, or as old, leaves it to the next hold to tell; a worker that did not answer is asked until it does; a hold's answer is waited for 1.6 s, while nothing is placed there after 0.7 s; an answer that has arrived but not been read is not late; one renewal, not two, goes to a silent worker; holds wait 1.8 s with more than 100 workers; entries with less than a quarter core leave the holder's place to others; where workers do not guard their room, none is used while it runs what the tables do not know.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -14,11 +14,15 @@
 // How long a worker may wait for an end before it answers a hold. Each hold is
 // a priced call; each also renews the leases, which are several times longer.
 constexpr Duration kHoldWait = milliseconds(900);
+// With more workers than this the holds would take most of a small holder's
+// processor; the platform lets a hold wait for 2 s.
+constexpr std::size_t kManyWorkers = 100;
+constexpr Duration kLongHoldWait = milliseconds(1800);
 // Where urgent tasks run, reports come more often, to notice slow ones early.
 constexpr Duration kUrgentHoldWait = milliseconds(500);
-// Holds without an answer after which leases are not renewed any more: one may
-// be lost with a connection that has gone dead.
-constexpr std::uint32_t kRenewalsWhileSilent = 2;
+// Sound workers answer within this; nothing is placed on one that takes longer,
+// while its answer is still waited for.
+constexpr Duration kAnswerTime = milliseconds(700);
 // Orders to one worker at the same time, each on a connection of its own: the
 // members of a gang that come later keep the others waiting.
 constexpr std::size_t kMaxOrdersUnderWay = 8;
@@ -31,6 +35,14 @@
       });
 }
 
+Duration HoldWait(const WorkflowWorld& world, const TaskWorker& worker) {
+  if (RunsUrgent(world, worker)) {
+    return kUrgentHoldWait;
+  }
+  return world.scheduling.workers.size() > kManyWorkers ? kLongHoldWait
+                                                        : kHoldWait;
+}
+
 void SendHold(WorkflowWorld& world,
               TaskWorker& worker,
               TimePoint now,
@@ -43,16 +55,17 @@
   // A worker that does not answer is not granted more time: its leases must
   // lapse before its tasks can start elsewhere.
   if (!worker.tasks.empty() && worker.clock_read != kLongAgo &&
-      worker.silent_holds < kRenewalsWhileSilent) {
+      worker.silent_holds == 0) {
     hold.until =
         FastestClock(worker, now) + WorkerClock(WholeMillis(world.self.lease));
     worker.leased_until = std::max(worker.leased_until, *hold.until);
-    if (worker.fenced && worker.silent_holds == 0) {
-      hold.wait = RunsUrgent(world, worker) ? kUrgentHoldWait : kHoldWait;
+    if (worker.fenced) {
+      hold.wait = HoldWait(world, worker);
     }
   }
   worker.told = worker.acknowledged;
   worker.hold_under_way = true;
+  worker.overdue = now + hold.wait + kAnswerTime;
   outbox.orders.push_back(std::move(hold));
 }
 
@@ -88,8 +101,10 @@
   if (worker.listing.address.empty()) {
     return false;
   }
+  // One that did not answer is asked until it does, also when nothing runs
+  // there any more: it cannot be used before, and may have ends to tell.
   return !worker.tasks.empty() || worker.acknowledged > worker.told ||
-         (!worker.fenced && worker.listed);
+         ((!worker.fenced || worker.silent_holds > 0) && worker.listed);
 }
 
 }  // namespace
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -46,6 +46,7 @@
     task.life = room.worker->listing.life;
     task.since = pass.time.now;
     task.ordered = false;
+    task.start_doubtful = false;
     const TaskKey key{unit.id, unit.run->occurrence, unit.run->step,
                       unit.tasks[i]};
     room.worker->tasks[key] = task.run;
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -124,6 +124,7 @@
 void Reconcile(WorkflowWorld& world, const OrderEnded& hold, TimePoint now) {
   const WorkerId id = hold.worker;
   std::set<std::pair<TaskKey, RunNumber>> present;
+  std::uint32_t strays = 0;
   std::vector<TaskKey> measured;
   for (const RunningReport& report : hold.running) {
     present.emplace(report.task, report.run);
@@ -131,6 +132,7 @@
     const bool ours = place && place.task->run == report.run &&
                       HoldsRoom(place.task->state) && place.task->worker == id;
     if (!ours) {
+      ++strays;
       TaskWorker* worker = world.scheduling.workers.find(id);
       const bool queued = std::any_of(
           worker->orders.begin(), worker->orders.end(),
@@ -167,6 +169,7 @@
       measured.push_back(report.task);
     }
   }
+  world.scheduling.workers.find(id)->strays = strays;
   JudgeSpeed(world, id, measured, now);
   // What the tables have running, and was settled before the worker was
   // asked, but is not there, never began or has gone.
@@ -215,6 +218,7 @@
 void ApplyHold(WorkflowWorld& world, const OrderEnded& hold, TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
   worker->hold_under_way = false;
+  worker->overdue = kNever;
   if (hold.outcome != OrderOutcome::kDone) {
     if (hold.outcome == OrderOutcome::kUnknown) {
       ++worker->silent_holds;
@@ -259,6 +263,7 @@
       worker->next_hold = now;
       return;
     case OrderOutcome::kUnknown:
+      place.task->start_doubtful = true;
       if (now - place.task->since < kStartPatience) {
         worker->orders.push_front(
             WorkerOrder{.kind = OrderKind::kStart,
@@ -288,6 +293,18 @@
        {"worker", start.worker.value},
        {"outcome", std::string(NameOf(start.outcome))}});
   ExcludeWorker(*worker, NameOf(start.outcome), now);
+  if (place.task->start_doubtful || start.outcome == OrderOutcome::kOldRun) {
+    // An earlier sending may have been carried out, and the run may even have
+    // ended: the next hold tells.
+    place.task->state = TaskState::kStopping;
+    place.task->since = now;
+    place.task->ordered = false;
+    worker->next_hold = now;
+    if (place.spec->gang) {
+      StopStepRun(world, start.task.workflow, *place.workflow, *place.run, now);
+    }
+    return;
+  }
   ReturnToWaiting(world, start.task, place, now);
   if (place.spec->gang) {
     StopStepRun(world, start.task.workflow, *place.workflow, *place.run, now);
@@ -332,8 +349,10 @@
       return;
     }
     if (ended.outcome == OrderOutcome::kOtherLife) {
-      worker->hold_under_way =
-          worker->hold_under_way && ended.kind != OrderKind::kHold;
+      if (ended.kind == OrderKind::kHold) {
+        worker->hold_under_way = false;
+        worker->overdue = kNever;
+      }
       worker->next_hold = time.now + kLongestHoldRetry;
       LoseTasks(world, ended.worker, "another process has its address",
                 time.now);
@@ -345,6 +364,7 @@
       }
       if (ended.kind == OrderKind::kHold) {
         worker->hold_under_way = false;
+        worker->overdue = kNever;
       }
       continue;
     }
--- a/chicorystep/systems/task_rooms.cc
+++ b/chicorystep/systems/task_rooms.cc
@@ -24,9 +24,21 @@
                    label) != worker.listing.labels.end();
 }
 
-bool IsUsable(const TaskWorker& worker, TimePoint now) {
+// Whether the worker rejects what does not fit. Where it does not, runs that
+// the tables know nothing of take room that only the worker can count.
+bool GuardsCapacity(const WorkflowWorld& world, const TaskWorker& worker) {
+  const auto service = world.config->services.find(worker.listing.service);
+  return service == world.config->services.end() ||
+         service->second.enforces_capacity;
+}
+
+bool IsUsable(const WorkflowWorld& world,
+              const TaskWorker& worker,
+              TimePoint now) {
   return worker.fenced && worker.listed && !worker.listing.draining &&
-         worker.silent_holds == 0 && now >= worker.excluded_until;
+         worker.silent_holds == 0 && now < worker.overdue &&
+         now >= worker.excluded_until &&
+         (worker.strays == 0 || GuardsCapacity(world, worker));
 }
 
 // Chooses a room for each task of the unit among `candidates`, filling the
@@ -112,7 +124,7 @@
     Room room{.worker = &worker,
               .now = worker.free,
               .soon = worker.free,
-              .usable = IsUsable(worker, time.now)};
+              .usable = IsUsable(world, worker, time.now)};
     for (const auto& [key, run] : worker.tasks) {
       if (const TaskPlace place = FindTask(world, key);
           place && place.task->state == TaskState::kStopping) {
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -24,6 +24,10 @@
 // Entries near the store claim first: they write with the least delay.
 constexpr int kRoundTripsBeforeClaim = 6;
 constexpr Duration kLongestClaimDelay = milliseconds(700);
+// Holding takes most of what the smallest instances have, so those with less
+// than this part of a core leave it to others that claim in time.
+constexpr double kAmpleShare = 0.25;
+constexpr Duration kSmallShareDelay = milliseconds(400);
 // Spreads claims of entries that are equally near.
 constexpr std::uint64_t kClaimJitterMillis = 120;
 // A claim that is not read back by then is given up.
@@ -267,8 +271,11 @@
     const Duration distance = std::min(
         kLongestClaimDelay, world.streams[FollowedStream::kJournal].round_trip *
                                 kRoundTripsBeforeClaim);
+    const Duration smallness = world.self.processor_share < kAmpleShare
+                                   ? kSmallShareDelay
+                                   : Duration();
     holding.claim_due =
-        time.now + distance +
+        time.now + distance + smallness +
         milliseconds(world.self.incarnation.value % kClaimJitterMillis);
   }
   if (time.now >= holding.claim_due) {
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -158,7 +158,11 @@
   std::set<TaskKey> ordering;
   std::deque<WorkerOrder> orders;
   TimePoint next_hold{};
+  // When the answer to the hold under way is overdue.
+  TimePoint overdue = kNever;
   std::uint32_t silent_holds = 0;
+  // Runs there, as last reported, that the tables do not place there.
+  std::uint32_t strays = 0;
 
   // Its clock as last read, between `clock_sent` and `clock_read` of ours.
   WorkerClock clock;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -132,6 +132,8 @@
   TimePoint since{};
   // Whether the order for the current state is queued or under way.
   bool ordered = false;
+  // A start of the newest run got no answer, so it may have been carried out.
+  bool start_doubtful = false;
   // How fast the run goes compared with a sound worker, by the processors that
   // it uses, when that was last said, and the work done until then.
   double speed = 1.0;
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -124,6 +124,9 @@
     {"orders are carried out late",
      [](Emulation& run) { run.rates.late_orders = 200; }, seconds(5),
      [](Emulation& run) { run.rates.late_orders = 0; }},
+    {"orders are carried out, but their answers are lost",
+     [](Emulation& run) { run.rates.lost_orders = 300; }, seconds(5),
+     [](Emulation& run) { run.rates.lost_orders = 0; }},
     {"the journal forgets all but the newest records",
      [](Emulation& run) { Compact(run.store); },
      {},
@@ -210,6 +213,52 @@
   }
 }
 
+// Workers that were out of reach, and when they can be reached again.
+struct ReturnCase {
+  std::string name;
+  Duration cut;
+};
+
+// Before and after the leases there have lapsed.
+const std::vector<ReturnCase> kReturnCases = {
+    {"a short cut", seconds(3)},
+    {"a cut longer than the leases", seconds(15)},
+};
+
+BOOST_AUTO_TEST_CASE(workers_are_used_again_after_a_cut) {
+  for (const ReturnCase& sample : kReturnCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(16);
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      // Some task runs on each worker as the cut begins.
+      Emulation::Submitted first{.work = milliseconds(2000)};
+      first.spec.steps = {MakeStep(16, 8)};
+      run.Submit(0, "normal", Emulation::MakeId(1), first);
+      run.RunFor(seconds(1));
+      for (const auto& entry : run.entries) {
+        for (const EmulatedWorker& worker : run.workers) {
+          entry->cut_workers.insert(worker.listing.id);
+        }
+      }
+      run.RunFor(sample.cut);
+      for (const auto& entry : run.entries) {
+        entry->cut_workers.clear();
+      }
+      // Needs every worker whole.
+      Emulation::Submitted wide{.work = milliseconds(1000)};
+      wide.spec.steps = {MakeStep(16, 8, true)};
+      run.Submit(0, "normal", Emulation::MakeId(2), wide);
+      BOOST_TEST(run.RunFor(seconds(12), [&] { return run.AllOver(); }));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 // How a holder ends, and how long after it at most the next start may come:
 // the aims are one second after a planned stop, two after a kill, and the
 // lease and a second after a freeze or a cut.
