Test deployments of other shapes, and workers that do not guard their room

Cause: the emulation knew one service whose workers reject what does not fit, three entries and sixteen workers; the settings' other shapes were only argued.

--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -6,14 +6,6 @@
 namespace chicorystep {
 namespace {
 
-bool HasRoom(const EmulatedWorker& worker, const Capacity& need) {
-  Capacity used = need;
-  for (const auto& [key, run] : worker.running) {
-    used = used + run.need;
-  }
-  return Holds(worker.listing.capacity, used);
-}
-
 void Extend(EmulatedWorker& worker,
             const std::optional<WorkerClock>& until,
             Duration longest,
@@ -41,7 +33,7 @@
   if (!order.until || *order.until <= ClockOf(worker, now)) {
     return OrderOutcome::kTooLate;
   }
-  if (!HasRoom(worker, run.need)) {
+  if (worker.guards_capacity && !HasRoom(worker, run.need)) {
     return OrderOutcome::kNoRoom;
   }
   worker.running[order.task] = run;
@@ -62,6 +54,14 @@
 
 }  // namespace
 
+bool HasRoom(const EmulatedWorker& worker, const Capacity& need) {
+  Capacity used = need;
+  for (const auto& [key, run] : worker.running) {
+    used = used + run.need;
+  }
+  return Holds(worker.listing.capacity, used);
+}
+
 WorkerClock ClockOf(const EmulatedWorker& worker, TimePoint now) {
   return WorkerClock(static_cast<std::int64_t>(
       static_cast<double>(WholeMillis(now - worker.started)) *
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -33,6 +33,8 @@
   // Its clock began at zero when it started, and may run slow.
   TimePoint started{};
   double clock_rate = 1.0;
+  // Whether it rejects what does not fit.
+  bool guards_capacity = true;
   // How fast its tasks go, compared with a sound worker.
   double speed = 1.0;
 
@@ -48,6 +50,9 @@
 
 [[nodiscard]] WorkerClock ClockOf(const EmulatedWorker& worker, TimePoint now);
 
+// Whether `need` fits beside what runs there.
+[[nodiscard]] bool HasRoom(const EmulatedWorker& worker, const Capacity& need);
+
 // Carries out an order and gives its answer. `run` is what a start would run.
 [[nodiscard]] OrderEnded CarryOut(EmulatedWorker& worker,
                                   const WorkerOrder& order,
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -150,19 +150,22 @@
   }
 
   // Adds workers of 8 accelerators, 32 cores and 128 GiB, 8 to a rack.
-  void AddWorkers(int count) {
+  void AddWorkers(int count,
+                  const Service& service = Service("service"),
+                  bool guards_capacity = true) {
     for (int i = 0; i < count; ++i) {
       const std::size_t number = this->workers.size();
       EmulatedWorker worker;
       worker.listing = WorkerListing{
           .id = WorkerId(fmt::format("w{}", number)),
-          .service = Service("service"),
+          .service = service,
           .address = Address(fmt::format("10.0.0.{}:80", number)),
           .capacity =
               Capacity{Accelerators(8), Millicores(32'000), Mebibytes(131'072)},
           .labels = {"a", fmt::format("r{}", number / 8)},
           .life = WorkerLife(1)};
       worker.started = this->now;
+      worker.guards_capacity = guards_capacity;
       List(this->store, worker.listing);
       this->workers.push_back(std::move(worker));
     }
@@ -176,7 +179,8 @@
   }
 
   // One route for each priority, "/urgent/", "/normal/" and "/bulk/", on host
-  // "host"; workspace "team" has key "key".
+  // "host", and "/open/" for a service whose workers do not guard their
+  // capacity; workspace "team" has key "key".
   static WorkflowConfig MakeConfig(std::uint64_t version) {
     WorkflowConfig config{.version = ConfigVersion(version)};
     std::uint32_t priority = 0;
@@ -191,7 +195,17 @@
                         .target = milliseconds(1000),
                         .stretch = 2.0});
     }
+    config.routes.push_back(WorkflowRoute{.name = RouteName("open"),
+                                          .host = "host",
+                                          .path_prefix = "/open/",
+                                          .service = Service("open"),
+                                          .priority = 1,
+                                          .max_attempts = 3,
+                                          .target = milliseconds(1000),
+                                          .stretch = 2.0});
     config.services[Service("service")] = WorkflowService{};
+    config.services[Service("open")] =
+        WorkflowService{.enforces_capacity = false};
     config.workspaces[Workspace("team")] =
         WorkflowWorkspace{.guaranteed = Accelerators(16)};
     config.keys[ApiKey("key")] = Workspace("team");
@@ -458,6 +472,10 @@
       ++this->starts;
       this->start_times.push_back(this->now);
       this->started.insert(order.task.workflow);
+      if (!HasRoom(*worker, Capacity{})) {
+        this->violations.push_back(worker->listing.id.value +
+                                   " runs more than it has room for");
+      }
     }
     const bool waits = order.kind == OrderKind::kHold &&
                        ended.outcome == OrderOutcome::kDone &&
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -158,20 +158,57 @@
     {"not listed", [](TaskWorker& w) { w.listed = false; }},
     {"has not obeyed this holder", [](TaskWorker& w) { w.fenced = false; }},
     {"silent", [](TaskWorker& w) { w.silent_holds = 1; }},
+    {"late with its answer",
+     [](TaskWorker& w) { w.overdue = kNow.now - milliseconds(1); }},
+    {"does not guard its capacity and runs what is not known",
+     [](TaskWorker& w) {
+       w.listing.service = Service("open");
+       w.strays = 1;
+     }},
     {"left out",
      [](TaskWorker& w) { w.excluded_until = kNow.now + seconds(1); }},
-    {"of another service",
-     [](TaskWorker& w) { w.listing.service = Service("other"); }},
 };
 
+// Places one task where the only worker was changed; how many are placed. The
+// task asks for the service of the worker, unless `service` names another.
+std::size_t PlacedOnChanged(const std::function<void(TaskWorker&)>& change,
+                            const std::optional<Service>& service = {}) {
+  WorkflowWorld world = MakeWorld(1, 1);
+  TaskWorker& worker = world.scheduling.workers.rows[0];
+  change(worker);
+  const WorkflowId id = Add(world, 1, 0, MakeStep(1, 1));
+  world.workflows.find(id)->terms.service =
+      service.value_or(worker.listing.service);
+  Run(world, kNow);
+  return CountIn(world, id, TaskState::kPlaced);
+}
+
 BOOST_AUTO_TEST_CASE(unusable_workers_get_nothing) {
   for (const UnusableCase& sample : kUnusableCases) {
     BOOST_TEST_CONTEXT(sample.name) {
-      WorkflowWorld world = MakeWorld(1, 1);
-      sample.change(world.scheduling.workers.rows[0]);
-      const WorkflowId id = Add(world, 1, 0, MakeStep(1, 1));
-      Run(world, kNow);
-      BOOST_TEST(CountIn(world, id, TaskState::kWaiting) == 1U);
+      BOOST_TEST(PlacedOnChanged(sample.change) == 0U);
+    }
+  }
+  BOOST_TEST(PlacedOnChanged([](TaskWorker&) {}, Service("other")) == 0U);
+}
+
+// The nearest of what makes a worker unusable.
+const std::vector<UnusableCase> kUsableCases = {
+    {"nothing", [](TaskWorker&) {}},
+    {"an answer that is not late yet",
+     [](TaskWorker& w) { w.overdue = kNow.now + milliseconds(1); }},
+    {"guards its capacity and runs what is not known",
+     [](TaskWorker& w) { w.strays = 1; }},
+    {"does not guard its capacity and runs what is known",
+     [](TaskWorker& w) { w.listing.service = Service("open"); }},
+    {"was left out until now",
+     [](TaskWorker& w) { w.excluded_until = kNow.now; }},
+};
+
+BOOST_AUTO_TEST_CASE(usable_workers_get_tasks) {
+  for (const UnusableCase& sample : kUsableCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      BOOST_TEST(PlacedOnChanged(sample.change) == 1U);
     }
   }
 }
