Keep a worker that is listed again apart from one that started anew

When its entry came back, its real life differed from the unknown one, so its tasks counted as gone and were placed anew while they ran on.

Change: a worker without a known life takes the listed one; only tasks that were placed in another life are returned, as for a worker that is new to the table.

Test: workflow_recovery_test, workers not listed while the holder is killed; failed before (tasks run on two workers), passes now.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -79,6 +79,23 @@
   }
 }
 
+// Tasks that were placed in another life of the worker have gone with it.
+void ReturnTasksOfOtherLives(WorkflowWorld& world,
+                             const WorkerListing& listing,
+                             TimePoint now) {
+  const auto tasks = world.scheduling.workers.find(listing.id)->tasks;
+  for (const auto& [key, run] : tasks) {
+    const TaskPlace place = FindTask(world, key);
+    if (place && !place.task->life.empty() && !listing.life.empty() &&
+        place.task->life != listing.life) {
+      ReturnToWaiting(world, key, place, now);
+      if (place.spec->gang) {
+        StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
+      }
+    }
+  }
+}
+
 void ApplyListing(WorkflowWorld& world,
                   const WorkerListing& listing,
                   TimePoint now) {
@@ -86,22 +103,14 @@
   if (worker == nullptr) {
     AddWorker(world, listing, now);
     world.scheduling.placement_due = true;
-    // Tasks of its earlier life have gone with it.
-    worker = world.scheduling.workers.find(listing.id);
-    const auto tasks = worker->tasks;
-    for (const auto& [key, run] : tasks) {
-      const TaskPlace place = FindTask(world, key);
-      if (place && !place.task->life.empty() && !listing.life.empty() &&
-          place.task->life != listing.life) {
-        ReturnToWaiting(world, key, place, now);
-        if (place.spec->gang) {
-          StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
-        }
-      }
-    }
+    ReturnTasksOfOtherLives(world, listing, now);
     return;
   }
-  if (!listing.life.empty() && worker->listing.life != listing.life) {
+  if (worker->listing.life.empty()) {
+    // The journal placed tasks there before it was listed again.
+    ReturnTasksOfOtherLives(world, listing, now);
+    worker->next_hold = now;
+  } else if (!listing.life.empty() && worker->listing.life != listing.life) {
     if (listing.life < worker->listing.life) {
       return;
     }
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -118,6 +118,19 @@
          entry->cut_workers.clear();
        }
      }},
+    {"the holder is killed while some workers are not listed, but run on",
+     [](Emulation& run) {
+       for (int i = 0; i < 4; ++i) {
+         Unlist(run.store, run.workers[static_cast<std::size_t>(i)].listing.id);
+       }
+       run.KillEntry(run.Holder());
+     },
+     seconds(3),
+     [](Emulation& run) {
+       for (int i = 0; i < 4; ++i) {
+         List(run.store, run.workers[static_cast<std::size_t>(i)].listing);
+       }
+     }},
     {"answers of the store are lost",
      [](Emulation& run) { run.rates.lost_appends = 300; }, seconds(5),
      [](Emulation& run) { run.rates.lost_appends = 0; }},
