--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "chicorystep/systems/task_status.h"
+
 namespace chicorystep {
 namespace {
 
@@ -41,7 +43,9 @@
           {"tasks", worker.tasks.size()}};
 }
 
-PlainJson DumpWorkflow(const WorkflowId& id, const Workflow& workflow) {
+PlainJson DumpWorkflow(const WorkflowWorld& world,
+                       const WorkflowId& id,
+                       const Workflow& workflow) {
   std::array<std::size_t, kEnumNames<TaskState>.size()> counts{};
   for (const StepRun& run : workflow.runs) {
     for (const Task& task : run.tasks) {
@@ -61,7 +65,8 @@
           {"shown", std::string(NameOf(workflow.shown))},
           {"cancel_requested", workflow.cancel_requested},
           {"accepted_unix_ms", workflow.accepted.value},
-          {"tasks", std::move(tasks)}};
+          {"tasks", std::move(tasks)},
+          {"waits_for", std::string(NameOf(WhyWaiting(world, workflow)))}};
 }
 
 }  // namespace
@@ -86,8 +91,8 @@
   for (std::size_t i = 0;
        i < world.workflows.size() && json["open"].size() < kMaxRows; ++i) {
     if (!IsOver(world.workflows.rows[i].shown)) {
-      json["open"].push_back(
-          DumpWorkflow(world.workflows.keys[i], world.workflows.rows[i]));
+      json["open"].push_back(DumpWorkflow(world, world.workflows.keys[i],
+                                          world.workflows.rows[i]));
     }
   }
   json["workers"] = PlainJson::array();
--- /dev/null
+++ b/chicorystep/systems/task_status.cc
@@ -0,0 +1,70 @@
+#include "chicorystep/systems/task_status.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "chicorystep/systems/workflow_tables.h"
+
+namespace chicorystep {
+namespace {
+
+bool HasWaitingTask(const StepRun& run) {
+  return std::any_of(run.tasks.begin(), run.tasks.end(), [](const Task& task) {
+    return task.state == TaskState::kWaiting;
+  });
+}
+
+// Workers in use of the workflow's service with the label that the step asks.
+std::vector<const TaskWorker*> SuitableWorkers(const WorkflowWorld& world,
+                                               const Workflow& workflow,
+                                               const StepSpec& step) {
+  std::vector<const TaskWorker*> suitable;
+  for (const TaskWorker& worker : world.scheduling.workers.rows) {
+    const auto& labels = worker.listing.labels;
+    if (worker.listed && worker.fenced && !worker.listing.draining &&
+        worker.listing.service == workflow.terms.service &&
+        (step.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), step.required_label) !=
+             labels.end())) {
+      suitable.push_back(&worker);
+    }
+  }
+  return suitable;
+}
+
+}  // namespace
+
+WaitReason WhyWaiting(const WorkflowWorld& world, const Workflow& workflow) {
+  if (IsOver(workflow.shown)) {
+    return WaitReason::kNothing;
+  }
+  if (world.holding.state != HoldingState::kHolding) {
+    return WaitReason::kHolder;
+  }
+  if (workflow.runs.empty()) {
+    return WaitReason::kDueTime;
+  }
+  WaitReason reason = WaitReason::kNothing;
+  for (const StepRun& run : workflow.runs) {
+    if (!HasWaitingTask(run)) {
+      continue;
+    }
+    if (!DependenciesMet(workflow, run)) {
+      reason = WaitReason::kEarlierSteps;
+      continue;
+    }
+    const StepSpec& step = workflow.spec.steps[run.step.value];
+    const auto suitable = SuitableWorkers(world, workflow, step);
+    if (suitable.empty()) {
+      return WaitReason::kSuitableWorker;
+    }
+    const bool fits = std::any_of(
+        suitable.begin(), suitable.end(), [&](const TaskWorker* worker) {
+          return Holds(worker->listing.capacity, step.need);
+        });
+    return fits ? WaitReason::kRoom : WaitReason::kLargerWorker;
+  }
+  return reason;
+}
+
+}  // namespace chicorystep
