Log the configuration that judged a call, and its age

Cause: call_answered printed config_version=0 and config_age_ms=0 for every call; the fields were there but nothing set them.

Change: both are taken as the call is judged. Test: workflow_calls_test, three ages; 5 checks failed before.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -157,6 +157,11 @@
     Refuse(pending, "no configuration yet", outbox);
     return;
   }
+  pending.config_version = world.config->version;
+  if (const auto stream = world.streams.find(FollowedStream::kConfig);
+      stream != world.streams.end()) {
+    pending.config_age = time.now - stream->second.fresh;
+  }
   const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
   if (route == nullptr) {
     Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, outbox);
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -152,6 +152,26 @@
      CallResult::kUnknown},
 };
 
+// How long ago the configuration was confirmed.
+const std::vector<Duration> kConfigAges = {Duration(), milliseconds(250),
+                                           seconds(3)};
+
+BOOST_AUTO_TEST_CASE(a_call_carries_the_configuration_that_judged_it) {
+  for (const Duration age : kConfigAges) {
+    BOOST_TEST_CONTEXT(age.count()) {
+      WorkflowWorld world = MakeWorld();
+      world.streams[FollowedStream::kConfig].fresh = kNow.now - age;
+      WorkflowInbox inbox;
+      inbox.calls = {MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value)};
+      WorkflowOutbox outbox;
+      HandleCalls(world, inbox, kNow, outbox);
+      BOOST_TEST_REQUIRE(world.callers.queued.size() == 1U);
+      BOOST_TEST(world.callers.queued[0].config_version.value == 3U);
+      BOOST_TEST(world.callers.queued[0].config_age.count() == age.count());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_submission_ends_as_its_append_allows) {
   for (const AppendCase& sample : kAppendCases) {
     BOOST_TEST_CONTEXT(sample.name) {
