--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -23,10 +24,14 @@
 // The least urgent work that may have other work stopped for it.
 constexpr std::uint32_t kUrgentPriority = 0;
 
-auto UnitOrder(const Unit& unit) {
-  return std::tuple(!unit.guaranteed, unit.workflow->terms.priority,
-                    unit.lateness, unit.deadline, unit.id, unit.run->occurrence,
-                    unit.run->step, unit.tasks.front());
+bool GoesBefore(const Unit& a, const Unit& b) {
+  const auto order = [](const Unit& unit) {
+    return std::tuple(!unit.guaranteed, unit.workflow->terms.priority,
+                      unit.lateness, unit.deadline,
+                      std::string_view(unit.id.value), unit.run->occurrence,
+                      unit.run->step, unit.tasks.front());
+  };
+  return order(a) < order(b);
 }
 
 void Place(Pass& pass,
@@ -50,9 +55,7 @@
     const TaskKey key{unit.id, unit.run->occurrence, unit.run->step,
                       unit.tasks[i]};
     room.worker->tasks[key] = task.run;
-    room.worker->free = room.worker->free - spec.need;
-    room.now = room.now - spec.need;
-    room.soon = room.soon - spec.need;
+    TakeNow(pass, rooms[i], spec.need);
     pass.world->scheduling.to_record.push_back(
         AwaitedStart{.task = key, .run = task.run});
   }
@@ -77,7 +80,7 @@
   if (const auto rooms = ChooseRooms(pass, unit, true)) {
     const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
     for (const std::size_t index : *rooms) {
-      pass.rooms[index].soon = pass.rooms[index].soon - spec.need;
+      TakeSoon(pass, index, spec.need);
     }
     return;
   }
@@ -158,9 +161,7 @@
       }
     }
   }
-  std::stable_sort(
-      units.begin(), units.end(),
-      [](const Unit& a, const Unit& b) { return UnitOrder(a) < UnitOrder(b); });
+  std::stable_sort(units.begin(), units.end(), GoesBefore);
   for (Unit& unit : units) {
     const auto& terms = unit.workflow->terms;
     const auto workspace = world.config->workspaces.find(terms.workspace);
@@ -200,9 +201,7 @@
     return;
   }
   MarkGuaranteed(world, units);
-  std::stable_sort(
-      units.begin(), units.end(),
-      [](const Unit& a, const Unit& b) { return UnitOrder(a) < UnitOrder(b); });
+  std::stable_sort(units.begin(), units.end(), GoesBefore);
   Pass pass = BeginPass(world, time);
   for (const Unit& unit : units) {
     TryUnit(pass, unit);
--- a/chicorystep/systems/task_preemption.cc
+++ b/chicorystep/systems/task_preemption.cc
@@ -211,8 +211,7 @@
   for (const std::size_t index : best->victims) {
     const Victim& victim = victims[index];
     for (std::size_t i = 0; i < victim.tasks.size(); ++i) {
-      pass.rooms[victim.rooms[i]].soon =
-          pass.rooms[victim.rooms[i]].soon + victim.need;
+      GiveSoon(pass, victim.rooms[i], victim.need);
       StopTask(*pass.world, victim.tasks[i],
                FindTask(*pass.world, victim.tasks[i]), pass.time.now);
       ++stopped;
@@ -220,7 +219,7 @@
   }
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
   for (const std::size_t index : best->rooms) {
-    pass.rooms[index].soon = pass.rooms[index].soon - spec.need;
+    TakeSoon(pass, index, spec.need);
   }
   Log(LogLevel::kInfo, "preempted",
       {{"for", unit.id.value},
--- a/chicorystep/systems/task_rooms.cc
+++ b/chicorystep/systems/task_rooms.cc
@@ -116,8 +116,47 @@
       });
 }
 
+// Whether the accelerators alone leave places enough. Most of what waits is
+// ruled out by this, without a look at each worker.
+bool MayHold(Pass& pass, const Unit& unit, bool soon) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  const Accelerators each = spec.need.accelerators;
+  if (each <= Accelerators{0}) {
+    return true;
+  }
+  const auto [row, added] = pass.places.try_emplace(each);
+  if (added) {
+    for (const Room& room : pass.rooms) {
+      if (room.usable) {
+        const Accelerators now = Min(room.now, room.soon).accelerators;
+        row->second[0] += std::max<std::int64_t>(0, now.value / each.value);
+        row->second[1] += std::max<std::int64_t>(
+            0, room.soon.accelerators.value / each.value);
+      }
+    }
+  }
+  return row->second[soon ? 1 : 0] >= std::ssize(unit.tasks);
+}
+
 }  // namespace
 
+void TakeNow(Pass& pass, std::size_t room, const Capacity& need) {
+  Room& row = pass.rooms[room];
+  row.worker->free = row.worker->free - need;
+  row.now = row.now - need;
+  TakeSoon(pass, room, need);
+}
+
+void TakeSoon(Pass& pass, std::size_t room, const Capacity& need) {
+  pass.rooms[room].soon = pass.rooms[room].soon - need;
+  pass.places.clear();
+}
+
+void GiveSoon(Pass& pass, std::size_t room, const Capacity& need) {
+  pass.rooms[room].soon = pass.rooms[room].soon + need;
+  pass.places.clear();
+}
+
 Pass BeginPass(WorkflowWorld& world, const WorkflowTime& time) {
   Pass pass{.world = &world, .time = time};
   for (TaskWorker& worker : world.scheduling.workers.rows) {
@@ -165,9 +204,12 @@
   return all;
 }
 
-std::optional<std::vector<std::size_t>> ChooseRooms(const Pass& pass,
+std::optional<std::vector<std::size_t>> ChooseRooms(Pass& pass,
                                                     const Unit& unit,
                                                     bool soon) {
+  if (!MayHold(pass, unit, soon)) {
+    return std::nullopt;
+  }
   if (!NeedsOneRack(pass, unit)) {
     return Pack(pass, unit, AllRooms(pass), soon);
   }
--- a/chicorystep/systems/task_rooms.h
+++ b/chicorystep/systems/task_rooms.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_SYSTEMS_TASK_ROOMS_H_
 #define CHICORYSTEP_SYSTEMS_TASK_ROOMS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -39,8 +40,16 @@
   WorkflowTime time;
   std::vector<Room> rooms;
   std::map<Rack, std::vector<std::size_t>> racks;
+  // How many tasks of so many accelerators the usable rooms hold, by what is
+  // free now and by what will be; counted when first asked for after a change.
+  std::map<Accelerators, std::array<std::int64_t, 2>> places;
 };
 
+// Changes what a room may still give away.
+void TakeNow(Pass& pass, std::size_t room, const Capacity& need);
+void TakeSoon(Pass& pass, std::size_t room, const Capacity& need);
+void GiveSoon(Pass& pass, std::size_t room, const Capacity& need);
+
 // What each worker has to give away.
 [[nodiscard]] Pass BeginPass(WorkflowWorld& world, const WorkflowTime& time);
 
@@ -62,7 +71,7 @@
 // A room for each task of the unit, by what is free now or, with `soon`, by
 // what will be; nothing when they do not all fit.
 [[nodiscard]] std::optional<std::vector<std::size_t>>
-ChooseRooms(const Pass& pass, const Unit& unit, bool soon);
+ChooseRooms(Pass& pass, const Unit& unit, bool soon);
 
 }  // namespace chicorystep
 
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -87,6 +87,8 @@
   std::multimap<TaskKey, GoodEnd> good_ends;
   std::vector<std::string> violations;
   std::vector<TimePoint> start_times;
+  // Processor time of each tick of an entry that places workflows.
+  std::vector<std::chrono::nanoseconds> holder_ticks;
   // Workflows of which any task has begun.
   std::set<WorkflowId> started;
 
@@ -322,8 +324,12 @@
   void Tick(Entry& entry) {
     const WorkflowInbox inbox = std::exchange(entry.inbox, {});
     const WorkflowTime time = this->Time();
+    const auto began = std::chrono::steady_clock::now();
     const WorkflowOutbox outbox = WorkflowTick(entry.world, inbox, time);
     entry.due = NextWorkflowDue(entry.world, time);
+    if (entry.world.holding.state == HoldingState::kHolding) {
+      this->holder_ticks.emplace_back(std::chrono::steady_clock::now() - began);
+    }
     for (const CallAnswer& answer : outbox.answers) {
       this->answers[answer.exchange] = answer;
     }
