Stop a start in doubt, so that no late sending of it can take effect

Cause: a rejected repeat of a start left its task to the next hold without a stop.

Ruled out: waiting for the lease in the order to pass (seconds for a worker that is sound).

Change: such a task is stopped like one whose start got no answer at all; the worker then bars that run. What stops a run or ends it without a report, for a task alone or its gang, is one function each; it stood in seven places.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -192,10 +192,7 @@
          {"task", key.task.value},
          {"run", run.value},
          {"worker", id.value}});
-    ReturnToWaiting(world, key, place, now);
-    if (place.spec->gang) {
-      StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
-    }
+    EndWithoutReport(world, key, place, now);
   }
 }
 
@@ -275,12 +272,7 @@
         return;
       }
       ExcludeWorker(*worker, "starts get no answer", now);
-      if (place.spec->gang) {
-        StopStepRun(world, start.task.workflow, *place.workflow, *place.run,
-                    now);
-      } else {
-        StopTask(world, start.task, place, now);
-      }
+      StopRun(world, start.task, place, now);
       return;
     default:
       break;
@@ -294,21 +286,13 @@
        {"outcome", std::string(NameOf(start.outcome))}});
   ExcludeWorker(*worker, NameOf(start.outcome), now);
   if (place.task->start_doubtful || start.outcome == OrderOutcome::kOldRun) {
-    // An earlier sending may have been carried out, and the run may even have
-    // ended: the next hold tells.
-    place.task->state = TaskState::kStopping;
-    place.task->since = now;
-    place.task->ordered = false;
-    worker->next_hold = now;
-    if (place.spec->gang) {
-      StopStepRun(world, start.task.workflow, *place.workflow, *place.run, now);
-    }
+    // An earlier sending may have been carried out, and its run may even have
+    // ended, or may be carried out later. A stop rules the latter out, and the
+    // next hold tells the rest.
+    StopRun(world, start.task, place, now);
     return;
   }
-  ReturnToWaiting(world, start.task, place, now);
-  if (place.spec->gang) {
-    StopStepRun(world, start.task.workflow, *place.workflow, *place.run, now);
-  }
+  EndWithoutReport(world, start.task, place, now);
 }
 
 void ApplyStop(WorkflowWorld& world, const OrderEnded& stop, TimePoint now) {
--- a/chicorystep/systems/task_speed.cc
+++ b/chicorystep/systems/task_speed.cc
@@ -121,11 +121,7 @@
          {"worker", id.value},
          {"speed", place.task->speed},
          {"worked_ms", WholeMillis(place.task->worked)}});
-    if (place.spec->gang) {
-      StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
-    } else {
-      StopTask(world, key, place, now);
-    }
+    StopRun(world, key, place, now);
   }
 }
 
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -88,10 +88,7 @@
     const TaskPlace place = FindTask(world, key);
     if (place && !place.task->life.empty() && !listing.life.empty() &&
         place.task->life != listing.life) {
-      ReturnToWaiting(world, key, place, now);
-      if (place.spec->gang) {
-        StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
-      }
+      EndWithoutReport(world, key, place, now);
     }
   }
 }
@@ -154,10 +151,7 @@
   for (const auto& [key, run] : tasks) {
     const TaskPlace place = FindTask(world, key);
     if (place && place.task->run == run && HoldsRoom(place.task->state)) {
-      ReturnToWaiting(world, key, place, now);
-      if (place.spec->gang) {
-        StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
-      }
+      EndWithoutReport(world, key, place, now);
     }
   }
   worker->tasks.clear();
@@ -180,6 +174,7 @@
   worker->inherited_lapse = kLongAgo;
   worker->next_hold = now;
   worker->silent_holds = 0;
+  worker->strays = 0;
 }
 
 void ApplyWorkerListings(WorkflowWorld& world,
--- a/chicorystep/systems/workflow_tables.cc
+++ b/chicorystep/systems/workflow_tables.cc
@@ -98,6 +98,27 @@
   }
 }
 
+void StopRun(WorkflowWorld& world,
+             const TaskKey& key,
+             const TaskPlace& place,
+             TimePoint now) {
+  if (place.spec->gang) {
+    StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
+  } else {
+    StopTask(world, key, place, now);
+  }
+}
+
+void EndWithoutReport(WorkflowWorld& world,
+                      const TaskKey& key,
+                      const TaskPlace& place,
+                      TimePoint now) {
+  ReturnToWaiting(world, key, place, now);
+  if (place.spec->gang) {
+    StopStepRun(world, key.workflow, *place.workflow, *place.run, now);
+  }
+}
+
 bool DependenciesMet(const Workflow& workflow, const StepRun& run) {
   const StepSpec& spec = workflow.spec.steps[run.step.value];
   return std::all_of(
--- a/chicorystep/systems/workflow_tables.h
+++ b/chicorystep/systems/workflow_tables.h
@@ -48,6 +48,19 @@
                  StepRun& run,
                  TimePoint now);
 
+// Stops the task's run: the task alone, or its whole gang.
+void StopRun(WorkflowWorld& world,
+             const TaskKey& key,
+             const TaskPlace& place,
+             TimePoint now);
+
+// A run is over or can never begin, though no end of it was listed: the task
+// waits again, and the rest of its gang is stopped.
+void EndWithoutReport(WorkflowWorld& world,
+                      const TaskKey& key,
+                      const TaskPlace& place,
+                      TimePoint now);
+
 // Whether every step that `run` depends on has ended well in its occurrence.
 [[nodiscard]] bool DependenciesMet(const Workflow& workflow,
                                    const StepRun& run);
