--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -15,7 +15,9 @@
 namespace chicorystep {
 namespace {
 
-// What time alone changes, such as a lapsed lease, is looked at this often.
+// What time alone changes, such as a lapsed lease, is looked at this often: a
+// holder well within the second in which work should start elsewhere, a
+// follower once a heartbeat of the holder.
 constexpr Duration kHolderPeriod = std::chrono::milliseconds(100);
 constexpr Duration kFollowerPeriod = std::chrono::milliseconds(250);
 
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -124,33 +124,38 @@
           kNames.at(static_cast<std::size_t>(EntrySettings{}.log_level))};
 }
 
+// The parts between separators, also empty ones.
+std::vector<std::string_view> Split(std::string_view text, char separator) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const std::size_t length = text.find(separator);
+    parts.push_back(text.substr(0, length));
+    if (length == std::string_view::npos) {
+      return parts;
+    }
+    text.remove_prefix(length + 1);
+  }
+}
+
 // Reads "west=z1,z2 east=z3"; nothing when a name is malformed or a zone stands
 // in two cells.
 std::optional<CellMap> ParseCells(std::string_view text) {
   CellMap map;
-  if (text.empty()) {
-    return std::nullopt;
-  }
   if (text == kWholeCell.value) {
     return map;
   }
-  while (!text.empty()) {
-    const std::string_view cell = text.substr(0, text.find(' '));
-    text.remove_prefix(std::min(text.size(), cell.size() + 1));
+  for (const std::string_view cell : Split(text, ' ')) {
     const std::size_t equals = cell.find('=');
     if (equals == std::string_view::npos || !IsName(cell.substr(0, equals))) {
       return std::nullopt;
     }
     const CellName name(std::string(cell.substr(0, equals)));
-    std::string_view zones = cell.substr(equals + 1);
-    do {
-      const std::string_view zone = zones.substr(0, zones.find(','));
-      zones.remove_prefix(std::min(zones.size(), zone.size() + 1));
+    for (const std::string_view zone : Split(cell.substr(equals + 1), ',')) {
       if (!IsName(zone) ||
           !map.cell_of_zone.emplace(Zone(std::string(zone)), name).second) {
         return std::nullopt;
       }
-    } while (!zones.empty());
+    }
   }
   return map;
 }
--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -14,11 +14,12 @@
 // How long a worker may wait for an end before it answers a hold. Each hold is
 // a priced call; each also renews the leases, which are several times longer.
 constexpr Duration kHoldWait = milliseconds(900);
-// With more workers than this the holds would take most of a small holder's
-// processor; the platform lets a hold wait for 2 s.
+// With more workers than this holds wait longer, so that their number does not
+// grow with the workers as fast. The platform allows 2 s.
 constexpr std::size_t kManyWorkers = 100;
 constexpr Duration kLongHoldWait = milliseconds(1800);
-// Where urgent tasks run, reports come more often, to notice slow ones early.
+// Where urgent tasks run, reports come as often as workers measure their speed
+// anew, to notice slow ones early.
 constexpr Duration kUrgentHoldWait = milliseconds(500);
 // Sound workers answer within this; nothing is placed on one that takes longer,
 // while its answer is still waited for.
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -68,7 +69,7 @@
        {"tasks", rooms.size()},
        {"run", newest + 1},
        {"priority", unit.workflow->terms.priority},
-       {"lateness", unit.lateness}});
+       {"lateness", std::string(NameOf(unit.lateness))}});
 }
 
 // Places the unit, or reserves for it what is about to become free.
@@ -101,10 +102,12 @@
       Duration(static_cast<Duration::rep>(
           workflow.terms.stretch *
           static_cast<double>(LongestChain(workflow.spec).count()))));
-  unit.deadline = workflow.accepted.value + allowance;
-  const std::int64_t end = time.wall.value + WholeMillis(spec.estimate);
+  unit.deadline = workflow.accepted + UnixMillis(allowance);
+  const UnixMillis end = time.wall + UnixMillis(WholeMillis(spec.estimate));
   if (end > unit.deadline) {
-    unit.lateness = end > unit.deadline + 2 * allowance ? 2 : 1;
+    unit.lateness = end > unit.deadline + UnixMillis(2 * allowance)
+                        ? Lateness::kHopeless
+                        : Lateness::kLate;
   }
   for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
     if (run.tasks[i].state == TaskState::kWaiting) {
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -19,13 +19,15 @@
 
 using std::chrono::milliseconds;
 
-// A hold that got no answer is repeated after this.
+// A hold that got no answer is repeated after this, doubled with each further
+// one: a connection that went dead costs little, a worker that left few calls.
 constexpr Duration kHoldRetry = milliseconds(200);
 constexpr Duration kLongestHoldRetry = milliseconds(1500);
-// Ends that are not written yet are not asked for again before this.
+// Ends that are not written yet are not asked for again before this, some
+// times as long as a write takes.
 constexpr Duration kRecordPause = milliseconds(400);
 // A start that got no answer is repeated for this long; a gang's other members
-// do not wait much longer.
+// wait 3 s for it on the platform.
 constexpr Duration kStartPatience = milliseconds(1800);
 
 // The end of one run that the tables know as running on this worker.
--- a/chicorystep/systems/task_rooms.cc
+++ b/chicorystep/systems/task_rooms.cc
@@ -1,7 +1,6 @@
 #include "chicorystep/systems/task_rooms.h"
 
 #include <algorithm>
-#include <string>
 #include <tuple>
 #include <utility>
 
@@ -18,12 +17,6 @@
                   unit.run->tasks[unit.tasks.front().value].since);
 }
 
-bool HasLabel(const TaskWorker& worker, const std::string& label) {
-  return label.empty() ||
-         std::find(worker.listing.labels.begin(), worker.listing.labels.end(),
-                   label) != worker.listing.labels.end();
-}
-
 // Whether the worker rejects what does not fit. Where it does not, runs that
 // the tables know nothing of take room that only the worker can count.
 bool GuardsCapacity(const WorkflowWorld& world, const TaskWorker& worker) {
@@ -129,13 +122,14 @@
     for (const Room& room : pass.rooms) {
       if (room.usable) {
         const Accelerators now = Min(room.now, room.soon).accelerators;
-        row->second[0] += std::max<std::int64_t>(0, now.value / each.value);
-        row->second[1] += std::max<std::int64_t>(
+        row->second.now += std::max<std::int64_t>(0, now.value / each.value);
+        row->second.soon += std::max<std::int64_t>(
             0, room.soon.accelerators.value / each.value);
       }
     }
   }
-  return row->second[soon ? 1 : 0] >= std::ssize(unit.tasks);
+  const std::int64_t places = soon ? row->second.soon : row->second.now;
+  return places >= std::ssize(unit.tasks);
 }
 
 }  // namespace
@@ -183,10 +177,17 @@
       }));
 }
 
+bool Suits(const WorkerListing& listing,
+           const Workflow& workflow,
+           const StepSpec& step) {
+  return listing.service == workflow.terms.service &&
+         (step.required_label.empty() ||
+          std::find(listing.labels.begin(), listing.labels.end(),
+                    step.required_label) != listing.labels.end());
+}
+
 bool Allows(const Unit& unit, const StepSpec& spec, const Room& room) {
-  return room.usable &&
-         room.worker->listing.service == unit.workflow->terms.service &&
-         HasLabel(*room.worker, spec.required_label);
+  return room.usable && Suits(room.worker->listing, *unit.workflow, spec);
 }
 
 bool NeedsOneRack(const Pass& pass, const Unit& unit) {
--- a/chicorystep/systems/task_rooms.h
+++ b/chicorystep/systems/task_rooms.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "chicorystep/tables/workflow_world.h"
@@ -21,17 +22,33 @@
   bool usable = false;
 };
 
+// Whether a unit that is placed now can end within its objective, within three
+// times of it, which still counts a little, or not any more.
+enum class Lateness : std::uint8_t { kInTime, kLate, kHopeless };
+template <>
+inline constexpr std::array kEnumNames<Lateness> = {
+    std::string_view("in_time"),
+    std::string_view("late"),
+    std::string_view("hopeless"),
+};
+
 // Tasks of one step that are placed together: a whole gang, or one task.
 struct Unit {
   WorkflowId id;
   Workflow* workflow = nullptr;
   StepRun* run = nullptr;
   std::vector<TaskIndex> tasks;
-  // Lateness: 0 can end within its objective, 1 within three times of it, 2
-  // not any more.
-  int lateness = 0;
+  Lateness lateness = Lateness::kInTime;
   bool guaranteed = false;
-  std::int64_t deadline = 0;
+  // Until when it meets its objective.
+  UnixMillis deadline;
+};
+
+// How many tasks of one size the usable rooms hold, by accelerators alone: by
+// what is free now and by what will be.
+struct Places {
+  std::int64_t now = 0;
+  std::int64_t soon = 0;
 };
 
 // One placing pass.
@@ -40,9 +57,8 @@
   WorkflowTime time;
   std::vector<Room> rooms;
   std::map<Rack, std::vector<std::size_t>> racks;
-  // How many tasks of so many accelerators the usable rooms hold, by what is
-  // free now and by what will be; counted when first asked for after a change.
-  std::map<Accelerators, std::array<std::int64_t, 2>> places;
+  // By the accelerators of a task; counted when first asked for after a change.
+  std::map<Accelerators, Places> places;
 };
 
 // Changes what a room may still give away.
@@ -57,7 +73,13 @@
 [[nodiscard]] std::uint32_t CountOnWorker(const Unit& unit,
                                           const WorkerId& worker);
 
-// Whether the step may run on the worker at all.
+// Whether the worker is of the workflow's service and has the label that the
+// step asks for.
+[[nodiscard]] bool Suits(const WorkerListing& listing,
+                         const Workflow& workflow,
+                         const StepSpec& step);
+
+// Whether the step may run on the worker now.
 [[nodiscard]] bool Allows(const Unit& unit,
                           const StepSpec& spec,
                           const Room& room);
--- a/chicorystep/systems/task_status.cc
+++ b/chicorystep/systems/task_status.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "chicorystep/systems/task_rooms.h"
 #include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
@@ -20,12 +21,8 @@
                                                const StepSpec& step) {
   std::vector<const TaskWorker*> suitable;
   for (const TaskWorker& worker : world.scheduling.workers.rows) {
-    const auto& labels = worker.listing.labels;
     if (worker.listed && worker.fenced && !worker.listing.draining &&
-        worker.listing.service == workflow.terms.service &&
-        (step.required_label.empty() ||
-         std::find(labels.begin(), labels.end(), step.required_label) !=
-             labels.end())) {
+        Suits(worker.listing, workflow, step)) {
       suitable.push_back(&worker);
     }
   }
--- a/tests/cell_span_test.cc
+++ b/tests/cell_span_test.cc
@@ -155,6 +155,8 @@
     {"west=z1  east=z2", std::nullopt},
     {"west=z1 east=z1", std::nullopt},
     {"west=z1,,z2", std::nullopt},
+    {"west=z1,", std::nullopt},
+    {"west=z1 ", std::nullopt},
 };
 
 BOOST_AUTO_TEST_CASE(cells_are_read_from_the_settings) {
