--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -112,7 +112,7 @@
 
 struct BenchCluster : Cluster {
   // Two runs at once take different ports.
-  static constexpr int kFirstPort = 21'000;
+  static constexpr int kFirstPort = 22'000;
   static constexpr int kPortsOfRun = 200;
   static constexpr int kRuns = 50;
 
--- /dev/null
+++ b/tests/platform_store_test.cc
@@ -0,0 +1,105 @@
+#define BOOST_TEST_MODULE platform_store
+#include "platform/store.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/codec.h"
+#include "platform/http_server.h"
+
+namespace chicorystep::platform {
+namespace {
+
+// A store that gives one answer to everything, and a client, on this thread.
+struct FakeStore {
+  asio::io_context context;
+  ServedResponse answer;
+  HttpServer server{context, [this](const ServedRequest&, Respond respond) {
+                      respond(this->answer);
+                    }};
+  HttpClient client{context};
+  Store store{.client = &client};
+
+  FakeStore() {
+    // Below the ephemeral ports; other tests may hold some of them.
+    for (int port = 20'500; port < 20'900; ++port) {
+      this->store.address = Address("127.0.0.1:" + std::to_string(port));
+      if (this->server.Listen(this->store.address)) {
+        return;
+      }
+    }
+    BOOST_FAIL("no free port");
+  }
+
+  StreamRead Read(Offset from) {
+    std::optional<StreamRead> got;
+    CarryOutRead(this->store,
+                 ReadStream{.stream = FollowedStream::kJournal, .from = from},
+                 [&](const StreamRead& read) { got = read; });
+    while (!got) {
+      this->context.run_one();
+    }
+    return *got;
+  }
+};
+
+std::string BigEndian8(std::uint64_t value) {
+  std::string bytes;
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    bytes += static_cast<char>((value >> shift) & 0xff);
+  }
+  return bytes;
+}
+
+// An answer to a read from offset 10.
+struct ReadCase {
+  std::string name;
+  int status;
+  std::uint64_t end;
+  int records;
+  // Bytes of the body that do not arrive.
+  std::size_t missing;
+  bool ok;
+  bool compacted;
+  // What is read next, and whether nothing more had been written.
+  std::uint64_t next;
+  bool at_end;
+};
+
+const std::vector<ReadCase> kReadCases = {
+    {"nothing new", 200, 10, 0, 0, true, false, 10, true},
+    {"all that is new", 200, 13, 3, 0, true, false, 13, true},
+    {"the first of more", 200, 900, 3, 0, true, false, 13, false},
+    {"more, but none of it yet", 200, 11, 0, 0, true, false, 10, false},
+    {"a record is cut off", 200, 13, 3, 1, false, false, 0, true},
+    {"no head", 200, 13, 0, 9, false, false, 0, true},
+    {"records are gone", 410, 10, 0, 0, true, true, 0, true},
+    {"the log was rewound", 200, 4, 0, 0, true, true, 0, true},
+    {"refused", 503, 10, 0, 0, false, false, 0, true},
+};
+
+BOOST_AUTO_TEST_CASE(a_read_tells_whether_it_reached_the_end) {
+  for (const ReadCase& sample : kReadCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      FakeStore fake;
+      fake.answer.status = sample.status;
+      fake.answer.body = BigEndian8(sample.end) + BigEndian8(0) +
+                         EncodeLogRecords(std::vector<KeyedValue>(
+                             static_cast<std::size_t>(sample.records),
+                             KeyedValue{.key = "holder", .value = "?"}));
+      fake.answer.body.resize(fake.answer.body.size() - sample.missing);
+      const StreamRead read = fake.Read(Offset(10));
+      BOOST_TEST(read.ok == sample.ok);
+      BOOST_TEST(read.compacted == sample.compacted);
+      if (sample.ok && !sample.compacted) {
+        BOOST_TEST(read.next.value == sample.next);
+        BOOST_TEST(read.at_end == sample.at_end);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::platform
