Give leases from the earliest the worker's clock can read

Cause: a lease was added to the latest that the worker's clock could read, so it could outlast its length by the age of the reading. Ruled out: reading the clock more often (the age is the hold's wait). The emulation's test successors_wait_for_all_that_was_leased_before holds without the bound.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -57,8 +57,7 @@
   // lapse before its tasks can start elsewhere.
   if (!worker.tasks.empty() && worker.clock_read != kLongAgo &&
       worker.silent_holds == 0) {
-    hold.until =
-        FastestClock(worker, now) + WorkerClock(WholeMillis(world.self.lease));
+    hold.until = LeaseEnd(worker, world.self.lease, now);
     worker.leased_until = std::max(worker.leased_until, *hold.until);
     if (worker.fenced) {
       hold.wait = HoldWait(world, worker);
@@ -87,8 +86,7 @@
     order.address = worker.listing.address;
     order.fence = world.holding.own_epoch;
     if (order.kind == OrderKind::kStart) {
-      order.until = FastestClock(worker, now) +
-                    WorkerClock(WholeMillis(world.self.lease));
+      order.until = LeaseEnd(worker, world.self.lease, now);
       worker.leased_until = std::max(worker.leased_until, *order.until);
     }
     worker.ordering.insert(order.task);
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -8,7 +8,6 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_speed.h"
-#include "chicorystep/systems/task_worker_clock.h"
 #include "chicorystep/systems/task_worker_exclusion.h"
 #include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_holder.h"
@@ -202,16 +201,14 @@
 void ReadClock(const WorkflowWorld& world,
                TaskWorker& worker,
                const OrderEnded& ended) {
-  if (ended.clock && ended.answered >= worker.clock_read &&
-      ended.answered - ended.sent <= kOldestReading) {
+  if (ended.clock && ended.answered >= worker.clock_read) {
     worker.clock = *ended.clock;
-    worker.clock_sent = ended.sent;
     worker.clock_read = ended.answered;
     if (!worker.fenced) {
-      worker.leased_until = std::max(
-          worker.leased_until,
-          worker.clock +
-              WorkerClock(WholeMillis(LongestInheritedLease(world.self))));
+      // The previous holder gave its leases earlier and from no later reading.
+      worker.leased_until =
+          std::max(worker.leased_until,
+                   worker.clock + WorkerClock(WholeMillis(world.self.lease)));
     }
   }
 }
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -1,7 +1,5 @@
 #include "chicorystep/systems/task_worker_clock.h"
 
-#include <algorithm>
-
 namespace chicorystep {
 
 WorkerClock SlowestClock(const TaskWorker& worker, TimePoint now) {
@@ -9,14 +7,8 @@
                                     (1000 - kClockSlowness) / 1000);
 }
 
-WorkerClock FastestClock(const TaskWorker& worker, TimePoint now) {
-  return worker.clock + WorkerClock(WholeMillis(now - worker.clock_sent));
-}
-
-Duration LongestInheritedLease(const WorkflowSelf& self) {
-  const Duration given =
-      self.lease * (1000 + 2 * kClockSlowness) / 1000 + kOldestReading;
-  return std::min(given, self.longest_lease);
+WorkerClock LeaseEnd(const TaskWorker& worker, Duration lease, TimePoint now) {
+  return SlowestClock(worker, now) + WorkerClock(WholeMillis(lease));
 }
 
 bool LeasesSurelyLapsed(const TaskWorker& worker, TimePoint now) {
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -27,7 +27,7 @@
                     .next_hold = now};
   worker.inherited_lapse =
       world.holding.claimed + kConfirmationBound +
-      LongestInheritedLease(world.self) * (1000 + kClockSlowness) / 1000;
+      world.self.lease * (1000 + 2 * kClockSlowness) / 1000;
   for (const WorkflowId& id : world.scheduling.open) {
     Workflow* workflow = world.workflows.find(id);
     if (workflow == nullptr) {
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -164,9 +164,8 @@
   // Runs there, as last reported, that the tables do not place there.
   std::uint32_t strays = 0;
 
-  // Its clock as last read, between `clock_sent` and `clock_read` of ours.
+  // Its clock as last read, not later than `clock_read` of ours.
   WorkerClock clock;
-  TimePoint clock_sent{};
   TimePoint clock_read = kLongAgo;
   // The latest end of lease that any order of ours may have set.
   WorkerClock leased_until;
--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -16,7 +16,8 @@
 struct FakeStore {
   asio::io_context context;
   ServedResponse answer;
-  HttpServer server{context, [this](const ServedRequest&, Respond respond) {
+  HttpServer server{context,
+                    [this](const ServedRequest&, const Respond& respond) {
                       respond(this->answer);
                     }};
   HttpClient client{context};
