--- a/chicorystep/systems/config_sync.cc
+++ b/chicorystep/systems/config_sync.cc
@@ -127,8 +127,8 @@
 std::vector<const Member*> Sources(const World& world, TimePoint now) {
   const ConfigSync& sync = world.config_sync;
   const bool any = !sync.based || !sync.caught_up;
-  const bool far_too =
-      any || now >= std::max(sync.behind_since, TimePoint{}) + kNearerGrace;
+  const bool far_too = any || (sync.behind_since != kNever &&
+                               now >= sync.behind_since + kNearerGrace);
   std::vector<const Member*> sources;
   for (const Member& member : world.members.table.rows) {
     const bool near = member.region == world.self.region;
