Judge lapsed leases by one rule, and share the set-up of the recovery tests

Cause: reading the change again: the rule when leases have lapsed stood twice, as a time left and as a yes or no; three tests set up the same busy run; two of them did not check that they had lost or cut off any worker. Ruled out: nothing; a tidying. Change: LeasesSurelyLapsed asks LeasesLapseIn; BusyRun and ExpectNoViolation in workflow_recovery_test, which now requires eight busy workers and counts the lost ones; IsSilenceToNote is WantsSilenceNote, named like WantsHold. At the very instant of the lapse of an inherited lease it now counts as lapsed; before, one microsecond later.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -70,7 +70,8 @@
   outbox.orders.push_back(std::move(hold));
 }
 
-// Sends the queued orders of tasks that have none under way.
+// Sends the queued orders of tasks that have none under way. A worker that is
+// noted as silent gets no start, as that carries a lease.
 void SendQueued(WorkflowWorld& world,
                 TaskWorker& worker,
                 TimePoint now,
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -25,10 +25,7 @@
 }
 
 bool LeasesSurelyLapsed(const TaskWorker& worker, TimePoint now) {
-  if (worker.fenced) {
-    return SlowestClock(worker, now) > worker.leased_until;
-  }
-  return now > worker.inherited_lapse;
+  return LeasesLapseIn(worker, now) == Duration();
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/task_worker_silence.cc
+++ b/chicorystep/systems/task_worker_silence.cc
@@ -14,9 +14,10 @@
   return time * (1000 + 2 * kClockSlowness) / 1000;
 }
 
-// Holds without an answer before a worker is noted that has answered before.
-// Most that miss one answer the next, and would lose their leases if the store
-// fails just then.
+// How many holds a worker that has answered this holder may leave unanswered
+// before it is noted. Most that miss one answer the next, and would lose their
+// leases if the store failed just then. One that never answered has no lease
+// from this holder to lose.
 constexpr std::uint32_t kHoldsToNote = 2;
 
 // One that is not listed has no address to answer from.
@@ -28,7 +29,7 @@
 
 // A successor counts the times in a record from when it reads it, which may be
 // as late as its own start. So records are renewed this often while any worker
-// is silent; less than the shortest takeover.
+// is silent, about as often as the shortest takeover.
 constexpr Duration kNoteAge = std::chrono::seconds(1);
 
 bool SilenceChanged(const WorkflowWorld& world) {
@@ -40,7 +41,7 @@
 
 }  // namespace
 
-bool IsSilenceToNote(const WorkflowWorld& world, TimePoint now) {
+bool WantsSilenceNote(const WorkflowWorld& world, TimePoint now) {
   const auto& rows = world.scheduling.workers.rows;
   const bool noted =
       std::any_of(rows.begin(), rows.end(),
--- a/chicorystep/systems/task_worker_silence.h
+++ b/chicorystep/systems/task_worker_silence.h
@@ -8,7 +8,7 @@
 
 // Whether a record is to be written: other workers are silent than the newest
 // record says, or that is old.
-[[nodiscard]] bool IsSilenceToNote(const WorkflowWorld& world, TimePoint now);
+[[nodiscard]] bool WantsSilenceNote(const WorkflowWorld& world, TimePoint now);
 
 // Makes the record of the workers that are silent now. From here on they get no
 // lease, as the record may last at any moment.
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -299,7 +299,7 @@
   if (!holding.under_way && holding.state == HoldingState::kHolding) {
     const bool heartbeat_due = time.now - holding.last_written >= kHeartbeat;
     const bool release = world.stopping && holding.release_wanted;
-    const bool silence = IsSilenceToNote(world, time.now);
+    const bool silence = WantsSilenceNote(world, time.now);
     if (scheduling.dirty.empty() && !heartbeat_due && !release && !silence) {
       return;
     }
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -7,6 +7,12 @@
 namespace chicorystep {
 namespace {
 
+void ExpectNoViolation(const Emulation& run) {
+  for (const std::string& violation : run.violations) {
+    BOOST_ERROR(violation);
+  }
+}
+
 // A fault at a set time of a run in which jobs come steadily, and the longest
 // pause between two starts that it may cause.
 struct FaultCase {
@@ -219,9 +225,7 @@
         for (const WorkflowId& id : refused) {
           BOOST_TEST(!run.started.contains(id), id.value);
         }
-        for (const std::string& violation : run.violations) {
-          BOOST_ERROR(violation);
-        }
+        ExpectNoViolation(run);
       }
     }
   }
@@ -266,13 +270,47 @@
       wide.spec.steps = {MakeStep(16, 8, true)};
       run.Submit(0, "normal", Emulation::MakeId(2), wide);
       BOOST_TEST(run.RunFor(seconds(12), [&] { return run.AllOver(); }));
-      for (const std::string& violation : run.violations) {
-        BOOST_ERROR(violation);
-      }
+      ExpectNoViolation(run);
     }
   }
 }
 
+// A run whose only workflow keeps eight workers busy with a task each, for as
+// long as `work`.
+struct BusyRun {
+  Emulation run;
+
+  BusyRun(int workers, int entries, Duration work) {
+    this->run.store.configs.push_back(Emulation::MakeConfig(1));
+    this->run.AddWorkers(workers);
+    this->run.AddEntries(entries);
+    BOOST_REQUIRE(
+        this->run.RunFor(seconds(5), [&] { return this->run.Holder() >= 0; }));
+    Emulation::Submitted what{.work = work};
+    what.spec.steps = {MakeStep(8, 8)};
+    this->run.Submit(0, "normal", Emulation::MakeId(1), what);
+    this->run.RunFor(seconds(3));
+    BOOST_REQUIRE_EQUAL(this->BusyWorkers().size(), 8U);
+  }
+
+  [[nodiscard]] std::set<WorkerId> BusyWorkers() const {
+    std::set<WorkerId> busy;
+    for (const EmulatedWorker& worker : this->run.workers) {
+      if (!worker.running.empty()) {
+        busy.insert(worker.listing.id);
+      }
+    }
+    return busy;
+  }
+
+  // Cuts every entry off from these workers and from no others.
+  void CutOff(const std::set<WorkerId>& workers) {
+    for (const auto& entry : this->run.entries) {
+      entry->cut_workers = workers;
+    }
+  }
+};
+
 // How a holder gives way to a successor that loses some workers right after it
 // has reached them: what runs there goes on for as long as the predecessor
 // allowed.
@@ -303,39 +341,22 @@
   for (const SuccessionCase& sample : kSuccessionCases) {
     for (int offset = 0; offset < 1000; offset += 100) {
       BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
-        Emulation run;
-        run.store.configs.push_back(Emulation::MakeConfig(1));
-        // So many that the predecessor's holds wait for long: its readings of
-        // the workers' clocks are then as old.
-        run.AddWorkers(104);
-        run.AddEntries(2);
-        BOOST_REQUIRE(
-            run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+        // So many workers that the predecessor's holds wait for long: its
+        // readings of the workers' clocks are then as old.
+        BusyRun busy(104, 2, seconds(30));
+        Emulation& run = busy.run;
         const int first = run.Holder();
-        Emulation::Submitted what{.work = seconds(30)};
-        what.spec.steps = {MakeStep(8, 8)};
-        run.Submit(0, "normal", Emulation::MakeId(1), what);
-        run.RunFor(seconds(3) + milliseconds(offset));
-        std::set<WorkerId> busy;
-        for (const EmulatedWorker& worker : run.workers) {
-          if (!worker.running.empty()) {
-            busy.insert(worker.listing.id);
-          }
-        }
-        BOOST_TEST(busy.size() == 8U);
+        const std::set<WorkerId> workers = busy.BusyWorkers();
+        run.RunFor(milliseconds(offset));
         sample.end(run);
         BOOST_TEST(run.RunFor(seconds(5), [&] {
-          return run.Holder() != first && HasReached(run, busy);
+          return run.Holder() != first && HasReached(run, workers);
         }));
-        for (const auto& entry : run.entries) {
-          entry->cut_workers = busy;
-        }
+        busy.CutOff(workers);
         // They run on until their leases lapse, and only then elsewhere.
         run.RunFor(seconds(25));
         BOOST_TEST(run.RunningTasks() == 8U);
-        for (const std::string& violation : run.violations) {
-          BOOST_ERROR(violation);
-        }
+        ExpectNoViolation(run);
       }
     }
   }
@@ -390,18 +411,10 @@
   for (const LossCase& sample : kLossCases) {
     for (int offset = 0; offset < 1000; offset += 200) {
       BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
-        Emulation run;
-        run.store.configs.push_back(Emulation::MakeConfig(1));
-        run.AddWorkers(16);
-        run.AddEntries(4);
-        BOOST_REQUIRE(
-            run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
-        Emulation::Submitted what{.work = seconds(120)};
-        what.spec.steps = {MakeStep(8, 8)};
-        run.Submit(0, "normal", Emulation::MakeId(1), what);
-        run.RunFor(seconds(3) + milliseconds(offset));
-        BOOST_TEST(run.RunningTasks() == 8U);
-        int lost = 0;
+        BusyRun busy(16, 4, seconds(120));
+        Emulation& run = busy.run;
+        run.RunFor(milliseconds(offset));
+        std::size_t lost = 0;
         for (EmulatedWorker& worker : run.workers) {
           if (!worker.running.empty() && lost < 4) {
             ++lost;
@@ -411,6 +424,7 @@
             }
           }
         }
+        BOOST_TEST(run.RunningTasks() == 4U);
         const TimePoint struck = run.now;
         for (const Duration kill : sample.kills) {
           run.RunFor(struck + kill - run.now);
@@ -422,9 +436,7 @@
         BOOST_TEST(
             run.RunFor(seconds(60), [&] { return run.RunningTasks() == 8U; }));
         BOOST_TEST((run.now - struck).count() <= sample.longest.count());
-        for (const std::string& violation : run.violations) {
-          BOOST_ERROR(violation);
-        }
+        ExpectNoViolation(run);
       }
     }
   }
@@ -436,37 +448,18 @@
 BOOST_AUTO_TEST_CASE(workers_that_answered_again_are_waited_for_in_full) {
   for (int offset = 0; offset < 2000; offset += 100) {
     BOOST_TEST_CONTEXT("offset " << offset) {
-      Emulation run;
-      run.store.configs.push_back(Emulation::MakeConfig(1));
-      run.AddWorkers(16);
-      run.AddEntries(2);
-      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
-      Emulation::Submitted what{.work = seconds(120)};
-      what.spec.steps = {MakeStep(8, 8)};
-      run.Submit(0, "normal", Emulation::MakeId(1), what);
+      BusyRun busy(16, 2, seconds(120));
+      Emulation& run = busy.run;
+      const std::set<WorkerId> workers = busy.BusyWorkers();
+      busy.CutOff(workers);
       run.RunFor(seconds(3));
-      std::set<WorkerId> busy;
-      for (const EmulatedWorker& worker : run.workers) {
-        if (!worker.running.empty()) {
-          busy.insert(worker.listing.id);
-        }
-      }
-      const auto cut = [&](const std::set<WorkerId>& workers) {
-        for (const auto& entry : run.entries) {
-          entry->cut_workers = workers;
-        }
-      };
-      cut(busy);
-      run.RunFor(seconds(3));
-      cut({});
+      busy.CutOff({});
       run.RunFor(milliseconds(offset));
-      cut(busy);
+      busy.CutOff(workers);
       run.KillEntry(run.Holder());
       run.RunFor(seconds(30));
       BOOST_TEST(run.RunningTasks() == 8U);
-      for (const std::string& violation : run.violations) {
-        BOOST_ERROR(violation);
-      }
+      ExpectNoViolation(run);
     }
   }
 }
@@ -551,9 +544,7 @@
         }
         worst = std::max(worst, gap);
         BOOST_TEST(gap.count() <= sample.longest.count());
-        for (const std::string& violation : run.violations) {
-          BOOST_ERROR(violation);
-        }
+        ExpectNoViolation(run);
       }
     }
     BOOST_TEST_MESSAGE(sample.name << ": longest gap " << worst.count() / 1000
