--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -46,6 +46,7 @@
        {"task", end.task.task.value},
        {"run", end.run.value},
        {"worker", worker.listing.id.value},
+       {"worker_zone", worker.listing.zone.value},
        {"end", std::string(NameOf(end.end))},
        {"ran_ms", WholeMillis(now - task.since)},
        {"accelerators", place.spec->need.accelerators.value},
@@ -253,6 +254,7 @@
            {"task", start.task.task.value},
            {"run", start.run.value},
            {"worker", start.worker.value},
+           {"worker_zone", worker->listing.zone.value},
            {"placed_ms", WholeMillis(now - place.task->since)},
            {"answer_ms", WholeMillis(start.answered - start.sent)}});
       place.task->state = TaskState::kRunning;
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -144,7 +144,10 @@
     return;
   }
   Log(LogLevel::kWarn, "worker_tasks_lost",
-      {{"worker", id.value}, {"tasks", worker->tasks.size()}, {"why", why}});
+      {{"worker", id.value},
+       {"worker_zone", worker->listing.zone.value},
+       {"tasks", worker->tasks.size()},
+       {"why", why}});
   const auto tasks = worker->tasks;
   for (const auto& [key, run] : tasks) {
     const TaskPlace place = FindTask(world, key);
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -36,6 +36,7 @@
 
 void Answer(const PendingCall& pending,
             CallAnswer answer,
+            TimePoint now,
             WorkflowOutbox& outbox) {
   answer.exchange = pending.call.exchange;
   if (answer.result != CallResult::kOk || pending.call.kind != CallKind::kGet) {
@@ -46,6 +47,7 @@
          {"detail", answer.detail},
          {"config_version", pending.config_version.value},
          {"config_age_ms", WholeMillis(pending.config_age)},
+         {"waited_ms", WholeMillis(now - pending.arrived)},
          {"doubtful", pending.doubtful}});
   }
   outbox.answers.push_back(std::move(answer));
@@ -53,12 +55,13 @@
 
 void Refuse(const PendingCall& pending,
             std::string detail,
+            TimePoint now,
             WorkflowOutbox& outbox) {
   Answer(pending,
          CallAnswer{.result = CallResult::kRefused,
                     .detail = std::move(detail),
                     .retry_after = kRetryAfter},
-         outbox);
+         now, outbox);
 }
 
 std::int64_t CountWaiting(const WorkflowWorld& world, const RouteName& route) {
@@ -83,13 +86,14 @@
 void QueueAppend(WorkflowWorld& world,
                  PendingCall pending,
                  JournalRecord record,
+                 TimePoint now,
                  WorkflowOutbox& outbox) {
   if (StoreIsSilent(world)) {
-    Refuse(pending, "the store does not answer", outbox);
+    Refuse(pending, "the store does not answer", now, outbox);
     return;
   }
   if (world.callers.queued.size() >= kMaxQueued) {
-    Refuse(pending, "too many callers wait for the store", outbox);
+    Refuse(pending, "too many callers wait for the store", now, outbox);
     return;
   }
   pending.record = std::move(record);
@@ -100,17 +104,19 @@
 void HandleKnown(WorkflowWorld& world,
                  const PendingCall& pending,
                  const Workflow& workflow,
+                 TimePoint now,
                  WorkflowOutbox& outbox) {
   const bool cancelled = workflow.cancel_requested && !IsOver(workflow.shown);
   if (pending.call.kind == CallKind::kGet) {
     Answer(pending,
            CallAnswer{.state = cancelled ? WorkflowState::kCancelled
                                          : workflow.shown},
-           outbox);
+           now, outbox);
   } else if (cancelled || IsOver(workflow.shown)) {
-    Answer(pending, CallAnswer{}, outbox);
+    Answer(pending, CallAnswer{}, now, outbox);
   } else {
-    QueueAppend(world, pending, CancelRecord{.id = pending.workflow}, outbox);
+    QueueAppend(world, pending, CancelRecord{.id = pending.workflow}, now,
+                outbox);
   }
 }
 
@@ -124,11 +130,11 @@
     Answer(pending,
            CallAnswer{.result = CallResult::kMalformed,
                       .detail = pending.call.malformed},
-           outbox);
+           time.now, outbox);
     return;
   }
   if (world.workflows.find(pending.workflow) != nullptr) {
-    Answer(pending, CallAnswer{.detail = "known already"}, outbox);
+    Answer(pending, CallAnswer{.detail = "known already"}, time.now, outbox);
     return;
   }
   QueueAppend(
@@ -143,7 +149,7 @@
                                             .target = route.target,
                                             .stretch = route.stretch},
                      .accepted = time.wall},
-      outbox);
+      time.now, outbox);
 }
 
 void HandleCall(WorkflowWorld& world,
@@ -154,7 +160,7 @@
                       .arrived = time.now,
                       .deadline = time.now + call.patience - kAnswerMargin};
   if (!world.config) {
-    Refuse(pending, "no configuration yet", outbox);
+    Refuse(pending, "no configuration yet", time.now, outbox);
     return;
   }
   pending.config_version = world.config->version;
@@ -164,30 +170,33 @@
   }
   const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
   if (route == nullptr) {
-    Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, outbox);
+    Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, time.now,
+           outbox);
     return;
   }
   Workspace workspace;
   if (!route->open) {
     if (!IsFresh(world, FollowedStream::kConfig,
                  world.self.revoke_bound - kRevokeMargin, time.now)) {
-      Refuse(pending, "the configuration may be out of date", outbox);
+      Refuse(pending, "the configuration may be out of date", time.now, outbox);
       return;
     }
     const auto key = world.config->keys.find(call.key);
     if (key == world.config->keys.end()) {
-      Answer(pending, CallAnswer{.result = CallResult::kUnauthorised}, outbox);
+      Answer(pending, CallAnswer{.result = CallResult::kUnauthorised}, time.now,
+             outbox);
       return;
     }
     workspace = key->second;
   }
   if (call.kind == CallKind::kCount) {
     if (call.path.size() > route->path_prefix.size()) {
-      Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, outbox);
+      Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, time.now,
+             outbox);
       return;
     }
     Answer(pending, CallAnswer{.waiting = CountWaiting(world, route->name)},
-           outbox);
+           time.now, outbox);
     return;
   }
   pending.workflow = WorkflowId(call.path.substr(route->path_prefix.size()));
@@ -197,14 +206,14 @@
                ? CallAnswer{.result = CallResult::kMalformed,
                             .detail = "the id is not 16 hexadecimal digits"}
                : CallAnswer{.result = CallResult::kNoWorkflow},
-           outbox);
+           time.now, outbox);
     return;
   }
   if (call.kind == CallKind::kSubmit) {
     Submit(world, pending, *route, workspace, time, outbox);
   } else if (const Workflow* workflow =
                  world.workflows.find(pending.workflow)) {
-    HandleKnown(world, pending, *workflow, outbox);
+    HandleKnown(world, pending, *workflow, time.now, outbox);
   } else {
     pending.deadline =
         std::min(pending.deadline, time.now + milliseconds(1000));
@@ -220,12 +229,13 @@
   waiting.swap(world.awaiting_read);
   for (PendingCall& pending : waiting) {
     if (const Workflow* workflow = world.workflows.find(pending.workflow)) {
-      HandleKnown(world, pending, *workflow, outbox);
+      HandleKnown(world, pending, *workflow, time.now, outbox);
     } else if (world.streams[FollowedStream::kJournal].fresh >=
                pending.arrived) {
-      Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, outbox);
+      Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
+             outbox);
     } else if (time.now >= pending.deadline) {
-      Refuse(pending, "the journal cannot be read", outbox);
+      Refuse(pending, "the journal cannot be read", time.now, outbox);
     } else {
       world.awaiting_read.push_back(std::move(pending));
     }
@@ -238,7 +248,7 @@
   for (PendingCall& pending : world.callers.writing) {
     ApplyJournalRecord(world, *pending.record, time);
     if (!pending.answered) {
-      Answer(pending, CallAnswer{}, outbox);
+      Answer(pending, CallAnswer{}, time.now, outbox);
     }
   }
   world.callers.writing.clear();
@@ -260,7 +270,7 @@
     if (pending.doubtful) {
       again.push_back(std::move(pending));
     } else {
-      Refuse(pending, "the store rejects writes", outbox);
+      Refuse(pending, "the store rejects writes", time.now, outbox);
     }
   }
   lane.writing.clear();
@@ -274,15 +284,18 @@
 }
 
 // The final answer to a call whose time is over.
-void EndOverdue(PendingCall& pending, bool in_doubt, WorkflowOutbox& outbox) {
+void EndOverdue(PendingCall& pending,
+                bool in_doubt,
+                TimePoint now,
+                WorkflowOutbox& outbox) {
   pending.answered = true;
   if (in_doubt) {
     Answer(pending,
            CallAnswer{.result = CallResult::kUnknown,
                       .detail = "the store has not confirmed it"},
-           outbox);
+           now, outbox);
   } else {
-    Refuse(pending, "the store was not reached in time", outbox);
+    Refuse(pending, "the store was not reached in time", now, outbox);
   }
 }
 
@@ -328,19 +341,21 @@
       Log(LogLevel::kWarn, "append_not_confirmed",
           {{"lane", "callers"},
            {"outcome", std::string(NameOf(ended.outcome))},
-           {"calls", lane.writing.size()}});
+           {"calls", lane.writing.size()},
+           {"sent_bytes", ended.sent.value},
+           {"took_ms", WholeMillis(time.now - ended.began)}});
       EndUnwritten(world, ended.outcome == AppendOutcome::kUnknown, time,
                    outbox);
     }
   }
   for (PendingCall& pending : lane.writing) {
     if (!pending.answered && time.now >= pending.deadline) {
-      EndOverdue(pending, true, outbox);
+      EndOverdue(pending, true, time.now, outbox);
     }
   }
   for (PendingCall& pending : lane.queued) {
     if (time.now >= pending.deadline) {
-      EndOverdue(pending, pending.doubtful, outbox);
+      EndOverdue(pending, pending.doubtful, time.now, outbox);
     }
   }
   std::erase_if(lane.queued, [](const PendingCall& p) { return p.answered; });
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -237,7 +237,9 @@
       Log(LogLevel::kWarn, "append_not_confirmed",
           {{"lane", "holder"},
            {"outcome", std::string(NameOf(ended.outcome))},
-           {"batch", ended.batch}});
+           {"batch", ended.batch},
+           {"sent_bytes", ended.sent.value},
+           {"took_ms", WholeMillis(time.now - ended.began)}});
     }
   }
 }
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -129,6 +129,45 @@
 // the holder, which may have been unable to write all the same.
 constexpr Duration kLongestBreak = milliseconds(2600);
 
+// A read that takes longer without waiting for a record is logged: some times
+// the longest way to the store and back.
+constexpr Duration kSlowRead = milliseconds(500);
+
+// One line for a read that failed, took long or is the first to succeed again.
+void LogRead(const StreamPosition& position,
+             const StreamRead& read,
+             TimePoint now) {
+  const std::string stream(NameOf(read.stream));
+  const std::int64_t took = WholeMillis(now - read.began);
+  const std::int64_t from =
+      position.next ? static_cast<std::int64_t>(position.next->value) : -1;
+  if (!read.ok) {
+    Log(LogLevel::kWarn,
+        position.failures == 0 ? "stream_lost" : "stream_still_lost",
+        {{"stream", stream},
+         {"why", read.failure},
+         {"from", from},
+         {"received_bytes", read.received.value},
+         {"took_ms", took}});
+    return;
+  }
+  if (position.failures > 0) {
+    Log(LogLevel::kInfo, "stream_regained",
+        {{"stream", stream},
+         {"failures", position.failures},
+         {"lost_ms", WholeMillis(now - position.succeeded)}});
+  }
+  if (now - read.began >= kSlowRead && !position.waited) {
+    Log(LogLevel::kInfo, "read_slow",
+        {{"stream", stream},
+         {"from", from},
+         {"records", read.journal.size() + read.workers.size()},
+         {"received_bytes", read.received.value},
+         {"at_end", read.at_end},
+         {"took_ms", took}});
+  }
+}
+
 void NoteReachable(StreamPosition& position,
                    const StreamRead& read,
                    TimePoint now) {
@@ -192,14 +231,7 @@
       position.next_read = time.now;
       continue;
     }
-    if (!read.ok && position.failures == 0) {
-      Log(LogLevel::kWarn, "stream_lost",
-          {{"stream", std::string(NameOf(read.stream))}});
-    } else if (read.ok && position.failures > 0) {
-      Log(LogLevel::kInfo, "stream_regained",
-          {{"stream", std::string(NameOf(read.stream))},
-           {"failures", position.failures}});
-    }
+    LogRead(position, read, time.now);
     NoteReachable(position, read, time.now);
     ScheduleNextRead(world, read, position, time.now);
     if (!read.ok) {
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -129,6 +129,10 @@
 struct StreamRead {
   FollowedStream stream = FollowedStream::kConfig;
   bool ok = false;
+  // Why it is not.
+  std::string failure;
+  // What came from the store, also when that was of no use.
+  Bytes received;
   // The records asked for are gone; the newest of each key must be loaded.
   bool compacted = false;
   // The read brought all there was; a page has a largest size.
@@ -197,6 +201,7 @@
   AppendLane lane = AppendLane::kCallers;
   std::uint64_t batch = 0;
   AppendOutcome outcome = AppendOutcome::kUnknown;
+  Bytes sent;
   Offset first;
   std::uint64_t expected_sequence = 0;
   TimePoint began{};
