--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -6,6 +6,8 @@
 namespace {
 
 void AddDecoded(StreamRead& read, Offset offset, const KeyedValue& record) {
+  read.received += Bytes(static_cast<std::int64_t>(
+      record.key.size() + (record.value ? record.value->size() : 0)));
   if (auto decoded = DecodeJournalRecord(record.key, record.value);
       decoded && decoded.value()) {
     read.journal.emplace_back(offset, *decoded.value());
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -38,13 +38,17 @@
     std::set<WorkerId> cut_workers;
     TimePoint frozen_until{};
     TimePoint due{};
+    // What its reads brought, all lives together.
+    Bytes received;
     // Tells the answers to an earlier life apart.
     std::uint64_t life = 0;
   };
   struct Submitted {
     WorkflowSpec spec;
-    // How long a task really runs.
+    // How long the first task of a step really runs, and how much longer than
+    // the one before each further one does, up to the 16th.
     Duration work = milliseconds(1000);
+    Duration uneven{};
     // Runs of any task that end as failed before one ends well.
     std::uint32_t failing_runs = 0;
   };
@@ -377,6 +381,7 @@
       }
     }
     result.began = began;
+    entry.received += result.received;
     this->Deliver(
         entry, life, result.ok ? kLatency : Duration(milliseconds(900)),
         [result](WorkflowInbox& inbox) { inbox.reads.push_back(result); });
@@ -514,7 +519,8 @@
         order.kind == OrderKind::kStart && found != this->submitted.end()) {
       const StepSpec& step = found->second.spec.steps[order.task.step.value];
       run.need = step.need;
-      run.work = found->second.work;
+      run.work = found->second.work +
+                 found->second.uneven * (order.task.task.value % 16);
       run.gang = step.gang;
     }
     return run;
