Keep the progress of tasks in a stream that only the holder's successor reads

Where each task is goes to keyed.progress, fenced by the same epoch. A claimer fences that stream once its claim is written, loads it once its claim is read back, and beats as holder meanwhile. States are announced after the progress that they sum up; a successor announces what its predecessor could not. An append's answer names its epoch, so that a late one is not taken for that of a later claim.

--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -11,6 +11,7 @@
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_progress.h"
 #include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflow_writes.h"
 
 namespace chicorystep {
 namespace {
@@ -43,7 +44,7 @@
   WorkflowOutbox outbox;
   BeginStop(world, inbox, time);
   ApplyStreamReads(world, inbox, time);
-  EndHolderAppend(world, inbox, time);
+  EndHolderAppends(world, inbox, time);
   KeepHolding(world, time);
   ApplyWorkerListings(world, inbox, time);
   ApplyOrdersEnded(world, inbox, time);
@@ -66,9 +67,10 @@
                           const WorkflowTime& time) {
   const bool holds = world.holding.state != HoldingState::kFollowing;
   const TimePoint period = time.now + (holds ? kHolderPeriod : kFollowerPeriod);
-  const TimePoint due = std::min(
-      {period, NextReadDue(world), NextHolderDue(world), NextOrderDue(world),
-       NextPlacementDue(world), NextOccurrenceDue(world, time)});
+  const TimePoint due =
+      std::min({period, NextReadDue(world), NextHolderDue(world),
+                NextWriteDue(world), NextOrderDue(world),
+                NextPlacementDue(world), NextOccurrenceDue(world, time)});
   // A time that has passed is due now, but never twice at the same instant.
   return std::max(due, time.now + std::chrono::milliseconds(1));
 }
--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -15,7 +15,8 @@
 
 constexpr std::string_view kAcceptedPrefix = "a-";
 constexpr std::string_view kCancelPrefix = "c-";
-constexpr std::string_view kProgressPrefix = "s-";
+constexpr std::string_view kStatePrefix = "s-";
+constexpr std::string_view kProgressPrefix = "p-";
 constexpr std::string_view kHolderKey = "holder";
 // Followed by 0 or 1, for even and odd epochs.
 constexpr std::string_view kSilentPrefix = "silent-";
@@ -195,23 +196,20 @@
   return run;
 }
 
-KeyedValue Encode(const ProgressRecord& record) {
+// The members that records of states and of progress share.
+template <typename Record>
+PlainJson StateToPlain(const Record& record) {
   PlainJson json = {{"e", record.epoch.value},
                     {"s", std::string(NameOf(record.state))}};
   if (IsOver(record.state)) {
     json["o"] = record.over_since.value;
-  } else {
-    json["t"] = PlainJson::array();
-    for (const StepRun& run : record.runs) {
-      json["t"].push_back(ToPlain(run));
-    }
   }
-  return KeyedValue{fmt::format("{}{}", kProgressPrefix, record.id.value),
-                    json.dump()};
+  return json;
 }
 
-ProgressRecord DecodeProgress(WorkflowId id, const PlainJson& json) {
-  ProgressRecord record{.id = std::move(id)};
+template <typename Record>
+Record StateFromPlain(WorkflowId id, const PlainJson& json) {
+  Record record{.id = std::move(id)};
   record.epoch = Epoch(json.at("e").get<std::uint64_t>());
   const auto name = json.at("s").get<std::string>();
   const auto state = FromName<WorkflowState>(name);
@@ -220,6 +218,28 @@
   }
   record.state = *state;
   record.over_since = UnixMillis(json.value("o", std::int64_t{0}));
+  return record;
+}
+
+KeyedValue Encode(const StateRecord& record) {
+  return KeyedValue{fmt::format("{}{}", kStatePrefix, record.id.value),
+                    StateToPlain(record).dump()};
+}
+
+KeyedValue Encode(const ProgressRecord& record) {
+  PlainJson json = StateToPlain(record);
+  if (!IsOver(record.state)) {
+    json["t"] = PlainJson::array();
+    for (const StepRun& run : record.runs) {
+      json["t"].push_back(ToPlain(run));
+    }
+  }
+  return KeyedValue{fmt::format("{}{}", kProgressPrefix, record.id.value),
+                    json.dump()};
+}
+
+ProgressRecord DecodeProgress(WorkflowId id, const PlainJson& json) {
+  auto record = StateFromPlain<ProgressRecord>(std::move(id), json);
   if (const auto runs = json.find("t"); runs != json.end()) {
     for (const PlainJson& run : *runs) {
       record.runs.push_back(RunFromPlain(run));
@@ -270,9 +290,16 @@
   if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
     return {Encode(*accepted)};
   }
+  if (const auto* state = std::get_if<StateRecord>(&record)) {
+    return {Encode(*state)};
+  }
   if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
     return {Encode(*progress)};
   }
+  if (const auto* dropped = std::get_if<ProgressDroppedRecord>(&record)) {
+    return {KeyedValue{fmt::format("{}{}", kProgressPrefix, dropped->id.value),
+                       std::nullopt}};
+  }
   if (const auto* holder = std::get_if<HolderRecord>(&record)) {
     return {Encode(*holder)};
   }
@@ -286,7 +313,7 @@
   const std::string& id = std::get<ForgetRecord>(record).id.value;
   // The acceptance goes last: without it the others mean nothing.
   return {KeyedValue{fmt::format("{}{}", kCancelPrefix, id), std::nullopt},
-          KeyedValue{fmt::format("{}{}", kProgressPrefix, id), std::nullopt},
+          KeyedValue{fmt::format("{}{}", kStatePrefix, id), std::nullopt},
           KeyedValue{fmt::format("{}{}", kAcceptedPrefix, id), std::nullopt}};
 }
 
@@ -316,6 +343,10 @@
       return std::optional<JournalRecord>(DecodeAccepted(
           WorkflowId(std::string(key.substr(kAcceptedPrefix.size()))), json));
     }
+    if (key.starts_with(kStatePrefix)) {
+      return std::optional<JournalRecord>(StateFromPlain<StateRecord>(
+          WorkflowId(std::string(key.substr(kStatePrefix.size()))), json));
+    }
     if (key.starts_with(kProgressPrefix)) {
       return std::optional<JournalRecord>(DecodeProgress(
           WorkflowId(std::string(key.substr(kProgressPrefix.size()))), json));
--- a/chicorystep/encoding/workflow_record.h
+++ b/chicorystep/encoding/workflow_record.h
@@ -21,8 +21,8 @@
   friend bool operator==(const KeyedValue&, const KeyedValue&) = default;
 };
 
-// A workflow's acceptance, cancel and progress have keys of their own, so that
-// none hides another when only the newest values are left.
+// A workflow's acceptance, cancel, state and progress have keys of their own,
+// so that none hides another when only the newest values are left.
 [[nodiscard]] std::vector<KeyedValue> EncodeJournalRecord(
     const JournalRecord& record);
 
--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -14,21 +14,33 @@
   }
 }
 
-void ReadJournal(const EmulatedStore& store, Offset from, StreamRead& read) {
-  for (std::uint64_t at = from.value; at < store.journal.size(); ++at) {
-    AddDecoded(read, Offset(at), store.journal[at]);
+void ReadOn(const EmulatedLog& log, Offset from, StreamRead& read) {
+  for (std::uint64_t at = from.value; at < log.records.size(); ++at) {
+    AddDecoded(read, Offset(at), log.records[at]);
   }
-  read.next = Offset(store.journal.size());
+  read.next = Offset(log.records.size());
 }
 
-void LoadJournal(const EmulatedStore& store, StreamRead& read) {
-  for (const auto& [key, value] : store.newest) {
+void LoadNewest(const EmulatedLog& log, StreamRead& read) {
+  for (const auto& [key, value] : log.newest) {
     AddDecoded(read, value.first, KeyedValue{key, value.second});
   }
-  read.next = Offset(store.journal.size());
+  read.next = Offset(log.records.size());
   read.whole = true;
 }
 
+void ReadLog(const EmulatedLog& log,
+             const std::optional<Offset>& from,
+             StreamRead& read) {
+  if (from && *from < log.first) {
+    read.compacted = true;
+  } else if (from) {
+    ReadOn(log, *from, read);
+  } else {
+    LoadNewest(log, read);
+  }
+}
+
 void ReadWorkers(const EmulatedStore& store,
                  const std::optional<Offset>& from,
                  StreamRead& read) {
@@ -49,35 +61,38 @@
 
 JournalAppended Append(EmulatedStore& store, const AppendJournal& append) {
   ++store.appends;
-  JournalAppended appended{.lane = append.lane, .batch = append.batch};
-  if (append.lane == AppendLane::kHolder) {
-    if (append.epoch < store.epoch) {
+  EmulatedLog& log =
+      append.lane == AppendLane::kProgress ? store.progress : store.journal;
+  JournalAppended appended{
+      .lane = append.lane, .epoch = append.epoch, .batch = append.batch};
+  if (append.lane != AppendLane::kCallers) {
+    if (append.epoch < log.epoch) {
       appended.outcome = AppendOutcome::kFenced;
       return appended;
     }
-    if (append.epoch == store.epoch && append.sequence == store.sequence) {
+    if (append.epoch == log.epoch && append.sequence == log.sequence) {
       // A repeat gets its first answer again.
       appended.outcome = AppendOutcome::kWritten;
       return appended;
     }
-    if (append.epoch == store.epoch && append.sequence != store.sequence + 1) {
+    if (append.epoch == log.epoch && append.sequence != log.sequence + 1) {
       appended.outcome = AppendOutcome::kOutOfSequence;
-      appended.expected_sequence = store.sequence + 1;
+      appended.expected_sequence = log.sequence + 1;
       return appended;
     }
-    store.epoch = append.epoch;
-    store.sequence = append.sequence;
+    log.epoch = append.epoch;
+    log.sequence = append.sequence;
   }
   appended.outcome = AppendOutcome::kWritten;
-  appended.first = Offset(store.journal.size());
+  appended.first = Offset(log.records.size());
   for (const JournalRecord& record : append.records) {
     for (KeyedValue& keyed : EncodeJournalRecord(record)) {
       if (keyed.value) {
-        store.newest[keyed.key] = {Offset(store.journal.size()), *keyed.value};
+        log.newest[keyed.key] = {Offset(log.records.size()), *keyed.value};
       } else {
-        store.newest.erase(keyed.key);
+        log.newest.erase(keyed.key);
       }
-      store.journal.push_back(std::move(keyed));
+      log.records.push_back(std::move(keyed));
     }
   }
   return appended;
@@ -87,11 +102,13 @@
                                const ReadStream& read,
                                bool may_wait) {
   StreamRead result{.stream = read.stream, .ok = true};
-  std::size_t end = store.journal.size();
+  std::size_t end = store.journal.records.size();
   if (read.stream == FollowedStream::kConfig) {
     end = store.configs.size();
   } else if (read.stream == FollowedStream::kWorkers) {
     end = store.listings.size();
+  } else if (read.stream == FollowedStream::kProgress) {
+    end = store.progress.records.size();
   }
   if (read.from && read.from->value >= end && may_wait) {
     return std::nullopt;
@@ -108,13 +125,10 @@
       ReadWorkers(store, read.from, result);
       break;
     case FollowedStream::kJournal:
-      if (read.from && *read.from < store.journal_first) {
-        result.compacted = true;
-      } else if (read.from) {
-        ReadJournal(store, *read.from, result);
-      } else {
-        LoadJournal(store, result);
-      }
+      ReadLog(store.journal, read.from, result);
+      break;
+    case FollowedStream::kProgress:
+      ReadLog(store.progress, read.from, result);
       break;
   }
   return result;
@@ -132,7 +146,9 @@
 }
 
 void Compact(EmulatedStore& store) {
-  store.journal_first = Offset(store.journal.size());
+  for (EmulatedLog* log : {&store.journal, &store.progress}) {
+    log->first = Offset(log->records.size());
+  }
 }
 
 }  // namespace chicorystep
--- a/chicorystep/standin/emulated_store.h
+++ b/chicorystep/standin/emulated_store.h
@@ -13,19 +13,24 @@
 
 namespace chicorystep {
 
-// The rules of the platform's store as a plain struct, without sockets or
-// time: three keyed streams, of which the newest value of each key lasts.
-struct EmulatedStore {
-  std::vector<KeyedValue> journal;
+// One keyed stream that entries write.
+struct EmulatedLog {
+  std::vector<KeyedValue> records;
   // The newest value of each key and its offset.
   std::map<std::string, std::pair<Offset, std::string>> newest;
-  // Records of the journal before this offset are gone.
-  Offset journal_first;
+  // Records before this offset are gone.
+  Offset first;
 
-  // The holder's lane: the highest epoch, and its last sequence number.
+  // Of the holders' appends: the highest epoch, and its last sequence number.
   Epoch epoch;
   std::uint64_t sequence = 0;
+};
 
+// The rules of the platform's store as a plain struct, without sockets or
+// time: four keyed streams, of which the newest value of each key lasts.
+struct EmulatedStore {
+  EmulatedLog journal;
+  EmulatedLog progress;
   std::vector<WorkflowConfig> configs;
   std::vector<std::pair<WorkerId, std::optional<WorkerListing>>> listings;
   std::map<WorkerId, WorkerListing> listed;
@@ -47,7 +52,7 @@
 void List(EmulatedStore& store, const WorkerListing& listing);
 void Unlist(EmulatedStore& store, const WorkerId& worker);
 
-// Drops all records of the journal but the newest of each key.
+// Drops all records of what entries write but the newest of each key.
 void Compact(EmulatedStore& store);
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -5,17 +5,14 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_worker_silence.h"
 #include "chicorystep/systems/workflow_streams.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflow_writes.h"
 
 namespace chicorystep {
 namespace {
 
 using std::chrono::milliseconds;
 
-// The holder writes at least this often, so that the others notice its end.
-constexpr Duration kHeartbeat = milliseconds(250);
 // A holder that has not been read for this long counts as gone: two heartbeats
 // and a follower's reading period.
 constexpr Duration kHolderSilence = milliseconds(800);
@@ -33,14 +30,9 @@
 constexpr std::uint64_t kClaimJitterMillis = 120;
 // A claim that is not read back by then is given up.
 constexpr Duration kClaimTimeout = milliseconds(4000);
-constexpr Duration kWriteRetry = milliseconds(150);
-// Records of one append; with 4 KB of payload each it stays below 2 MB.
-constexpr std::size_t kMaxBatch = 300;
-
-// A sequence number that no other claimer of the same epoch begins with.
-std::uint64_t FirstSequence(const WorkflowSelf& self) {
-  return 1 + (self.incarnation.value & 0xffffffffU);
-}
+// So is one whose predecessor's progress is not loaded by then: 2 MB over a
+// connection between regions.
+constexpr Duration kLoadTimeout = milliseconds(5000);
 
 bool IsVacant(const WorkflowWorld& world, TimePoint now) {
   const Holding& holding = world.holding;
@@ -66,18 +58,13 @@
   Holding& holding = world.holding;
   holding.state = HoldingState::kClaiming;
   holding.own_epoch = Epoch(holding.epoch.value + 1);
-  holding.sequence = FirstSequence(world.self);
   holding.claimed = time.now;
-  holding.under_way = AppendJournal{
-      .lane = AppendLane::kHolder,
-      .batch = holding.sequence,
-      .records = {HolderRecord{.epoch = holding.own_epoch,
-                               .holder = world.self.id,
-                               .incarnation = world.self.incarnation}},
-      .epoch = holding.own_epoch,
-      .sequence = holding.sequence};
-  holding.append_sent = false;
-  holding.next_try = time.now;
+  holding.journal.sequence = FirstSequence(world.self);
+  BeginAppend(holding, holding.journal,
+              {HolderRecord{.epoch = holding.own_epoch,
+                            .holder = world.self.id,
+                            .incarnation = world.self.incarnation}},
+              time.now);
   world.streams[FollowedStream::kJournal].next_read = time.now;
   Log(LogLevel::kInfo, "claim_begins",
       {{"epoch", holding.own_epoch.value},
@@ -89,16 +76,24 @@
 void TakeUp(WorkflowWorld& world, const WorkflowTime& time) {
   Holding& holding = world.holding;
   holding.state = HoldingState::kHolding;
-  holding.last_written = time.now;
   world.scheduling = Scheduling{};
   world.scheduling.placement_due = true;
+  world.scheduling.to_drop = std::exchange(holding.progress_left_over, {});
   LoadAnew(world, FollowedStream::kWorkers, time.now);
   std::size_t placed = 0;
   for (std::size_t i = 0; i < world.workflows.size(); ++i) {
     Workflow& workflow = world.workflows.rows[i];
-    workflow.state = workflow.shown;
     workflow.dirty = false;
-    if (IsOver(workflow.shown)) {
+    workflow.announced = workflow.state;
+    if (workflow.state != workflow.shown) {
+      // The predecessor wrote this progress but did not tell of it.
+      world.scheduling.to_announce.push_back(
+          StateRecord{.id = world.workflows.keys[i],
+                      .epoch = holding.own_epoch,
+                      .state = workflow.state,
+                      .over_since = workflow.over_since});
+    }
+    if (IsOver(workflow.state)) {
       continue;
     }
     world.scheduling.open.insert(world.workflows.keys[i]);
@@ -123,58 +118,22 @@
        {"claim_ms", WholeMillis(time.now - holding.claimed)}});
 }
 
-bool IsRelease(const AppendJournal& append) {
-  return std::any_of(append.records.begin(), append.records.end(),
-                     [](const JournalRecord& record) {
-                       const auto* holder = std::get_if<HolderRecord>(&record);
-                       return holder != nullptr && holder->released;
-                     });
-}
-
-// Applies a batch that lasts now.
-void ApplyWritten(WorkflowWorld& world, const WorkflowTime& time) {
-  Scheduling& scheduling = world.scheduling;
-  for (const JournalRecord& record : world.holding.under_way->records) {
-    if (const auto* silent = std::get_if<SilentWorkersRecord>(&record)) {
-      ApplySilenceWritten(world, *silent);
-    }
-    const auto* progress = std::get_if<ProgressRecord>(&record);
-    if (progress == nullptr) {
-      continue;
-    }
-    if (Workflow* workflow = world.workflows.find(progress->id)) {
-      workflow->shown = progress->state;
-      workflow->over_since = progress->over_since;
-    }
-  }
-  for (const AwaitedStart& start : scheduling.recording) {
-    const TaskPlace place = FindTask(world, start.task);
-    if (!place || place.task->state != TaskState::kPlaced ||
-        place.task->run != start.run) {
-      continue;
-    }
-    place.task->state = TaskState::kStarting;
-    place.task->since = time.now;
-    place.task->ordered = true;
-    if (TaskWorker* worker = scheduling.workers.find(place.task->worker)) {
-      worker->orders.push_back(
-          WorkerOrder{.kind = OrderKind::kStart,
-                      .worker = place.task->worker,
-                      .task = start.task,
-                      .run = start.run,
-                      .payload = place.workflow->spec.payload,
-                      .checkpoint = place.task->checkpoint});
-    }
-  }
-  scheduling.recording.clear();
-  for (const AwaitedEnds& ends : scheduling.recording_ends) {
-    if (TaskWorker* worker = scheduling.workers.find(ends.worker);
-        worker != nullptr && worker->listing.life == ends.life) {
-      worker->acknowledged = std::max(worker->acknowledged, ends.applied);
-      worker->next_hold = std::min(worker->next_hold, time.now);
-    }
+// Loads what the predecessor wrote once it can write no more, and takes the
+// place up then.
+void GoOnClaiming(WorkflowWorld& world, bool own, const WorkflowTime& time) {
+  Holding& holding = world.holding;
+  if (holding.progress_loaded) {
+    TakeUp(world, time);
+  } else if (holding.load_began != kNever) {
+    if (time.now - holding.load_began > kLoadTimeout) {
+      StopHolding(world, "the progress could not be loaded", time.now);
+    }
+  } else if (own && holding.progress_fenced) {
+    holding.load_began = time.now;
+    LoadAnew(world, FollowedStream::kProgress, time.now);
+  } else if (time.now - holding.claimed > kClaimTimeout) {
+    StopHolding(world, "the claim was not confirmed", time.now);
   }
-  scheduling.recording_ends.clear();
 }
 
 }  // namespace
@@ -190,8 +149,14 @@
        {"why", why}});
   const bool held = holding.state == HoldingState::kHolding;
   holding.state = HoldingState::kFollowing;
-  holding.under_way.reset();
-  holding.append_sent = false;
+  for (HolderLane* lane : {&holding.journal, &holding.progress}) {
+    lane->under_way.reset();
+    lane->sent = false;
+  }
+  holding.progress_fenced = false;
+  holding.load_began = kNever;
+  holding.progress_loaded = false;
+  holding.progress_left_over.clear();
   holding.may_order = false;
   holding.heard = now;
   if (held) {
@@ -202,48 +167,6 @@
   }
 }
 
-void EndHolderAppend(WorkflowWorld& world,
-                     const WorkflowInbox& inbox,
-                     const WorkflowTime& time) {
-  Holding& holding = world.holding;
-  for (const JournalAppended& ended : inbox.appended) {
-    if (ended.lane != AppendLane::kHolder || !holding.under_way ||
-        ended.batch != holding.under_way->batch) {
-      continue;
-    }
-    holding.append_sent = false;
-    holding.next_try = time.now + kWriteRetry;
-    // A repeat whose first sending took effect late is told the next number.
-    const bool written = ended.outcome == AppendOutcome::kWritten ||
-                         (ended.outcome == AppendOutcome::kOutOfSequence &&
-                          holding.state == HoldingState::kHolding &&
-                          ended.expected_sequence == holding.sequence + 1);
-    if (written) {
-      const bool released = IsRelease(*holding.under_way);
-      if (holding.state == HoldingState::kHolding) {
-        ApplyWritten(world, time);
-      }
-      holding.under_way.reset();
-      holding.last_written = time.now;
-      holding.confirmed = std::max(holding.confirmed, ended.began);
-      ++holding.sequence;
-      if (released) {
-        StopHolding(world, "released", time.now);
-      }
-    } else if (ended.outcome == AppendOutcome::kFenced ||
-               ended.outcome == AppendOutcome::kOutOfSequence) {
-      StopHolding(world, NameOf(ended.outcome), time.now);
-    } else {
-      Log(LogLevel::kWarn, "append_not_confirmed",
-          {{"lane", "holder"},
-           {"outcome", std::string(NameOf(ended.outcome))},
-           {"batch", ended.batch},
-           {"sent_bytes", ended.sent.value},
-           {"took_ms", WholeMillis(time.now - ended.began)}});
-    }
-  }
-}
-
 void KeepHolding(WorkflowWorld& world, const WorkflowTime& time) {
   Holding& holding = world.holding;
   const bool own = holding.epoch == holding.own_epoch &&
@@ -252,12 +175,8 @@
     if (holding.epoch > holding.own_epoch ||
         (holding.epoch == holding.own_epoch && !own)) {
       StopHolding(world, "another entry has claimed", time.now);
-    } else if (holding.state == HoldingState::kClaiming && own &&
-               !holding.under_way) {
-      TakeUp(world, time);
-    } else if (holding.state == HoldingState::kClaiming &&
-               time.now - holding.claimed > kClaimTimeout) {
-      StopHolding(world, "the claim was not confirmed", time.now);
+    } else if (holding.state == HoldingState::kClaiming) {
+      GoOnClaiming(world, own, time);
     }
   }
   if (holding.state == HoldingState::kHolding && own) {
@@ -290,88 +209,12 @@
   }
 }
 
-void WriteHolderRecords(WorkflowWorld& world,
-                        const WorkflowTime& time,
-                        WorkflowOutbox& outbox) {
-  Holding& holding = world.holding;
-  Scheduling& scheduling = world.scheduling;
-  if (holding.state == HoldingState::kFollowing) {
-    return;
-  }
-  if (!holding.under_way && holding.state == HoldingState::kHolding) {
-    const bool heartbeat_due = time.now - holding.last_written >= kHeartbeat;
-    const bool release = world.stopping && holding.release_wanted;
-    const bool silence = WantsSilenceNote(world, time.now);
-    if (scheduling.dirty.empty() && !heartbeat_due && !release && !silence) {
-      return;
-    }
-    AppendJournal append{.lane = AppendLane::kHolder,
-                         .batch = holding.sequence,
-                         .epoch = holding.own_epoch,
-                         .sequence = holding.sequence};
-    const std::size_t count = std::min(kMaxBatch, scheduling.dirty.size());
-    for (std::size_t i = 0; i < count; ++i) {
-      const WorkflowId& id = scheduling.dirty[i];
-      Workflow* workflow = world.workflows.find(id);
-      if (workflow == nullptr) {
-        continue;
-      }
-      workflow->dirty = false;
-      append.records.push_back(ProgressRecord{
-          .id = id,
-          .epoch = holding.own_epoch,
-          .state = workflow->state,
-          .over_since = IsOver(workflow->state) ? time.wall : UnixMillis{},
-          .runs = workflow->runs});
-    }
-    scheduling.dirty.erase(
-        scheduling.dirty.begin(),
-        scheduling.dirty.begin() + static_cast<std::ptrdiff_t>(count));
-    for (const WorkflowId& id : std::exchange(scheduling.to_forget, {})) {
-      append.records.push_back(ForgetRecord{.id = id});
-    }
-    if (silence) {
-      append.records.push_back(NoteSilence(world, time.now));
-    }
-    if (append.records.empty() || release) {
-      append.records.push_back(
-          HolderRecord{.epoch = holding.own_epoch,
-                       .holder = world.self.id,
-                       .incarnation = world.self.incarnation,
-                       .released = release});
-    }
-    if (scheduling.dirty.empty()) {
-      scheduling.recording = std::exchange(scheduling.to_record, {});
-      for (std::size_t i = 0; i < scheduling.workers.size(); ++i) {
-        const TaskWorker& worker = scheduling.workers.rows[i];
-        if (worker.applied > worker.acknowledged) {
-          scheduling.recording_ends.push_back(
-              AwaitedEnds{.worker = worker.listing.id,
-                          .life = worker.listing.life,
-                          .applied = worker.applied});
-        }
-      }
-    }
-    holding.under_way = std::move(append);
-    holding.append_sent = false;
-    holding.next_try = time.now;
-  }
-  if (holding.under_way && !holding.append_sent &&
-      time.now >= holding.next_try) {
-    holding.append_sent = true;
-    outbox.appends.push_back(*holding.under_way);
-  }
-}
-
 TimePoint NextHolderDue(const WorkflowWorld& world) {
   const Holding& holding = world.holding;
   if (holding.state == HoldingState::kFollowing) {
     return holding.claim_due == kLongAgo ? kNever : holding.claim_due;
   }
-  if (holding.under_way) {
-    return holding.append_sent ? kNever : holding.next_try;
-  }
-  return holding.last_written + kHeartbeat;
+  return kNever;
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflow_holder.h
+++ b/chicorystep/systems/workflow_holder.h
@@ -11,21 +11,11 @@
 // that it cannot reach may still run.
 inline constexpr Duration kConfirmationBound = std::chrono::seconds(11);
 
-// Applies the outcome of the holder's append: placements and ends count as
-// recorded only from here on.
-void EndHolderAppend(WorkflowWorld& world,
-                     const WorkflowInbox& inbox,
-                     const WorkflowTime& time);
-
 // Claims the holder's place when nobody fills it, takes it up when the claim
-// is read back, and gives it up when another has claimed it.
+// is read back and the predecessor's progress is loaded, and gives it up when
+// another has claimed it.
 void KeepHolding(WorkflowWorld& world, const WorkflowTime& time);
 
-// Writes claims, progress and heartbeats, one append at a time.
-void WriteHolderRecords(WorkflowWorld& world,
-                        const WorkflowTime& time,
-                        WorkflowOutbox& outbox);
-
 // Gives the holder's place up at once and forgets what only a holder keeps.
 void StopHolding(WorkflowWorld& world, std::string_view why, TimePoint now);
 
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -53,15 +53,15 @@
   }
 }
 
-void ApplyProgress(WorkflowWorld& world,
-                   const ProgressRecord& record,
-                   TimePoint now) {
+void ApplyState(WorkflowWorld& world,
+                const StateRecord& record,
+                TimePoint now) {
   if (record.epoch == world.holding.epoch) {
     world.holding.heard = now;
   }
   Workflow* workflow = world.workflows.find(record.id);
   if (workflow == nullptr) {
-    Log(LogLevel::kWarn, "progress_of_unknown_workflow",
+    Log(LogLevel::kWarn, "state_of_unknown_workflow",
         {{"workflow", record.id.value}});
     return;
   }
@@ -72,7 +72,34 @@
   }
   workflow->shown = record.state;
   workflow->over_since = record.over_since;
-  workflow->runs = record.runs;
+}
+
+// Takes over the progress that the predecessor has written.
+void ApplyProgressLoad(WorkflowWorld& world, const StreamRead& read) {
+  if (world.holding.load_began == kNever ||
+      read.began < world.holding.load_began) {
+    return;
+  }
+  for (Workflow& workflow : world.workflows.rows) {
+    workflow.state = workflow.shown;
+    workflow.runs.clear();
+  }
+  for (const auto& [offset, record] : read.journal) {
+    const auto* progress = std::get_if<ProgressRecord>(&record);
+    if (progress == nullptr) {
+      continue;
+    }
+    Workflow* workflow = world.workflows.find(progress->id);
+    if (workflow == nullptr || IsOver(workflow->shown)) {
+      // The predecessor ended before it dropped this.
+      world.holding.progress_left_over.push_back(progress->id);
+      continue;
+    }
+    workflow->state = progress->state;
+    workflow->over_since = progress->over_since;
+    workflow->runs = progress->runs;
+  }
+  world.holding.progress_loaded = true;
 }
 
 void ApplyHolder(WorkflowWorld& world,
@@ -122,7 +149,24 @@
                                ? std::max(now, read.began + kFollowerPeriod)
                                : now + kHolderSpacing;
       break;
+    case FollowedStream::kProgress:
+      position.next_read = now;
+      break;
+  }
+}
+
+// Whether this entry has to read the stream now.
+bool IsWanted(const Holding& holding, FollowedStream stream) {
+  switch (stream) {
+    case FollowedStream::kConfig:
+    case FollowedStream::kJournal:
+      return true;
+    case FollowedStream::kWorkers:
+      return holding.state != HoldingState::kFollowing;
+    case FollowedStream::kProgress:
+      return holding.load_began != kNever && !holding.progress_loaded;
   }
+  return false;
 }
 
 // A break between two successful reads longer than this restarts the watch on
@@ -197,8 +241,8 @@
                         const WorkflowTime& time) {
   if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
     ApplyAccepted(world, *accepted);
-  } else if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
-    ApplyProgress(world, *progress, time.now);
+  } else if (const auto* state = std::get_if<StateRecord>(&record)) {
+    ApplyState(world, *state, time.now);
   } else if (const auto* holder = std::get_if<HolderRecord>(&record)) {
     ApplyHolder(world, *holder, time.now);
   } else if (const auto* silent = std::get_if<SilentWorkersRecord>(&record)) {
@@ -241,6 +285,10 @@
     if (read.config) {
       ApplyConfig(world, *read.config);
     }
+    if (read.stream == FollowedStream::kProgress) {
+      ApplyProgressLoad(world, read);
+      continue;
+    }
     for (const auto& [offset, record] : read.journal) {
       ApplyJournalRecord(world, record, time);
     }
@@ -266,12 +314,11 @@
 void FollowStreams(WorkflowWorld& world,
                    TimePoint now,
                    WorkflowOutbox& outbox) {
-  const bool schedules = world.holding.state != HoldingState::kFollowing;
-  constexpr std::array kAll = {FollowedStream::kConfig,
-                               FollowedStream::kJournal,
-                               FollowedStream::kWorkers};
+  constexpr std::array kAll = {
+      FollowedStream::kConfig, FollowedStream::kJournal,
+      FollowedStream::kWorkers, FollowedStream::kProgress};
   for (const FollowedStream stream : kAll) {
-    if (stream == FollowedStream::kWorkers && !schedules) {
+    if (!IsWanted(world.holding, stream)) {
       continue;
     }
     StreamPosition& position = world.streams[stream];
@@ -297,10 +344,8 @@
 
 TimePoint NextReadDue(const WorkflowWorld& world) {
   TimePoint due = kNever;
-  const bool schedules = world.holding.state != HoldingState::kFollowing;
   for (const auto& [stream, position] : world.streams) {
-    if (!position.read_under_way &&
-        (schedules || stream != FollowedStream::kWorkers)) {
+    if (!position.read_under_way && IsWanted(world.holding, stream)) {
       due = std::min(due, position.next_read);
     }
   }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -41,13 +41,22 @@
   double processor_share = 1.0;
 };
 
-// The streams of the platform's log that an entry follows.
-enum class FollowedStream : std::uint8_t { kConfig, kJournal, kWorkers };
+// The streams of the platform's log that an entry reads.
+enum class FollowedStream : std::uint8_t {
+  kConfig,
+  // What every entry must know of each workflow, and who holds the place.
+  kJournal,
+  // Of the holder alone.
+  kWorkers,
+  // Where each task is; loaded once, by who takes up the holder's place.
+  kProgress,
+};
 template <>
 inline constexpr std::array kEnumNames<FollowedStream> = {
     std::string_view("config"),
     std::string_view("journal"),
     std::string_view("workers"),
+    std::string_view("progress"),
 };
 
 // How far one stream has been read.
@@ -156,25 +165,28 @@
   Duration wait{};
 };
 
-// Which of the two kinds of append a process writes.
+// Which of the kinds of append a process writes.
 enum class AppendLane : std::uint8_t {
-  // Acceptances and cancels, by any entry.
+  // Acceptances and cancels, by any entry, to the journal.
   kCallers,
-  // Claims and progress, fenced by the holder's epoch.
+  // Claims and states, to the journal, fenced by the holder's epoch.
   kHolder,
+  // Progress, to a stream of its own, fenced by the same epoch.
+  kProgress,
 };
 template <>
 inline constexpr std::array kEnumNames<AppendLane> = {
     std::string_view("callers"),
     std::string_view("holder"),
+    std::string_view("progress"),
 };
 
-// Appends records to the journal, all or none.
+// Appends records to the lane's stream, all or none.
 struct AppendJournal {
   AppendLane lane = AppendLane::kCallers;
   std::uint64_t batch = 0;
   std::vector<JournalRecord> records;
-  // Only in the holder's lane.
+  // Only in the holder's lanes.
   Epoch epoch;
   std::uint64_t sequence = 0;
 };
@@ -199,6 +211,7 @@
 
 struct JournalAppended {
   AppendLane lane = AppendLane::kCallers;
+  Epoch epoch;
   std::uint64_t batch = 0;
   AppendOutcome outcome = AppendOutcome::kUnknown;
   Bytes sent;
@@ -255,6 +268,18 @@
   std::map<WorkerId, TimePoint> lapse;
 };
 
+// One of the holder's two streams of appends; at most one is under way.
+struct HolderLane {
+  AppendLane lane = AppendLane::kHolder;
+  // The number of the next append.
+  std::uint64_t sequence = 0;
+  // The append under way, repeated until its outcome is known.
+  std::optional<AppendJournal> under_way;
+  bool sent = false;
+  TimePoint next_try{};
+  TimePoint last_written = kLongAgo;
+};
+
 // Who places workflows, and this process's own part in it.
 struct Holding {
   HoldingState state = HoldingState::kFollowing;
@@ -271,19 +296,22 @@
 
   // This process's claim.
   Epoch own_epoch;
-  std::uint64_t sequence = 0;
+  HolderLane journal{.lane = AppendLane::kHolder};
+  HolderLane progress{.lane = AppendLane::kProgress};
   TimePoint claim_due = kLongAgo;
   TimePoint claimed{};
   // When the newest answer of the store that confirms the claim was asked for.
   TimePoint confirmed = kLongAgo;
   // Orders may be sent: the claim was confirmed not long ago.
   bool may_order = false;
-  // The batch under way, repeated until its outcome is known.
-  std::optional<AppendJournal> under_way;
-  bool append_sent = false;
-  TimePoint next_try{};
-  TimePoint last_written = kLongAgo;
   bool release_wanted = false;
+  // While claiming: the predecessor can write no more progress, and what it
+  // wrote is being loaded, or has been.
+  bool progress_fenced = false;
+  TimePoint load_began = kNever;
+  bool progress_loaded = false;
+  // Loaded progress of workflows that are over.
+  std::vector<WorkflowId> progress_left_over;
 };
 
 // One placement that waits for its record.
@@ -303,13 +331,18 @@
   Table<WorkerId, TaskWorker> workers;
   // Workflows that are not over.
   std::unordered_set<WorkflowId> open;
-  // Workflows whose record must be written.
+  // Workflows whose progress must be written.
   std::vector<WorkflowId> dirty;
+  // States to tell callers, of progress that is written.
+  std::vector<StateRecord> to_announce;
+  // Workflows that callers are told are over, whose progress goes with the next
+  // batch of it.
+  std::vector<WorkflowId> to_drop;
   // Placements in the batch under way, and in the one to come.
   std::vector<AwaitedStart> recording;
   std::vector<AwaitedStart> to_record;
   std::vector<AwaitedEnds> recording_ends;
-  // Ended workflows whose records go with the next batch.
+  // Ended workflows whose records go with the journal's next batch.
   std::vector<WorkflowId> to_forget;
   TimePoint next_forget{};
   // When silent workers were last noted.
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -183,15 +183,18 @@
   WorkflowState shown = WorkflowState::kQueued;
   bool cancel_requested = false;
   UnixMillis over_since;
-  // The steps that have begun or may begin; kept by the holder, and by others
-  // as last read.
-  std::vector<StepRun> runs;
 
   // Below: only the holder's.
 
-  // What the next journal record will say.
+  // The steps that have begun or may begin.
+  std::vector<StepRun> runs;
+
+  // What the next record of its progress will say.
   WorkflowState state = WorkflowState::kQueued;
   bool dirty = false;
+  // The newest state that was handed to the journal; written already, or about
+  // to be.
+  WorkflowState announced = WorkflowState::kQueued;
   // Occurrences whose steps have been added to `runs`.
   std::uint32_t occurrences_begun = 0;
 };
@@ -206,6 +209,15 @@
 struct CancelRecord {
   WorkflowId id;
 };
+// What callers are told of a workflow; follows the progress that it sums up.
+struct StateRecord {
+  WorkflowId id;
+  Epoch epoch;
+  WorkflowState state = WorkflowState::kQueued;
+  UnixMillis over_since;
+};
+// All that a successor has to know of a workflow that is not over. It changes
+// with each task, so only who takes up the holder's place reads it.
 struct ProgressRecord {
   WorkflowId id;
   Epoch epoch;
@@ -236,13 +248,20 @@
   Epoch epoch;
   std::vector<SilentWorker> workers;
 };
-// Removes everything that the journal holds on a workflow.
+// Removes everything that the journal holds on a workflow. Its progress has
+// been dropped before.
 struct ForgetRecord {
   WorkflowId id;
 };
+// Removes the progress of a workflow that callers are told is over.
+struct ProgressDroppedRecord {
+  WorkflowId id;
+};
 using JournalRecord = std::variant<AcceptedRecord,
                                    CancelRecord,
+                                   StateRecord,
                                    ProgressRecord,
+                                   ProgressDroppedRecord,
                                    HolderRecord,
                                    SilentWorkersRecord,
                                    ForgetRecord>;
--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -21,7 +21,7 @@
       (void)DecodeJournalRecord(record.key, record.value);
     }
   }
-  for (const char* key : {"a-1", "s-1", "c-1", "holder"}) {
+  for (const char* key : {"a-1", "s-1", "p-1", "c-1", "holder"}) {
     (void)DecodeJournalRecord(key, std::string(text));
   }
   for (const int status : {200, 409, 503}) {
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -148,7 +148,8 @@
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
       if (this->entries[i]->up &&
           this->entries[i]->world.holding.state == HoldingState::kHolding &&
-          this->entries[i]->world.holding.own_epoch == this->store.epoch) {
+          this->entries[i]->world.holding.own_epoch ==
+              this->store.journal.epoch) {
         return static_cast<int>(i);
       }
     }
@@ -392,7 +393,8 @@
     const bool lost = this->Happens(this->rates.lost_appends);
     this->At(kLatency, [this, &entry, append, reachable, lost,
                         began = this->now, life = entry.life] {
-      JournalAppended appended{.lane = append.lane, .batch = append.batch};
+      JournalAppended appended{
+          .lane = append.lane, .epoch = append.epoch, .batch = append.batch};
       if (reachable) {
         appended = Append(this->store, append);
       }
--- a/tests/workflow_lifecycle_test.cc
+++ b/tests/workflow_lifecycle_test.cc
@@ -162,8 +162,9 @@
   for (const auto& entry : run.entries) {
     BOOST_TEST((entry->world.workflows.find(id) == nullptr));
   }
-  // Only the holder's own record is left.
-  BOOST_TEST(run.store.newest.size() == 1U);
+  // Only the holder's own records are left.
+  BOOST_TEST(run.store.journal.newest.size() == 1U);
+  BOOST_TEST(run.store.progress.newest.size() == 1U);
 }
 
 // A worker that does what sick workers do, and what becomes of an urgent job
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -44,9 +44,8 @@
      [](const WorkflowWorld& world) {
        return world.workflows.find(kId)->spec.payload == "first";
      }},
-    {"a repeated acceptance leaves the progress",
-     {Accepted("p"),
-      ProgressRecord{.id = kId, .state = WorkflowState::kSucceeded},
+    {"a repeated acceptance leaves the state",
+     {Accepted("p"), StateRecord{.id = kId, .state = WorkflowState::kSucceeded},
       Accepted("p")},
      [](const WorkflowWorld& world) {
        return world.workflows.find(kId)->shown == WorkflowState::kSucceeded;
