Ask for pages that hold a record of the largest size

A configuration of the largest size, 262,144 bytes, does not fit into such a page with its head, and the pages do not say that a store sends it all the same; an entry would then keep an old configuration. Pages are 512 KB now. The test's store sends no record that does not fit; the new row is for the largest one.

--- a/tests/platform_slow_link_test.cc
+++ b/tests/platform_slow_link_test.cc
@@ -43,20 +43,34 @@
 // The store's own largest page, in kilobytes.
 constexpr std::size_t kLargestPage = 1024;
 
+// The largest page that the request takes, in bytes.
+std::size_t PageAskedFor(const std::string& request) {
+  constexpr std::string_view kSizeField = "MaxKb=";
+  const auto at = request.find(kSizeField);
+  return 1024 * (at == std::string::npos
+                     ? kLargestPage
+                     : std::stoul(request.substr(at + kSizeField.size())));
+}
+
 // The records after the first offset that fit into the page asked for.
 std::string LogPage(const std::string& request) {
-  constexpr std::string_view kSizeField = "MaxKb=";
-  std::size_t kilobytes = kLargestPage;
-  if (const auto at = request.find(kSizeField); at != std::string::npos) {
-    kilobytes = std::stoul(request.substr(at + kSizeField.size()));
-  }
   return BigEndian8(kRecords) + BigEndian8(0) +
          EncodeLogRecords(std::vector<KeyedValue>(
-             std::min(kRecords, kilobytes),
+             std::min(kRecords, PageAskedFor(request) / kRecordBytes),
              KeyedValue{.key = "holder",
                         .value = std::string(kRecordBytes - 24, '?')}));
 }
 
+// One record of the largest size, if the page asked for holds it.
+std::string LargestRecord(const std::string& request) {
+  constexpr std::size_t kLargestRecord = 262'144;
+  const KeyedValue record{.key = "holder",
+                          .value = std::string(kLargestRecord - 7, '?')};
+  const std::string encoded = EncodeLogRecords({record});
+  return BigEndian8(1) + BigEndian8(0) +
+         (encoded.size() <= PageAskedFor(request) ? encoded : "");
+}
+
 std::string NewestPage(const std::string&) {
   nlohmann::json items = nlohmann::json::array();
   for (std::size_t i = 0; i < kRecords; ++i) {
@@ -171,7 +185,9 @@
     {"the records after an offset", LogPage, Offset(0), std::string::npos,
      true},
     {"the newest record of each key", NewestPage, {}, std::string::npos, true},
-    {"what came before a connection went dead", LogPage, Offset(0), 300'000,
+    {"a record of the largest size", LargestRecord, Offset(0),
+     std::string::npos, true},
+    {"what came before a connection went dead", LogPage, Offset(0), 600'000,
      true},
     {"an answer that comes to a halt", NewestPage, {}, 300'000, false},
     {"no byte of an answer", LogPage, Offset(0), 0, false},
