Append crowds of submissions in parts that a slow link carries

What callers would see: after an outage, 504 for all submissions at an entry of the region without the store. It is taken in parts of some 140 KB.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,13 @@
 // Unready when the store has not answered for this long.
 constexpr Duration kUnreadyAfter = milliseconds(2500);
 
+// No more records are added to an append of this size. A connection between
+// regions carries twice as much within half of an append's time-out.
+constexpr Bytes kAmpleAppend(140'000);
+// What a record takes beside its payload, and each step in it.
+constexpr Bytes kRecordHead(300);
+constexpr Bytes kStepBytes(120);
+
 constexpr std::size_t kIdLength = 16;
 
 bool IsWorkflowId(std::string_view text) {
@@ -221,6 +229,16 @@
   }
 }
 
+// About how many bytes the record takes in an append.
+Bytes RoughSize(const JournalRecord& record) {
+  const auto* accepted = std::get_if<AcceptedRecord>(&record);
+  if (accepted == nullptr) {
+    return kRecordHead;
+  }
+  return kRecordHead + kStepBytes * accepted->spec.steps.size() +
+         Bytes(static_cast<std::int64_t>(accepted->spec.payload.size()));
+}
+
 // Ends what waits for a read that began after the call came.
 void EndAwaitingRead(WorkflowWorld& world,
                      const WorkflowTime& time,
@@ -369,10 +387,15 @@
   }
   AppendJournal append{.lane = AppendLane::kCallers,
                        .batch = ++lane.last_batch};
-  for (const PendingCall& pending : lane.queued) {
-    append.records.push_back(*pending.record);
+  std::size_t taken = 0;
+  for (Bytes size; taken < lane.queued.size() && size < kAmpleAppend; ++taken) {
+    append.records.push_back(*lane.queued[taken].record);
+    size += RoughSize(append.records.back());
   }
-  lane.writing.swap(lane.queued);
+  const auto rest = lane.queued.begin() + static_cast<std::ptrdiff_t>(taken);
+  lane.writing.assign(std::make_move_iterator(lane.queued.begin()),
+                      std::make_move_iterator(rest));
+  lane.queued.erase(lane.queued.begin(), rest);
   lane.under_way = true;
   outbox.appends.push_back(std::move(append));
 }
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -204,6 +204,61 @@
   }
 }
 
+// Many submissions that come at once, as after an outage of the store.
+struct CrowdCase {
+  std::string name;
+  int calls;
+  std::size_t payload;
+  std::size_t steps;
+};
+
+const std::vector<CrowdCase> kCrowdCases = {
+    {"few and small", 5, 100, 1},
+    {"many and small", 400, 100, 1},
+    {"many with the largest payload", 400, 4000, 1},
+    {"many with many steps", 400, 100, 30},
+};
+
+// Guards against appends that a link between regions does not carry within
+// their time-out, and that are begun again for ever (bssp-sched-grown, SHORT).
+BOOST_AUTO_TEST_CASE(crowds_are_appended_in_parts_that_a_slow_link_carries) {
+  // 0.45 MB a second, for half of the time-out of an append, 1.3 s.
+  constexpr std::size_t kMostBytes = 290'000;
+  for (const CrowdCase& sample : kCrowdCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      WorkflowInbox inbox;
+      for (int i = 0; i < sample.calls; ++i) {
+        WorkflowCall call = MakeCall(CallKind::kSubmit,
+                                     "/bulk/" + Emulation::MakeId(i + 1).value);
+        call.spec->payload = std::string(sample.payload, 'p');
+        call.spec->steps.assign(sample.steps, MakeStep(100, 1, true));
+        inbox.calls.push_back(std::move(call));
+      }
+      WorkflowOutbox outbox;
+      HandleCalls(world, inbox, kNow, outbox);
+      std::size_t records = 0;
+      while (!world.callers.queued.empty()) {
+        outbox.appends.clear();
+        AppendCalls(world, kNow.now, outbox);
+        BOOST_REQUIRE(outbox.appends.size() == 1U);
+        std::size_t bytes = 0;
+        for (const JournalRecord& record : outbox.appends[0].records) {
+          bytes += EncodeJournalRecord(record)[0].value->size();
+        }
+        BOOST_TEST(bytes <= kMostBytes);
+        records += outbox.appends[0].records.size();
+        EndCalls(world,
+                 {.appended = {{.lane = AppendLane::kCallers,
+                                .batch = outbox.appends[0].batch,
+                                .outcome = AppendOutcome::kWritten}}},
+                 kNow, outbox);
+      }
+      BOOST_TEST(records == static_cast<std::size_t>(sample.calls));
+    }
+  }
+}
+
 // When the journal was last read, relative to a call for an unknown workflow.
 struct UnknownCase {
   std::string name;
