--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -64,6 +64,8 @@
   std::multimap<TimePoint, std::function<void()>> events;
   EmulatedStore store;
   bool store_up = true;
+  // Whether the store serves the stream of progress, while it is up.
+  bool progress_up = true;
   std::vector<EmulatedWorker> workers;
   std::vector<std::unique_ptr<Entry>> entries;
   std::map<WorkflowId, Submitted> submitted;
@@ -371,7 +373,9 @@
                     std::uint64_t life,
                     TimePoint until) {
     StreamRead result{.stream = read.stream};
-    if (this->store_up && entry.store_reachable) {
+    const bool served =
+        this->progress_up || read.stream != FollowedStream::kProgress;
+    if (this->store_up && served && entry.store_reachable) {
       if (auto got = Read(this->store, read, this->now < until)) {
         result = std::move(*got);
       } else {
@@ -389,7 +393,9 @@
   }
 
   void CarryOutAppend(Entry& entry, const AppendJournal& append) {
-    const bool reachable = this->store_up && entry.store_reachable;
+    const bool served =
+        this->progress_up || append.lane != AppendLane::kProgress;
+    const bool reachable = this->store_up && served && entry.store_reachable;
     const bool lost = this->Happens(this->rates.lost_appends);
     this->At(kLatency, [this, &entry, append, reachable, lost,
                         began = this->now, life = entry.life] {
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -70,6 +70,15 @@
      }},
     {"the store is down", [](Emulation& run) { run.store_up = false; },
      seconds(5), [](Emulation& run) { run.store_up = true; }},
+    {"the stream of progress is down",
+     [](Emulation& run) { run.progress_up = false; }, seconds(7),
+     [](Emulation& run) { run.progress_up = true; }},
+    {"the holder is killed while the stream of progress is down",
+     [](Emulation& run) {
+       run.progress_up = false;
+       run.KillEntry(run.Holder());
+     },
+     seconds(7), [](Emulation& run) { run.progress_up = true; }},
     {"another entry is killed",
      [](Emulation& run) { run.KillEntry(Other(run)); },
      {},
