Notice a lost answer of the store after some times what appends usually take

Cause: one time-out for every append, chosen for the slowest store. A lane now learns how long its appends take and repeats one at once after six times that, 0.1 s at least; a second loss in a row doubles it, up to 1.3 s as before, so that a slow store is not asked ever more. Holders' repeats are told apart by the store, and a caller's record may stand twice. Callers are refused as late as before.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflow_append_pace.h"
 #include "chicorystep/systems/workflow_streams.h"
 
 namespace chicorystep {
@@ -22,7 +23,7 @@
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 // Callers that may wait for an append; each is worth about a kilobyte.
 constexpr std::size_t kMaxQueued = 500;
-// An append that was rejected or got no answer is tried again after this.
+// After an append that was rejected the next one waits this long.
 constexpr Duration kAppendRetry = milliseconds(150);
 // Unready when the store has not answered for this long.
 constexpr Duration kUnreadyAfter = milliseconds(2500);
@@ -82,10 +83,12 @@
                        });
 }
 
-// Whether appends get no answer and nothing shows that they would again.
-bool StoreIsSilent(const WorkflowWorld& world) {
+// Whether appends have got no answer for long, and nothing shows that they
+// would again.
+bool StoreIsSilent(const WorkflowWorld& world, TimePoint now) {
   const auto journal = world.streams.find(FollowedStream::kJournal);
   return world.callers.silent_since != kNever &&
+         now - world.callers.silent_since >= kLongestAppend &&
          (journal == world.streams.end() ||
           journal->second.succeeded < world.callers.silent_since);
 }
@@ -96,7 +99,7 @@
                  JournalRecord record,
                  TimePoint now,
                  WorkflowOutbox& outbox) {
-  if (StoreIsSilent(world)) {
+  if (StoreIsSilent(world, now)) {
     Refuse(pending, "the store does not answer", now, outbox);
     return;
   }
@@ -295,10 +298,7 @@
   lane.queued.insert(lane.queued.begin(),
                      std::make_move_iterator(again.begin()),
                      std::make_move_iterator(again.end()));
-  lane.next_try = time.now + kAppendRetry;
-  if (unknown && lane.silent_since == kNever) {
-    lane.silent_since = time.now;
-  }
+  lane.next_try = time.now + (unknown ? Duration() : kAppendRetry);
 }
 
 // The final answer to a call whose time is over.
@@ -353,6 +353,11 @@
       continue;
     }
     lane.under_way = false;
+    NoteAppendEnded(lane.pace, ended, time.now);
+    if (ended.outcome == AppendOutcome::kUnknown &&
+        lane.silent_since == kNever) {
+      lane.silent_since = ended.began;
+    }
     if (ended.outcome == AppendOutcome::kWritten) {
       EndWritten(world, time, outbox);
     } else {
@@ -386,7 +391,8 @@
     return;
   }
   AppendJournal append{.lane = AppendLane::kCallers,
-                       .batch = ++lane.last_batch};
+                       .batch = ++lane.last_batch,
+                       .patience = PatienceOf(lane.pace)};
   std::size_t taken = 0;
   for (Bytes size; taken < lane.queued.size() && size < kAmpleAppend; ++taken) {
     append.records.push_back(*lane.queued[taken].record);
@@ -401,7 +407,7 @@
 }
 
 bool IsReady(const WorkflowWorld& world, TimePoint now) {
-  return world.config && !world.stopping && !StoreIsSilent(world) &&
+  return world.config && !world.stopping && !StoreIsSilent(world, now) &&
          IsFresh(world, FollowedStream::kConfig,
                  kUnreadyAfter + milliseconds(1500), now) &&
          IsFresh(world, FollowedStream::kJournal,
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -8,6 +8,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_worker_silence.h"
+#include "chicorystep/systems/workflow_append_pace.h"
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_tables.h"
 
@@ -234,6 +235,7 @@
 void Send(HolderLane& lane, TimePoint now, WorkflowOutbox& outbox) {
   if (lane.under_way && !lane.sent && now >= lane.next_try) {
     lane.sent = true;
+    lane.under_way->patience = PatienceOf(lane.pace);
     outbox.appends.push_back(*lane.under_way);
   }
 }
@@ -276,8 +278,12 @@
         ended.batch != lane.under_way->batch) {
       continue;
     }
+    NoteAppendEnded(lane.pace, ended, time.now);
     lane.sent = false;
-    lane.next_try = time.now + kWriteRetry;
+    // What got no answer is repeated at once, what was rejected a little later.
+    lane.next_try =
+        time.now +
+        (ended.outcome == AppendOutcome::kUnknown ? Duration() : kWriteRetry);
     // A repeat whose first sending took effect late is told the next number.
     // That of a claim may be told so because of another claimer's.
     const bool claims = lane.lane == AppendLane::kHolder &&
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -181,10 +181,20 @@
     std::string_view("progress"),
 };
 
+// How long the answers to a lane's appends take.
+struct AppendPace {
+  // A running average.
+  Duration usual = std::chrono::milliseconds(30);
+  // Appends in a row that got no answer.
+  std::uint32_t unanswered = 0;
+};
+
 // Appends records to the lane's stream, all or none.
 struct AppendJournal {
   AppendLane lane = AppendLane::kCallers;
   std::uint64_t batch = 0;
+  // How long its answer is waited for.
+  Duration patience{};
   std::vector<JournalRecord> records;
   // Only in the holder's lanes.
   Epoch epoch;
@@ -244,6 +254,7 @@
   std::vector<PendingCall> writing;
   std::vector<PendingCall> queued;
   TimePoint next_try{};
+  AppendPace pace;
   // Since when appends have got no answer; kNever while they do.
   TimePoint silent_since = kNever;
 };
@@ -278,6 +289,7 @@
   bool sent = false;
   TimePoint next_try{};
   TimePoint last_written = kLongAgo;
+  AppendPace pace;
 };
 
 // Who places workflows, and this process's own part in it.
