Bar starts in the life of a worker that may have carried them out

What would be seen: TWICE, a task that runs on two workers, after a worker has started anew under its id. The holder took the answer for news of a crash, gave the task up as lost with the old life, and placed it elsewhere at once. Cause: a life's end was taken to end every run that was ordered there, but an order in doubt or under way reaches whoever answers under the id. Such tasks, and all tasks where this holder's fence has not been obeyed yet, are now stopped in the present life, which bars the run, and return when a hold shows that they are absent. Where a worker falls silent before, the wait is the longest lease that it grants, now taken from the settings. Ruled out: the stand-in (a worker that is down carries nothing out), the fence (a new life has seen none, and the repeat has the same).

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -347,6 +347,12 @@
     }
     if (ended.life && *ended.life != worker->listing.life) {
       if (*ended.life > worker->listing.life) {
+        if (const TaskPlace place = FindTask(world, ended.task);
+            ended.kind == OrderKind::kStart && place &&
+            place.task->run == ended.run) {
+          // This life may have carried it out.
+          place.task->start_doubtful = true;
+        }
         BeginLife(world, ended.worker, *ended.life, time.now);
       }
       if (ended.kind == OrderKind::kHold) {
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -5,6 +5,10 @@
 
 namespace chicorystep {
 
+Duration OnSlowClocks(Duration time) {
+  return time * (1000 + 2 * kClockSlowness) / 1000;
+}
+
 WorkerClock SlowestClock(const TaskWorker& worker, TimePoint now) {
   return worker.clock + WorkerClock(WholeMillis(now - worker.clock_read) *
                                     (1000 - kClockSlowness) / 1000);
--- a/chicorystep/systems/task_worker_clock.h
+++ b/chicorystep/systems/task_worker_clock.h
@@ -10,6 +10,9 @@
 // platform states 2%.
 inline constexpr std::int64_t kClockSlowness = 20;
 
+// How long `time` takes at most when both our clock and a worker's are slow.
+[[nodiscard]] Duration OnSlowClocks(Duration time);
+
 // The earliest that the worker's clock can read now. Leases are given from it
 // on, so that none outlasts the time it is meant for: a successor that knows
 // nothing of them can rely on that.
--- a/chicorystep/systems/task_worker_silence.cc
+++ b/chicorystep/systems/task_worker_silence.cc
@@ -9,11 +9,6 @@
 namespace chicorystep {
 namespace {
 
-// Two clocks that are each slow by as much as the platform allows.
-Duration Stretch(Duration time) {
-  return time * (1000 + 2 * kClockSlowness) / 1000;
-}
-
 // How many holds a worker that has answered this holder may leave unanswered
 // before it is noted. Most that miss one answer the next, and would lose their
 // leases if the store failed just then. One that never answered has no lease
@@ -89,14 +84,14 @@
   noted.epoch = record.epoch;
   noted.lapse.clear();
   for (const auto& [id, leased] : record.workers) {
-    noted.lapse[id] = now + Stretch(leased);
+    noted.lapse[id] = now + OnSlowClocks(leased);
   }
 }
 
 void InheritLapse(const WorkflowWorld& world, TaskWorker& worker) {
   const Holding& holding = world.holding;
   worker.inherited_lapse =
-      holding.claimed + kConfirmationBound + Stretch(world.self.lease);
+      holding.claimed + kConfirmationBound + OnSlowClocks(world.self.lease);
   const std::uint64_t predecessor = holding.own_epoch.value - 1;
   const SilentWorkers& noted = holding.silent[predecessor % 2];
   // What an earlier holder noted says nothing of those after it.
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -77,16 +77,33 @@
   }
 }
 
-// Tasks that were placed in another life of the worker have gone with it.
-void ReturnTasksOfOtherLives(WorkflowWorld& world,
-                             const WorkerListing& listing,
-                             TimePoint now) {
+// A start that was meant for an earlier life of the worker may be carried out
+// by the present one: the stop bars it there, and the next hold tells whether
+// it ran.
+void StopInPresentLife(WorkflowWorld& world,
+                       const TaskKey& key,
+                       const TaskPlace& place,
+                       WorkerLife life,
+                       TimePoint now) {
+  place.task->life = life;
+  if (place.task->state == TaskState::kStopping) {
+    // Its order went to the earlier life.
+    place.task->state = TaskState::kRunning;
+  }
+  StopRun(world, key, place, now);
+}
+
+// Tasks that were placed in another life of the worker have gone with it, but
+// starts that the predecessor sent may still arrive.
+void StopTasksOfOtherLives(WorkflowWorld& world,
+                           const WorkerListing& listing,
+                           TimePoint now) {
   const auto tasks = world.scheduling.workers.find(listing.id)->tasks;
   for (const auto& [key, run] : tasks) {
     const TaskPlace place = FindTask(world, key);
     if (place && !place.task->life.empty() && !listing.life.empty() &&
         place.task->life != listing.life) {
-      EndWithoutReport(world, key, place, now);
+      StopInPresentLife(world, key, place, listing.life, now);
     }
   }
 }
@@ -98,12 +115,12 @@
   if (worker == nullptr) {
     AddWorker(world, listing, now);
     world.scheduling.placement_due = true;
-    ReturnTasksOfOtherLives(world, listing, now);
+    StopTasksOfOtherLives(world, listing, now);
     return;
   }
   if (worker->listing.life.empty()) {
     // The journal placed tasks there before it was listed again.
-    ReturnTasksOfOtherLives(world, listing, now);
+    StopTasksOfOtherLives(world, listing, now);
     worker->next_hold = now;
   } else if (!listing.life.empty() && worker->listing.life != listing.life) {
     if (listing.life < worker->listing.life) {
@@ -164,15 +181,40 @@
                const WorkerId& id,
                WorkerLife life,
                TimePoint now) {
-  LoseTasks(world, id, "it started anew", now);
   TaskWorker* worker = world.scheduling.workers.find(id);
+  // Until it has obeyed this holder, starts of the predecessor may arrive, too.
+  const bool obeyed = worker->fenced;
   worker->listing.life = life;
   worker->fenced = false;
   worker->orders.clear();
+  std::size_t lost = 0;
+  const auto tasks = worker->tasks;
+  for (const auto& [key, run] : tasks) {
+    const TaskPlace place = FindTask(world, key);
+    if (!place || place.task->run != run || !HoldsRoom(place.task->state)) {
+      continue;
+    }
+    if (!obeyed || place.task->start_doubtful ||
+        world.scheduling.workers.find(id)->ordering.contains(key)) {
+      StopInPresentLife(world, key, place, life, now);
+    } else {
+      EndWithoutReport(world, key, place, now);
+      ++lost;
+    }
+  }
+  worker = world.scheduling.workers.find(id);
+  Log(LogLevel::kWarn, "worker_started_anew",
+      {{"worker", id.value},
+       {"worker_zone", worker->listing.zone.value},
+       {"tasks_lost", lost},
+       {"tasks_in_doubt", tasks.size() - lost}});
   worker->acknowledged = worker->applied = worker->told = EndNumber();
   worker->leased_until = WorkerClock();
   worker->clock_read = kLongAgo;
-  worker->inherited_lapse = kLongAgo;
+  // An order for an earlier life asks for a time on that one's clock.
+  worker->inherited_lapse = worker->tasks.empty()
+                                ? kLongAgo
+                                : now + OnSlowClocks(world.self.longest_lease);
   worker->next_hold = now;
   worker->silent_holds = 0;
   worker->strays = 0;
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -27,6 +27,8 @@
   Zone zone;
   // How long a lease of a task lasts, at most what a worker grants.
   Duration lease = std::chrono::milliseconds(5000);
+  // The longest lease that a worker grants, whatever an order asks for.
+  Duration longest_lease = std::chrono::milliseconds(10'000);
   // A revoked key must not be honoured longer than this after its removal.
   Duration revoke_bound = std::chrono::milliseconds(5000);
   // An accepted workflow must be visible everywhere after this.
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -31,6 +31,24 @@
   return *run.entries[static_cast<std::size_t>(run.Holder())];
 }
 
+void Fail(Emulation& run, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    run.workers[i].up = false;
+  }
+}
+
+// Starts workers anew under their ids; the platform's list lags by a heartbeat.
+void RestartAndListLater(Emulation& run, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    Restart(run.workers[i], run.now);
+  }
+  run.At(milliseconds(1500), [&run, count] {
+    for (std::size_t i = 0; i < count; ++i) {
+      List(run.store, run.workers[i].listing);
+    }
+  });
+}
+
 const std::vector<FaultCase> kFaultCases = {
     {"nothing", [](Emulation&) {}, {}, {}},
     {"the holder is killed",
@@ -96,6 +114,18 @@
          List(run.store, run.workers[static_cast<std::size_t>(i)].listing);
        }
      }},
+    {"a quarter of the workers starts anew while starts are repeated",
+     [](Emulation& run) { Fail(run, 4); }, milliseconds(900),
+     [](Emulation& run) { RestartAndListLater(run, 4); }},
+    {"all workers start anew while starts are repeated",
+     [](Emulation& run) { Fail(run, 16); }, milliseconds(900),
+     [](Emulation& run) { RestartAndListLater(run, 16); }},
+    {"a quarter of the workers starts anew while the holder is killed",
+     [](Emulation& run) {
+       Fail(run, 4);
+       run.KillEntry(run.Holder());
+     },
+     milliseconds(900), [](Emulation& run) { RestartAndListLater(run, 4); }},
     {"a quarter of the workers leaves for good",
      [](Emulation& run) {
        for (int i = 0; i < 4; ++i) {
