--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -59,42 +59,60 @@
 
 }  // namespace
 
-JournalAppended Append(EmulatedStore& store, const AppendJournal& append) {
-  ++store.appends;
-  EmulatedLog& log =
-      append.lane == AppendLane::kProgress ? store.progress : store.journal;
-  JournalAppended appended{
-      .lane = append.lane, .epoch = append.epoch, .batch = append.batch};
-  if (append.lane != AppendLane::kCallers) {
-    if (append.epoch < log.epoch) {
+JournalAppended AppendTo(EmulatedLog& log,
+                         std::vector<KeyedValue> records,
+                         const std::optional<HolderTurn>& turn) {
+  JournalAppended appended;
+  if (turn) {
+    appended.epoch = turn->epoch;
+    if (turn->epoch < log.epoch) {
       appended.outcome = AppendOutcome::kFenced;
       return appended;
     }
-    if (append.epoch == log.epoch && append.sequence == log.sequence) {
+    if (turn->epoch == log.epoch && turn->sequence == log.sequence) {
       // A repeat gets its first answer again.
       appended.outcome = AppendOutcome::kWritten;
       return appended;
     }
-    if (append.epoch == log.epoch && append.sequence != log.sequence + 1) {
+    if (turn->epoch == log.epoch && turn->sequence != log.sequence + 1) {
       appended.outcome = AppendOutcome::kOutOfSequence;
       appended.expected_sequence = log.sequence + 1;
       return appended;
     }
-    log.epoch = append.epoch;
-    log.sequence = append.sequence;
+    log.epoch = turn->epoch;
+    log.sequence = turn->sequence;
   }
   appended.outcome = AppendOutcome::kWritten;
   appended.first = Offset(log.records.size());
+  for (KeyedValue& keyed : records) {
+    if (keyed.value) {
+      log.newest[keyed.key] = {Offset(log.records.size()), *keyed.value};
+    } else {
+      log.newest.erase(keyed.key);
+    }
+    log.records.push_back(std::move(keyed));
+  }
+  return appended;
+}
+
+JournalAppended Append(EmulatedStore& store, const AppendJournal& append) {
+  ++store.appends;
+  std::vector<KeyedValue> records;
   for (const JournalRecord& record : append.records) {
     for (KeyedValue& keyed : EncodeJournalRecord(record)) {
-      if (keyed.value) {
-        log.newest[keyed.key] = {Offset(log.records.size()), *keyed.value};
-      } else {
-        log.newest.erase(keyed.key);
-      }
-      log.records.push_back(std::move(keyed));
+      records.push_back(std::move(keyed));
     }
   }
+  std::optional<HolderTurn> turn;
+  if (append.lane != AppendLane::kCallers) {
+    turn = HolderTurn{.epoch = append.epoch, .sequence = append.sequence};
+  }
+  JournalAppended appended = AppendTo(
+      append.lane == AppendLane::kProgress ? store.progress : store.journal,
+      std::move(records), turn);
+  appended.lane = append.lane;
+  appended.epoch = append.epoch;
+  appended.batch = append.batch;
   return appended;
 }
 
--- a/chicorystep/standin/emulated_store.h
+++ b/chicorystep/standin/emulated_store.h
@@ -39,7 +39,19 @@
   std::uint64_t reads = 0;
 };
 
-// Appends all records or none, as the epoch and the sequence number allow.
+// What a holder's append names beside its records.
+struct HolderTurn {
+  Epoch epoch;
+  std::uint64_t sequence = 0;
+};
+
+// Appends all records to one stream or none, as `turn` allows; without one
+// nothing stands against it.
+[[nodiscard]] JournalAppended AppendTo(EmulatedLog& log,
+                                       std::vector<KeyedValue> records,
+                                       const std::optional<HolderTurn>& turn);
+
+// The same with an entry's append, to the stream of its lane.
 [[nodiscard]] JournalAppended Append(EmulatedStore& store,
                                      const AppendJournal& append);
 
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -54,6 +54,15 @@
 
   void Signal(int number) const { ::kill(this->pid, number); }
 
+  // Whether the process has ended by now; it still has to be waited for.
+  [[nodiscard]] bool HasEnded() const {
+    siginfo_t info{};
+    return this->pid > 0 &&
+           ::waitid(P_PID, static_cast<id_t>(this->pid), &info,
+                    WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == this->pid;
+  }
+
   // Waits for the end; the exit code, or -1 when a signal ended it.
   int Wait() {
     int status = 0;
--- a/tests/support/worker_field.h
+++ b/tests/support/worker_field.h
@@ -38,6 +38,8 @@
   std::uint64_t starts = 0;
   // Task names that a worker reported as done with the end acknowledged.
   std::set<TaskKey> settled;
+  // Tasks of which any run has ended well.
+  std::set<TaskKey> ended_well;
   // A good end, until its worker's lease has lapsed or its life is over.
   struct GoodEnd {
     WorkerId worker;
@@ -168,6 +170,9 @@
                     order.task.step.value, order.task.task.value);
     if (!this->submitted.contains(order.task.workflow)) {
       this->violations.push_back(name + " was never submitted");
+    } else if (this->submitted.at(order.task.workflow).spec.payload !=
+               order.payload) {
+      this->violations.push_back(name + " is started with another payload");
     }
     const auto [from, to] = this->good_ends.equal_range(order.task);
     std::for_each(from, to, [](auto& row) { row.second.restarted = true; });
@@ -208,6 +213,7 @@
   void End(EmulatedWorker& worker, const TaskKey& task, RunEnd how) {
     EndRun(worker, task, how);
     if (how == RunEnd::kDone) {
+      this->ended_well.insert(task);
       this->good_ends.emplace(task, GoodEnd{.worker = worker.listing.id,
                                             .life = worker.listing.life,
                                             .number = worker.last_end});
@@ -268,6 +274,9 @@
       } else if (this->now - run.present_since > seconds(3)) {
         EndRun(worker, key, RunEnd::kAlone);
       }
+    } else if (run.gang && this->CountMembers(key, run.run) < step.count) {
+      // A member has gone with its worker.
+      EndRun(worker, key, RunEnd::kBroken);
     } else if (static_cast<double>((this->now - run.working_since).count()) *
                    worker.speed >=
                static_cast<double>(run.work.count())) {
