--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -52,6 +52,7 @@
       const Bytes read = run.entries[follower]->received - before;
       const Bytes for_each(read.value / sample.workflows);
       BOOST_TEST(for_each.value <= kMostForEach.value);
+      BOOST_TEST_MESSAGE(sample.name << ": " << for_each.value << " bytes");
     }
   }
 }
