--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -19,6 +19,10 @@
 // grow with the workers as fast. The platform allows 2 s.
 constexpr std::size_t kManyWorkers = 100;
 constexpr Duration kLongHoldWait = milliseconds(1800);
+// On a worker that is about to leave: a task there stands still for this long
+// after it has left, and tasks may do so for three seconds. It outlasts an
+// answer that is lost and most takeovers.
+constexpr Duration kDrainingLease = milliseconds(2500);
 // Where urgent tasks run, reports come as often as workers measure their speed
 // anew, to notice slow ones early.
 constexpr Duration kUrgentHoldWait = milliseconds(500);
@@ -38,13 +42,18 @@
 }
 
 Duration HoldWait(const WorkflowWorld& world, const TaskWorker& worker) {
-  if (RunsUrgent(world, worker)) {
+  if (worker.listing.draining || RunsUrgent(world, worker)) {
     return kUrgentHoldWait;
   }
   return world.scheduling.workers.size() > kManyWorkers ? kLongHoldWait
                                                         : kHoldWait;
 }
 
+Duration LeaseOn(const WorkflowWorld& world, const TaskWorker& worker) {
+  return worker.listing.draining ? std::min(world.self.lease, kDrainingLease)
+                                 : world.self.lease;
+}
+
 void SendHold(WorkflowWorld& world,
               TaskWorker& worker,
               TimePoint now,
@@ -58,7 +67,7 @@
   // lapse before its tasks can start elsewhere.
   if (!worker.tasks.empty() && worker.clock_read != kLongAgo &&
       MayLease(worker)) {
-    hold.until = LeaseEnd(worker, world.self.lease, now);
+    hold.until = LeaseEnd(worker, LeaseOn(world, worker), now);
     worker.leased_until = std::max(worker.leased_until, *hold.until);
     if (worker.fenced) {
       hold.wait = HoldWait(world, worker);
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -637,5 +637,59 @@
   }
 }
 
+// A worker that drains and leaves with a task that would run for longer.
+struct LeavingCase {
+  std::string name;
+  Duration drains;
+  Duration work;
+  // How often the task begins.
+  std::uint64_t starts;
+};
+
+const std::vector<LeavingCase> kLeavingCases = {
+    {"a task that outlasts its worker", seconds(8), seconds(20), 2},
+    {"the same at the shortest notice", seconds(4), seconds(20), 2},
+    {"a task that ends before its worker leaves", seconds(8), seconds(6), 1},
+};
+
+// Guards against tasks that stand still for a whole lease after a worker that
+// was known to leave (bssp-sched-grown, leaving-workers seed 194935581160).
+BOOST_AUTO_TEST_CASE(tasks_of_leaving_workers_run_elsewhere_soon) {
+  // How long a task may stand still while there is room.
+  constexpr Duration kStandsStill = seconds(3);
+  for (const LeavingCase& sample : kLeavingCases) {
+    for (int offset = 0; offset < 20; ++offset) {
+      BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
+        Emulation run;
+        run.store.configs.push_back(Emulation::MakeConfig(1));
+        run.AddWorkers(2);
+        run.AddEntries(2);
+        BOOST_REQUIRE(
+            run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+        Emulation::Submitted what{.work = sample.work};
+        what.spec.steps = {MakeStep(1, 1)};
+        run.Submit(0, "normal", Emulation::MakeId(1), what);
+        BOOST_REQUIRE(
+            run.RunFor(seconds(2), [&] { return run.RunningTasks() == 1; }));
+        run.RunFor(milliseconds(90 * offset));
+        EmulatedWorker& leaving =
+            run.workers[run.workers[0].running.empty() ? 1 : 0];
+        leaving.listing.draining = true;
+        List(run.store, leaving.listing);
+        run.RunFor(sample.drains);
+        leaving.up = false;
+        Unlist(run.store, leaving.listing.id);
+        if (sample.starts > 1) {
+          BOOST_TEST(run.RunFor(kStandsStill,
+                                [&] { return run.starts == sample.starts; }));
+        }
+        BOOST_TEST(run.RunFor(seconds(30), [&] { return run.AllOver(); }));
+        BOOST_TEST(run.starts == sample.starts);
+        ExpectNoViolation(run);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
