--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -208,8 +208,8 @@
 }
 
 template <typename Record>
-Record StateFromPlain(WorkflowId id, const PlainJson& json) {
-  Record record{.id = std::move(id)};
+Record StateFromPlain(const WorkflowId& id, const PlainJson& json) {
+  Record record{.id = id};
   record.epoch = Epoch(json.at("e").get<std::uint64_t>());
   const auto name = json.at("s").get<std::string>();
   const auto state = FromName<WorkflowState>(name);
@@ -238,8 +238,8 @@
                     json.dump()};
 }
 
-ProgressRecord DecodeProgress(WorkflowId id, const PlainJson& json) {
-  auto record = StateFromPlain<ProgressRecord>(std::move(id), json);
+ProgressRecord DecodeProgress(const WorkflowId& id, const PlainJson& json) {
+  auto record = StateFromPlain<ProgressRecord>(id, json);
   if (const auto runs = json.find("t"); runs != json.end()) {
     for (const PlainJson& run : *runs) {
       record.runs.push_back(RunFromPlain(run));
