Place nothing before a new holder has read all workers

A holder takes no changes of the list before it has read the whole of it, and reads it only once it holds the place. The other streams' reads were already dropped.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -230,6 +230,11 @@
     if (read.stream != FollowedStream::kWorkers || !read.ok) {
       continue;
     }
+    // Changes that were asked for before the place was taken up may be old.
+    if (!read.whole && !world.scheduling.workers_loaded) {
+      continue;
+    }
+    world.scheduling.workers_loaded = true;
     std::set<WorkerId> seen;
     for (const auto& [id, listing] : read.workers) {
       if (listing) {
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -162,7 +162,7 @@
     case FollowedStream::kJournal:
       return true;
     case FollowedStream::kWorkers:
-      return holding.state != HoldingState::kFollowing;
+      return holding.state == HoldingState::kHolding;
     case FollowedStream::kProgress:
       return holding.load_began != kNever && !holding.progress_loaded;
   }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -359,6 +359,8 @@
   // Ended workflows whose records go with the journal's next batch.
   std::vector<WorkflowId> to_forget;
   TimePoint next_forget{};
+  // All workers have been read since the place was taken up.
+  bool workers_loaded = false;
   // When silent workers were last noted.
   TimePoint silence_noted = kLongAgo;
   // Something may be placed that could not before.
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE workflow_streams
 #include <boost/test/unit_test.hpp>
 
+#include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_streams.h"
 #include "tests/support/emulation.h"
@@ -185,5 +186,45 @@
   }
 }
 
+// Reads of the list of workers after the place was taken up, whether each
+// brings all of them, and how many workers are known then.
+struct ListCase {
+  std::string name;
+  std::vector<bool> whole;
+  std::size_t known;
+};
+
+const std::vector<ListCase> kListCases = {
+    {"a change that was asked for before", {false}, 0},
+    {"all workers", {true}, 1},
+    {"a change after all workers", {true, false}, 2},
+    {"a change before all workers", {false, true}, 1},
+};
+
+// Guards against a new holder that places work by an old page of the list, on
+// workers that have long said that they leave (atlas-dechets-grown, DRAIN).
+BOOST_AUTO_TEST_CASE(a_holder_knows_no_worker_before_it_has_read_them_all) {
+  for (const ListCase& sample : kListCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      world.holding.state = HoldingState::kHolding;
+      int number = 0;
+      for (const bool whole : sample.whole) {
+        const WorkerId id(fmt::format("w{}", number++));
+        StreamRead read{.stream = FollowedStream::kWorkers, .ok = true};
+        read.workers.emplace_back(
+            id, WorkerListing{.id = id, .address = Address("10.0.0.1:80")});
+        read.whole = whole;
+        ApplyWorkerListings(world, {.reads = {read}}, kStart);
+      }
+      const auto& rows = world.scheduling.workers.rows;
+      BOOST_TEST(static_cast<std::size_t>(std::count_if(
+                     rows.begin(), rows.end(), [](const TaskWorker& worker) {
+                       return worker.listed;
+                     })) == sample.known);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
