Repeat an append early only while the store answers others

An append is now waited for as long as before, and sent again beside only when the store has answered something that was sent after it, and four times what such answers take has passed; three sendings at most. A call whose append was sent again is in doubt, and no longer refused when one sending is rejected.

--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -7,6 +7,7 @@
 #include "chicorystep/systems/task_placement.h"
 #include "chicorystep/systems/task_reports.h"
 #include "chicorystep/systems/task_workers.h"
+#include "chicorystep/systems/workflow_append_pace.h"
 #include "chicorystep/systems/workflow_calls.h"
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_progress.h"
@@ -43,6 +44,7 @@
                             const WorkflowTime& time) {
   WorkflowOutbox outbox;
   BeginStop(world, inbox, time);
+  NoteStoreAnswers(world, inbox, time.now);
   ApplyStreamReads(world, inbox, time);
   EndHolderAppends(world, inbox, time);
   KeepHolding(world, time);
@@ -67,10 +69,10 @@
                           const WorkflowTime& time) {
   const bool holds = world.holding.state != HoldingState::kFollowing;
   const TimePoint period = time.now + (holds ? kHolderPeriod : kFollowerPeriod);
-  const TimePoint due =
-      std::min({period, NextReadDue(world), NextHolderDue(world),
-                NextWriteDue(world), NextOrderDue(world),
-                NextPlacementDue(world), NextOccurrenceDue(world, time)});
+  const TimePoint due = std::min(
+      {period, NextReadDue(world), NextHolderDue(world), NextWriteDue(world),
+       NextCallAppendDue(world), NextOrderDue(world), NextPlacementDue(world),
+       NextOccurrenceDue(world, time)});
   // A time that has passed is due now, but never twice at the same instant.
   return std::max(due, time.now + std::chrono::milliseconds(1));
 }
--- a/chicorystep/systems/workflow_append_pace.cc
+++ b/chicorystep/systems/workflow_append_pace.cc
@@ -7,37 +7,74 @@
 
 // A sound store near by answers in some milliseconds; this leaves time for a
 // busy process.
-constexpr Duration kShortestPatience = std::chrono::milliseconds(100);
-// An answer that takes this many times as long as usual counts as lost. Over a
-// link between regions that is half a second, in which it carries the largest
-// append.
-constexpr int kUsualTimes = 6;
-// A single answer may be lost; more in a row are rather late.
-constexpr std::uint32_t kSingleLosses = 1;
-constexpr std::uint32_t kMostDoublings = 4;
+constexpr Duration kShortestDoubt = std::chrono::milliseconds(100);
+// An answer counts as lost after this many times what answers take.
+constexpr int kAnswerTimes = 4;
+// Sendings of one append that may be under way.
+constexpr std::uint32_t kMostSendings = 3;
+
+Duration TimeToDoubt(const AppendPace& pace, const StoreAnswer& newest) {
+  return std::max(kShortestDoubt,
+                  kAnswerTimes * std::max(pace.usual, newest.took));
+}
+
+void Note(StoreAnswer& newest, TimePoint began, Duration took) {
+  if (began > newest.began) {
+    newest = StoreAnswer{.began = began, .took = took};
+  }
+}
 
 }  // namespace
 
-Duration PatienceOf(const AppendPace& pace) {
-  const Duration first = std::max(kShortestPatience, pace.usual * kUsualTimes);
-  const std::uint32_t doublings =
-      pace.unanswered <= kSingleLosses
-          ? 0
-          : std::min(pace.unanswered - kSingleLosses, kMostDoublings);
-  return std::min(kLongestAppend, first * (1 << doublings));
+void NoteStoreAnswers(WorkflowWorld& world,
+                      const WorkflowInbox& inbox,
+                      TimePoint now) {
+  for (const StreamRead& read : inbox.reads) {
+    if (read.ok) {
+      // How long the store took is not known of a read that waits for a record.
+      const bool waited = world.streams[read.stream].waited;
+      Note(world.store_answer, read.began,
+           waited ? Duration() : now - read.began);
+    }
+  }
+  for (const JournalAppended& appended : inbox.appended) {
+    if (appended.outcome != AppendOutcome::kUnknown) {
+      Note(world.store_answer, appended.began, now - appended.began);
+    }
+  }
+}
+
+void NoteSent(AppendPace& pace, TimePoint now) {
+  pace.sent = now;
+  ++pace.sendings;
 }
 
-void NoteAppendEnded(AppendPace& pace,
-                     const JournalAppended& ended,
-                     TimePoint now) {
-  if (ended.outcome == AppendOutcome::kUnknown) {
-    ++pace.unanswered;
-    return;
+bool NoteSendingEnded(AppendPace& pace,
+                      const JournalAppended& ended,
+                      TimePoint now) {
+  if (ended.outcome == AppendOutcome::kUnknown && pace.sendings > 1) {
+    --pace.sendings;
+    return false;
   }
-  pace.unanswered = 0;
+  pace.sendings = 0;
   if (ended.outcome == AppendOutcome::kWritten) {
     pace.usual = (pace.usual + (now - ended.began)) / 2;
   }
+  return true;
+}
+
+bool IsProbablyLost(const AppendPace& pace,
+                    const StoreAnswer& newest,
+                    TimePoint now) {
+  return now >= DoubtDue(pace, newest);
+}
+
+TimePoint DoubtDue(const AppendPace& pace, const StoreAnswer& newest) {
+  if (pace.sendings == 0 || pace.sendings >= kMostSendings ||
+      newest.began < pace.sent) {
+    return kNever;
+  }
+  return pace.sent + TimeToDoubt(pace, newest);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -232,6 +232,18 @@
   }
 }
 
+// Sends the append under way once more. Each of its records may then be written
+// by the one sending and rejected by the other.
+void SendAgain(CallerLane& lane, TimePoint now, WorkflowOutbox& outbox) {
+  AppendJournal append{.lane = AppendLane::kCallers, .batch = lane.last_batch};
+  for (PendingCall& pending : lane.writing) {
+    pending.doubtful = true;
+    append.records.push_back(*pending.record);
+  }
+  NoteSent(lane.pace, now);
+  outbox.appends.push_back(std::move(append));
+}
+
 // About how many bytes the record takes in an append.
 Bytes RoughSize(const JournalRecord& record) {
   const auto* accepted = std::get_if<AcceptedRecord>(&record);
@@ -352,8 +364,10 @@
         ended.batch != lane.last_batch) {
       continue;
     }
+    if (!NoteSendingEnded(lane.pace, ended, time.now)) {
+      continue;
+    }
     lane.under_way = false;
-    NoteAppendEnded(lane.pace, ended, time.now);
     if (ended.outcome == AppendOutcome::kUnknown &&
         lane.silent_since == kNever) {
       lane.silent_since = ended.began;
@@ -387,12 +401,15 @@
 
 void AppendCalls(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox) {
   CallerLane& lane = world.callers;
+  if (lane.under_way && IsProbablyLost(lane.pace, world.store_answer, now)) {
+    SendAgain(lane, now, outbox);
+    return;
+  }
   if (lane.under_way || lane.queued.empty() || now < lane.next_try) {
     return;
   }
   AppendJournal append{.lane = AppendLane::kCallers,
-                       .batch = ++lane.last_batch,
-                       .patience = PatienceOf(lane.pace)};
+                       .batch = ++lane.last_batch};
   std::size_t taken = 0;
   for (Bytes size; taken < lane.queued.size() && size < kAmpleAppend; ++taken) {
     append.records.push_back(*lane.queued[taken].record);
@@ -403,9 +420,17 @@
                       std::make_move_iterator(rest));
   lane.queued.erase(lane.queued.begin(), rest);
   lane.under_way = true;
+  lane.pace.sendings = 0;
+  NoteSent(lane.pace, now);
   outbox.appends.push_back(std::move(append));
 }
 
+TimePoint NextCallAppendDue(const WorkflowWorld& world) {
+  return world.callers.under_way
+             ? DoubtDue(world.callers.pace, world.store_answer)
+             : kNever;
+}
+
 bool IsReady(const WorkflowWorld& world, TimePoint now) {
   return world.config && !world.stopping && !StoreIsSilent(world, now) &&
          IsFresh(world, FollowedStream::kConfig,
--- a/chicorystep/systems/workflow_calls.h
+++ b/chicorystep/systems/workflow_calls.h
@@ -27,9 +27,13 @@
               const WorkflowTime& time,
               WorkflowOutbox& outbox);
 
-// Sends the queued acceptances and cancels as one append.
+// Sends queued acceptances and cancels as one append, again when its answer
+// seems lost.
 void AppendCalls(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox);
 
+// When the answer to the callers' append under way may count as lost.
+[[nodiscard]] TimePoint NextCallAppendDue(const WorkflowWorld& world);
+
 // Whether the balancer may send callers here.
 [[nodiscard]] bool IsReady(const WorkflowWorld& world, TimePoint now);
 
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -232,20 +232,27 @@
   BeginAppend(holding, holding.journal, std::move(records), time.now);
 }
 
-void Send(HolderLane& lane, TimePoint now, WorkflowOutbox& outbox) {
-  if (lane.under_way && !lane.sent && now >= lane.next_try) {
-    lane.sent = true;
-    lane.under_way->patience = PatienceOf(lane.pace);
-    outbox.appends.push_back(*lane.under_way);
+// Sends what is under way, again when its answer seems lost: the store knows
+// repeats by their sequence number.
+void Send(HolderLane& lane,
+          const StoreAnswer& newest,
+          TimePoint now,
+          WorkflowOutbox& outbox) {
+  if (!lane.under_way || (lane.sent ? !IsProbablyLost(lane.pace, newest, now)
+                                    : now < lane.next_try)) {
+    return;
   }
+  lane.sent = true;
+  NoteSent(lane.pace, now);
+  outbox.appends.push_back(*lane.under_way);
 }
 
-TimePoint NextDue(const HolderLane& lane) {
+TimePoint NextDue(const HolderLane& lane, const StoreAnswer& newest) {
   if (!lane.under_way) {
     return lane.lane == AppendLane::kHolder ? lane.last_written + kHeartbeat
                                             : kNever;
   }
-  return lane.sent ? kNever : lane.next_try;
+  return lane.sent ? DoubtDue(lane.pace, newest) : lane.next_try;
 }
 
 }  // namespace
@@ -264,6 +271,7 @@
                                  .epoch = holding.own_epoch,
                                  .sequence = lane.sequence};
   lane.sent = false;
+  lane.pace.sendings = 0;
   lane.next_try = now;
 }
 
@@ -278,7 +286,9 @@
         ended.batch != lane.under_way->batch) {
       continue;
     }
-    NoteAppendEnded(lane.pace, ended, time.now);
+    if (!NoteSendingEnded(lane.pace, ended, time.now)) {
+      continue;
+    }
     lane.sent = false;
     // What got no answer is repeated at once, what was rejected a little later.
     lane.next_try =
@@ -321,15 +331,16 @@
   if (!holding.journal.under_way) {
     WriteJournal(world, time);
   }
-  Send(holding.progress, time.now, outbox);
-  Send(holding.journal, time.now, outbox);
+  Send(holding.progress, world.store_answer, time.now, outbox);
+  Send(holding.journal, world.store_answer, time.now, outbox);
 }
 
 TimePoint NextWriteDue(const WorkflowWorld& world) {
   const Holding& holding = world.holding;
   return holding.state == HoldingState::kFollowing
              ? kNever
-             : std::min(NextDue(holding.journal), NextDue(holding.progress));
+             : std::min(NextDue(holding.journal, world.store_answer),
+                        NextDue(holding.progress, world.store_answer));
 }
 
 }  // namespace chicorystep
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -183,20 +183,26 @@
     std::string_view("progress"),
 };
 
-// How long the answers to a lane's appends take.
+// How the answers to one lane's appends come.
 struct AppendPace {
-  // A running average.
+  // How long they take, a running average.
   Duration usual = std::chrono::milliseconds(30);
-  // Appends in a row that got no answer.
-  std::uint32_t unanswered = 0;
+  // Sendings of the append under way that may still be answered, and when the
+  // newest began.
+  std::uint32_t sendings = 0;
+  TimePoint sent{};
+};
+
+// The newest call to the store that has been answered, by its begin.
+struct StoreAnswer {
+  TimePoint began = kLongAgo;
+  Duration took{};
 };
 
 // Appends records to the lane's stream, all or none.
 struct AppendJournal {
   AppendLane lane = AppendLane::kCallers;
   std::uint64_t batch = 0;
-  // How long its answer is waited for.
-  Duration patience{};
   std::vector<JournalRecord> records;
   // Only in the holder's lanes.
   Epoch epoch;
@@ -377,6 +383,7 @@
   Holding holding;
   Scheduling scheduling;
   CallerLane callers;
+  StoreAnswer store_answer;
   // Callers that wait until the journal has been read again.
   std::vector<PendingCall> awaiting_read;
   bool stopping = false;
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -17,6 +17,7 @@
 
 #include "chicorystep/control/workflow_tick.h"
 #include "chicorystep/standin/emulated_store.h"
+#include "chicorystep/systems/workflow_append_pace.h"
 #include "chicorystep/systems/workflow_calls.h"
 #include "tests/support/worker_field.h"
 
@@ -348,8 +349,7 @@
         appended.outcome = AppendOutcome::kUnknown;
       }
       appended.began = began;
-      this->Deliver(entry, life,
-                    reachable && !lost ? kLatency : append.patience,
+      this->Deliver(entry, life, reachable && !lost ? kLatency : kLongestAppend,
                     [appended](WorkflowInbox& inbox) {
                       inbox.appended.push_back(appended);
                     });
