Ask every entry with a revoked key while a soak plays

Every entry is now asked each quarter of a second, and on the path of a queue, which any entry answers.

--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -231,6 +231,7 @@
     if (this->revoked_at == kNever) {
       this->revoked_at = BootTimeNow();
       this->Configure();
+      this->TryRevokedKey();
     }
   }
 
@@ -374,6 +375,21 @@
         .timeout = seconds(4)};
   }
 
+  // Asks every entry with the revoked key until the faults are over.
+  void TryRevokedKey() {
+    if (this->faults_over) {
+      return;
+    }
+    for (const SoakEntry& entry : this->entries) {
+      this->Call(
+          platform::HttpRequest{.address = entry.callers,
+                                .target = "/urgent/",
+                                .headers = {{"Authorization", "Token key-b"}}},
+          "key-b", [](const platform::HttpReply&) {});
+    }
+    this->platform.After(milliseconds(250), [this] { this->TryRevokedKey(); });
+  }
+
   // Sends a call and judges what holds for all calls.
   void Call(platform::HttpRequest request,
             const std::string& key,
