--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "tests/support/platform_soak.h"
+#include "tests/support/platform_soak_faults.h"
 
 namespace chicorystep::testing {
 namespace {
