--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -506,7 +506,7 @@
   }
 
   // Callers with a revoked key cannot ask any more.
-  bool IsSettled(const SoakJob& job) const {
+  [[nodiscard]] bool IsSettled(const SoakJob& job) const {
     if (job.accepted == kNever) {
       return job.given_up;
     }
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -263,7 +263,7 @@
         this->servers.emplace_back(this->context, std::move(handler));
     server.SetLimits(
         CallLimits{.max_body = Bytes(4 << 20), .idle_timeout = seconds(60)});
-    const Address address = this->addresses.Next();
+    Address address = this->addresses.Next();
     if (!server.Listen(address)) {
       throw std::runtime_error(address.value + " cannot be bound");
     }
