Refuse callers at once again when the store turns an entry away

A reset answers at once, so callers were held to their deadlines, and a lane would have connected again without a pause. Sending again beside an unanswered append stays.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -23,7 +23,7 @@
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 // Callers that may wait for an append; each is worth about a kilobyte.
 constexpr std::size_t kMaxQueued = 500;
-// After an append that was rejected the next one waits this long.
+// An append that was rejected or got no answer is tried again after this.
 constexpr Duration kAppendRetry = milliseconds(150);
 // Unready when the store has not answered for this long.
 constexpr Duration kUnreadyAfter = milliseconds(2500);
@@ -83,12 +83,10 @@
                        });
 }
 
-// Whether appends have got no answer for long, and nothing shows that they
-// would again.
-bool StoreIsSilent(const WorkflowWorld& world, TimePoint now) {
+// Whether appends get no answer and nothing shows that they would again.
+bool StoreIsSilent(const WorkflowWorld& world) {
   const auto journal = world.streams.find(FollowedStream::kJournal);
   return world.callers.silent_since != kNever &&
-         now - world.callers.silent_since >= kLongestAppend &&
          (journal == world.streams.end() ||
           journal->second.succeeded < world.callers.silent_since);
 }
@@ -99,7 +97,7 @@
                  JournalRecord record,
                  TimePoint now,
                  WorkflowOutbox& outbox) {
-  if (StoreIsSilent(world, now)) {
+  if (StoreIsSilent(world)) {
     Refuse(pending, "the store does not answer", now, outbox);
     return;
   }
@@ -310,7 +308,10 @@
   lane.queued.insert(lane.queued.begin(),
                      std::make_move_iterator(again.begin()),
                      std::make_move_iterator(again.end()));
-  lane.next_try = time.now + (unknown ? Duration() : kAppendRetry);
+  lane.next_try = time.now + kAppendRetry;
+  if (unknown && lane.silent_since == kNever) {
+    lane.silent_since = time.now;
+  }
 }
 
 // The final answer to a call whose time is over.
@@ -368,10 +369,6 @@
       continue;
     }
     lane.under_way = false;
-    if (ended.outcome == AppendOutcome::kUnknown &&
-        lane.silent_since == kNever) {
-      lane.silent_since = ended.began;
-    }
     if (ended.outcome == AppendOutcome::kWritten) {
       EndWritten(world, time, outbox);
     } else {
@@ -432,7 +429,7 @@
 }
 
 bool IsReady(const WorkflowWorld& world, TimePoint now) {
-  return world.config && !world.stopping && !StoreIsSilent(world, now) &&
+  return world.config && !world.stopping && !StoreIsSilent(world) &&
          IsFresh(world, FollowedStream::kConfig,
                  kUnreadyAfter + milliseconds(1500), now) &&
          IsFresh(world, FollowedStream::kJournal,
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -290,10 +290,7 @@
       continue;
     }
     lane.sent = false;
-    // What got no answer is repeated at once, what was rejected a little later.
-    lane.next_try =
-        time.now +
-        (ended.outcome == AppendOutcome::kUnknown ? Duration() : kWriteRetry);
+    lane.next_try = time.now + kWriteRetry;
     // A repeat whose first sending took effect late is told the next number.
     // That of a claim may be told so because of another claimer's.
     const bool claims = lane.lane == AppendLane::kHolder &&
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -1,7 +1,6 @@
 #define BOOST_TEST_MODULE workflow_calls
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/systems/workflow_append_pace.h"
 #include "chicorystep/systems/workflow_calls.h"
 #include "tests/support/emulation.h"
 
@@ -106,10 +105,7 @@
     {"while the store is silent",
      MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
      [](WorkflowWorld& world, WorkflowCall&) {
-       // As noticed at the end of the longest wait for an append.
-       world.callers.silent_since = kNow.now - kLongestAppend;
-       world.streams[FollowedStream::kJournal].succeeded =
-           kNow.now - kLongestAppend - milliseconds(1);
+       world.callers.silent_since = kNow.now + milliseconds(1);
      },
      CallResult::kRefused},
 };
