--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -1,10 +1,12 @@
 #define BOOST_TEST_MODULE platform_http
 #include <boost/test/unit_test.hpp>
 
+#include <asio/buffer.hpp>
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <future>
 #include <thread>
 #include <vector>
@@ -148,5 +150,60 @@
   BOOST_TEST(loopback.Send(sound).status == 200);
 }
 
+// A server that answers one request, and on the same connection reads `reads`
+// more before it closes that and is gone.
+struct VanishCase {
+  std::string name;
+  int reads;
+  HttpOutcome outcome;
+};
+
+const std::vector<VanishCase> kVanishCases = {
+    {"it read the second request, so that may be carried out", 1,
+     HttpOutcome::kNoAnswer},
+};
+
+// Guards against calls that count as surely not carried out since the repeat of
+// one on a broken connection found nobody (soak seed 332).
+BOOST_AUTO_TEST_CASE(a_request_that_was_sent_once_may_be_carried_out) {
+  for (const VanishCase& sample : kVanishCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      asio::io_context serving;
+      asio::ip::tcp::acceptor acceptor(
+          serving,
+          asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+      const Address address("127.0.0.1:" +
+                            std::to_string(acceptor.local_endpoint().port()));
+      std::thread server([&] {
+        asio::ip::tcp::socket socket = acceptor.accept();
+        std::string bytes(4096, ' ');
+        (void)socket.read_some(asio::buffer(bytes));
+        asio::write(socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        for (int i = 0; i < sample.reads; ++i) {
+          (void)socket.read_some(asio::buffer(bytes));
+        }
+        acceptor.close();
+        socket.close();
+      });
+      asio::io_context context;
+      HttpClient client(context);
+      std::vector<HttpOutcome> outcomes;
+      for (int i = 0; i < 2; ++i) {
+        client.Send(
+            {.address = address, .method = "POST", .target = "/"},
+            [&](const HttpReply& reply) { outcomes.push_back(reply.outcome); });
+        while (outcomes.size() <= static_cast<std::size_t>(i)) {
+          context.run_one();
+        }
+      }
+      server.join();
+      BOOST_TEST((outcomes[0] == HttpOutcome::kAnswered));
+      BOOST_TEST((outcomes[1] == sample.outcome));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
