--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -97,5 +97,20 @@
   }
 }
 
+// Seeds that showed a fault which is not mended; KNOWN-RED.txt lists this case.
+const std::vector<SoakCase> kOpenCases = {
+    {344, "ends of a worker's next life are forgotten by an old cursor"},
+};
+
+BOOST_AUTO_TEST_CASE(seeds_of_open_faults) {
+  if (NumberOption("--first", 0) > 0) {
+    return;
+  }
+  ConfigureLogging(LogLevel::kError, "soak");
+  for (const SoakCase& sample : kOpenCases) {
+    Play(sample.seed, sample.why);
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::testing
