Check the log's rate limit before formatting, and reserve lines for warnings

Cause: a busy holder formatted each line and then dropped those beyond 400 a second, and routine lines could use up the limit before a warning. Change: the limit is checked first; 100 lines a second are for warnings and errors; values are cut at 400 bytes, so that an entry of another writer cannot fill the log.

--- a/chicorystep/core/logging.cc
+++ b/chicorystep/core/logging.cc
@@ -32,18 +32,31 @@
 // Lines per second of the bounded output: several times the event rate of a
 // busy scheduler, and far below what a slow reader can take.
 constexpr std::uint32_t kMaxLinesPerSecond = 400;
+// Of these, lines that only warnings and errors may use: what went wrong is
+// still written when routine lines exceed the limit.
+constexpr std::uint32_t kReservedLinesPerSecond = 100;
+// Longer values, such as text that another process wrote, are cut.
+constexpr std::size_t kMaxValueBytes = 400;
 
-// Writes `line`, or counts it as dropped if writing would block or exceed the
-// rate limit.
-void WriteBounded(LogSink& sink, std::string_view line, std::int64_t second) {
+// Counts a line against the rate limit. Returns whether it may be written, and
+// counts it as dropped otherwise.
+bool MayWrite(LogSink& sink, LogLevel level, std::int64_t second) {
+  if (sink.output == LogOutput::kStandardError) {
+    return true;
+  }
   if (second != sink.second) {
     sink.second = second;
     sink.written = 0;
   }
-  if (++sink.written > kMaxLinesPerSecond ||
-      ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+  const std::uint32_t limit =
+      level >= LogLevel::kWarn ? kMaxLinesPerSecond
+                               : kMaxLinesPerSecond - kReservedLinesPerSecond;
+  if (sink.written >= limit) {
     ++sink.dropped;
+    return false;
   }
+  ++sink.written;
+  return true;
 }
 
 LogSink& Sink() {
@@ -119,12 +132,18 @@
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
+  // Checked before the line is formatted, because formatting costs most.
+  if (!MayWrite(sink, level, now.time_since_epoch().count() / 1000)) {
+    return;
+  }
   std::string line = fmt::format(
       "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} process={} event={}",
       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
       ToString(level), QuoteLogValue(sink.process_name), event);
   for (const LogField& field : fields) {
-    line += fmt::format(" {}={}", field.key, QuoteLogValue(field.value));
+    line += fmt::format(
+        " {}={}", field.key,
+        QuoteLogValue(std::string_view(field.value).substr(0, kMaxValueBytes)));
   }
   if (sink.dropped > 0) {
     line += fmt::format(" lines_dropped_before={}", sink.dropped);
@@ -134,9 +153,9 @@
     fmt::print(stderr, "{}", line);
     return;
   }
-  const std::uint64_t dropped = sink.dropped;
-  WriteBounded(sink, line, now.time_since_epoch().count() / 1000);
-  if (sink.dropped == dropped) {
+  if (::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+    ++sink.dropped;
+  } else {
     sink.dropped = 0;
   }
 }
