--- a/chicorystep/control/workflow_loop.cc
+++ b/chicorystep/control/workflow_loop.cc
@@ -2,6 +2,7 @@
 
 #include <ctime>
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <chrono>
 
@@ -44,15 +45,32 @@
              [this, inspect = std::move(inspect)] { inspect(this->world); });
 }
 
+Duration RestAfterTick(Duration tick_time, bool holds_role) {
+  // The holder gets many small events in a burst, so it lets them gather.
+  constexpr Duration kMinHolderRest = std::chrono::milliseconds(2);
+  constexpr Duration kMaxRest = std::chrono::milliseconds(20);
+  return std::clamp(tick_time * 2, holds_role ? kMinHolderRest : Duration(),
+                    kMaxRest);
+}
+
 void WorkflowLoop::RunTick() {
-  const WorkflowInbox inbox = TakeInbox(this->mailbox);
   const WorkflowTime time{.now = BootTimeNow(), .wall = WallClockNow()};
+  if (time.now < this->next_tick) {
+    this->ScheduleNext(this->next_tick - time.now);
+    return;
+  }
+  const WorkflowInbox inbox = TakeInbox(this->mailbox);
   this->process_outbox(WorkflowTick(this->world, inbox, time), this->world);
-  this->ScheduleNext(time);
+  const Duration tick_time = BootTimeNow() - time.now;
+  const Duration rest = RestAfterTick(
+      tick_time, this->world.holding.state != HoldingState::kFollowing);
+  this->next_tick = time.now + tick_time + rest;
+  this->ScheduleNext(std::max(
+      rest, NextWorkflowDue(this->world, time) - time.now - tick_time));
 }
 
-void WorkflowLoop::ScheduleNext(const WorkflowTime& time) {
-  this->timer.expires_after(NextWorkflowDue(this->world, time) - time.now);
+void WorkflowLoop::ScheduleNext(Duration delay) {
+  this->timer.expires_after(delay);
   this->timer.async_wait([this](const std::error_code& error) {
     if (!error) {
       this->RunTick();
--- a/chicorystep/control/workflow_loop.h
+++ b/chicorystep/control/workflow_loop.h
@@ -17,6 +17,11 @@
 [[nodiscard]] TimePoint BootTimeNow();
 [[nodiscard]] UnixMillis WallClockNow();
 
+// Returns how long the control thread rests after a tick that took `tick_time`.
+// It uses at most a third of the processor, so that the traffic thread, which
+// sends the heartbeats, runs even when events arrive faster than ticks end.
+[[nodiscard]] Duration RestAfterTick(Duration tick_time, bool holds_role);
+
 // The control loop of the workflow scheduler. It owns the world, runs a tick
 // when an event was posted or is due, and sleeps otherwise.
 class WorkflowLoop {
@@ -44,13 +49,14 @@
 
  private:
   void RunTick();
-  void ScheduleNext(const WorkflowTime& time);
+  void ScheduleNext(Duration delay);
 
   WorkflowWorld world;
   std::function<void(WorkflowOutbox&&, const WorkflowWorld&)> process_outbox;
   Mailbox<WorkflowInbox> mailbox;
   asio::io_context context;
   asio::steady_timer timer;
+  TimePoint next_tick{};
 };
 
 }  // namespace chicorystep
--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -71,8 +71,8 @@
   const TimePoint period = time.now + (holds ? kHolderPeriod : kFollowerPeriod);
   const TimePoint due = std::min(
       {period, NextReadDue(world), NextHolderDue(world), NextWriteDue(world),
-       NextCallAppendDue(world), NextOrderDue(world), NextPlacementDue(world),
-       NextOccurrenceDue(world, time)});
+       NextCallAppendDue(world), NextOrderDue(world, time.now),
+       NextPlacementDue(world), NextOccurrenceDue(world, time)});
   // Work that is overdue runs in the next tick, but two ticks never have the
   // same time.
   return std::max(due, time.now + std::chrono::milliseconds(1));
--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -11,6 +11,10 @@
 
 // How long a gang that runs slower across racks waits for a single rack.
 constexpr Duration kSameRackTimeout = std::chrono::seconds(10);
+// A preemption examines every running task of lower priority on every worker,
+// so a pass plans only so many. Urgent units beyond that wait for the next
+// pass.
+constexpr std::size_t kMaxPreemptionsPerPass = 8;
 
 TimePoint WaitingSince(const PlacementUnit& unit) {
   return std::max(unit.run->ready_since,
@@ -34,9 +38,22 @@
          (worker.orphaned_runs == 0 || EnforcesCapacity(world, worker));
 }
 
+// Number of tasks of the unit's step run on each worker that it occupies.
+std::map<WorkerId, std::uint32_t> CountTasksByWorker(
+    const PlacementUnit& unit) {
+  std::map<WorkerId, std::uint32_t> counts;
+  for (const Task& task : unit.run->tasks) {
+    if (HoldsCapacity(task.state)) {
+      ++counts[task.worker];
+    }
+  }
+  return counts;
+}
+
 // Packs the tasks of the unit onto the candidates at `indices`, fullest worker
-// first (best fit), so that whole workers stay free for wide tasks. With
-// `include_stopping`, capacity that stop orders will free counts as free.
+// first (best fit), so that whole workers stay free for wide tasks. Of a
+// divisible unit it packs as many as fit. With `include_stopping`, capacity
+// that stop orders will free counts as free.
 std::optional<std::vector<std::size_t>> Pack(
     const TaskPlacementPass& pass,
     const PlacementUnit& unit,
@@ -49,6 +66,9 @@
     std::uint32_t max_tasks;
     bool near_data;
   };
+  const std::map<WorkerId, std::uint32_t> tasks_there =
+      spec.max_per_worker > 0 ? CountTasksByWorker(unit)
+                              : std::map<WorkerId, std::uint32_t>();
   std::vector<Bin> usable;
   for (const std::size_t index : indices) {
     const CandidateWorker& candidate = pass.candidates[index];
@@ -57,8 +77,8 @@
     }
     std::uint32_t max_tasks = static_cast<std::uint32_t>(unit.tasks.size());
     if (spec.max_per_worker > 0) {
-      const std::uint32_t there =
-          CountTasksOnWorker(unit, candidate.worker->listing.id);
+      const auto row = tasks_there.find(candidate.worker->listing.id);
+      const std::uint32_t there = row == tasks_there.end() ? 0 : row->second;
       max_tasks = std::min(max_tasks, spec.max_per_worker -
                                           std::min(there, spec.max_per_worker));
     }
@@ -88,7 +108,8 @@
       chosen.push_back(bin.candidate);
     }
   }
-  if (chosen.size() < unit.tasks.size()) {
+  if (chosen.empty() ||
+      (chosen.size() < unit.tasks.size() && !unit.divisible)) {
     return std::nullopt;
   }
   return chosen;
@@ -138,11 +159,74 @@
   }
   const std::int64_t fits =
       include_stopping ? row->second.after_stops : row->second.now;
-  return fits >= std::ssize(unit.tasks);
+  return fits >= (unit.divisible ? 1 : std::ssize(unit.tasks));
+}
+
+// Selects the rack that can run the unit and has the fewest accelerators free.
+std::optional<std::vector<std::size_t>> SelectInOneRack(
+    const TaskPlacementPass& pass,
+    const PlacementUnit& unit,
+    bool include_stopping) {
+  std::optional<std::vector<std::size_t>> best;
+  Accelerators best_left{};
+  for (const auto& [rack, members] : pass.racks) {
+    if (auto chosen = Pack(pass, unit, members, include_stopping)) {
+      Accelerators left{};
+      for (const std::size_t index : members) {
+        left += pass.candidates[index].free_now.accelerators;
+      }
+      if (!best || left < best_left) {
+        best = std::move(chosen);
+        best_left = left;
+      }
+    }
+  }
+  return best;
 }
 
 }  // namespace
 
+FitRequirements MakeRequirements(const PlacementUnit& unit,
+                                 bool one_rack,
+                                 AvailableCapacity available) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  return FitRequirements{.service = unit.workflow->terms.service,
+                         .label = spec.required_label,
+                         .need = spec.need,
+                         .one_rack = one_rack,
+                         .available = available};
+}
+
+bool IsKnownMisfit(const TaskPlacementPass& pass,
+                   const FitRequirements& requirements,
+                   std::size_t tasks) {
+  return std::any_of(
+      pass.misfits.begin(), pass.misfits.end(), [&](const KnownMisfit& row) {
+        return tasks >= row.tasks && row.requirements == requirements;
+      });
+}
+
+void RecordMisfit(TaskPlacementPass& pass,
+                  const PlacementUnit& unit,
+                  const FitRequirements& requirements) {
+  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  if (spec.max_per_worker > 0) {
+    // Whether its tasks fit also depends on where the others run.
+    return;
+  }
+  const std::size_t tasks = unit.divisible ? 1 : unit.tasks.size();
+  const auto row = std::find_if(pass.misfits.begin(), pass.misfits.end(),
+                                [&](const KnownMisfit& known) {
+                                  return known.requirements == requirements;
+                                });
+  if (row == pass.misfits.end()) {
+    pass.misfits.push_back(
+        KnownMisfit{.requirements = requirements, .tasks = tasks});
+  } else {
+    row->tasks = std::min(row->tasks, tasks);
+  }
+}
+
 void AllocateCapacity(TaskPlacementPass& pass,
                       std::size_t candidate,
                       const Capacity& need) {
@@ -166,25 +250,36 @@
   pass.candidates[candidate].free_after_stops =
       pass.candidates[candidate].free_after_stops + need;
   pass.fit_counts.clear();
+  pass.misfits.clear();
 }
 
 TaskPlacementPass BeginPass(WorkflowWorld& world, const WorkflowTime& time) {
-  TaskPlacementPass pass{.world = &world, .time = time};
+  TaskPlacementPass pass{.world = &world,
+                         .time = time,
+                         .preemptions_left = kMaxPreemptionsPerPass};
   for (TaskWorker& worker : world.scheduling.workers.rows) {
     CandidateWorker candidate{.worker = &worker,
                               .free_now = worker.free,
                               .free_after_stops = worker.free,
                               .usable = IsUsable(world, worker, time.now)};
-    for (const auto& [key, run] : worker.tasks) {
-      if (const TaskRef ref = FindTask(world, key);
-          ref && ref.task->state == TaskState::kStopping) {
-        candidate.free_after_stops =
-            candidate.free_after_stops + ref.spec->need;
-      }
-    }
     pass.racks[worker.rack].push_back(pass.candidates.size());
     pass.candidates.push_back(candidate);
   }
+  for (const WorkflowId& id : world.scheduling.open) {
+    const Workflow& workflow = *world.workflows.find(id);
+    for (const StepRun& run : workflow.runs) {
+      for (const Task& task : run.tasks) {
+        if (task.state != TaskState::kStopping) {
+          continue;
+        }
+        if (const auto row = world.scheduling.workers.index.find(task.worker);
+            row != world.scheduling.workers.index.end()) {
+          Capacity& free = pass.candidates[row->second].free_after_stops;
+          free = free + workflow.spec.steps[run.step.value].need;
+        }
+      }
+    }
+  }
   return pass;
 }
 
@@ -212,11 +307,26 @@
          MeetsRequirements(candidate.worker->listing, *unit.workflow, spec);
 }
 
-bool NeedsOneRack(const TaskPlacementPass& pass, const PlacementUnit& unit) {
+bool NeedsOneRack(TaskPlacementPass& pass, const PlacementUnit& unit) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  return spec.gang && spec.same_rack && unit.tasks.size() > 1 &&
-         pass.time.now - WaitingSince(unit) < kSameRackTimeout &&
-         FitsOneRack(pass, unit);
+  if (!spec.gang || !spec.same_rack || unit.tasks.size() <= 1 ||
+      pass.time.now - WaitingSince(unit) >= kSameRackTimeout) {
+    return false;
+  }
+  const FitRequirements requirements =
+      MakeRequirements(unit, true, AvailableCapacity::kFreeNow);
+  const auto known = std::find_if(pass.rack_fits.begin(), pass.rack_fits.end(),
+                                  [&](const RackFit& row) {
+                                    return row.tasks == unit.tasks.size() &&
+                                           row.requirements == requirements;
+                                  });
+  if (known != pass.rack_fits.end()) {
+    return known->fits;
+  }
+  const bool fits = FitsOneRack(pass, unit);
+  pass.rack_fits.push_back(RackFit{
+      .requirements = requirements, .tasks = unit.tasks.size(), .fits = fits});
+  return fits;
 }
 
 std::vector<std::size_t> ListAllCandidates(const TaskPlacementPass& pass) {
@@ -234,24 +344,22 @@
   if (!MayFitByAccelerators(pass, unit, include_stopping)) {
     return std::nullopt;
   }
-  if (!NeedsOneRack(pass, unit)) {
-    return Pack(pass, unit, ListAllCandidates(pass), include_stopping);
+  const bool one_rack = NeedsOneRack(pass, unit);
+  const FitRequirements requirements =
+      MakeRequirements(unit, one_rack,
+                       include_stopping ? AvailableCapacity::kFreeAfterStops
+                                        : AvailableCapacity::kFreeNow);
+  if (IsKnownMisfit(pass, requirements,
+                    unit.divisible ? 1 : unit.tasks.size())) {
+    return std::nullopt;
   }
-  std::optional<std::vector<std::size_t>> best;
-  Accelerators best_left{};
-  for (const auto& [rack, members] : pass.racks) {
-    if (auto chosen = Pack(pass, unit, members, include_stopping)) {
-      Accelerators left{};
-      for (const std::size_t index : members) {
-        left += pass.candidates[index].free_now.accelerators;
-      }
-      if (!best || left < best_left) {
-        best = std::move(chosen);
-        best_left = left;
-      }
-    }
+  auto chosen =
+      one_rack ? SelectInOneRack(pass, unit, include_stopping)
+               : Pack(pass, unit, ListAllCandidates(pass), include_stopping);
+  if (!chosen) {
+    RecordMisfit(pass, unit, requirements);
   }
-  return best;
+  return chosen;
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/task_candidates.h
+++ b/chicorystep/systems/task_candidates.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -34,7 +35,8 @@
     std::string_view("hopeless"),
 };
 
-// Tasks of one step that are placed together: a whole gang or a single task.
+// Tasks of one step that are placed together: a whole gang, one urgent task, or
+// the waiting tasks of a step of independent ones.
 struct PlacementUnit {
   WorkflowId id;
   Workflow* workflow = nullptr;
@@ -42,10 +44,46 @@
   std::vector<TaskIndex> tasks;
   Lateness lateness = Lateness::kInTime;
   bool guaranteed = false;
+  // The tasks need not start together, so any number of them may be placed.
+  bool divisible = false;
   // A unit that ends by this time meets its objective.
   UnixMillis deadline;
 };
 
+// Which capacity counts as available to a unit.
+enum class AvailableCapacity : std::uint8_t {
+  kFreeNow,
+  kFreeAfterStops,
+  kFreeAfterPreemption,
+};
+
+// What decides whether tasks fit, apart from their number. Units with equal
+// requirements fit alike unless they limit the tasks on one worker.
+struct FitRequirements {
+  Service service;
+  std::string label;
+  Capacity need;
+  // The tasks must fit within one rack.
+  bool one_rack = false;
+  AvailableCapacity available = AvailableCapacity::kFreeNow;
+
+  friend bool operator==(const FitRequirements&,
+                         const FitRequirements&) = default;
+};
+
+// The smallest number of tasks known not to fit.
+struct KnownMisfit {
+  FitRequirements requirements;
+  std::size_t tasks = 0;
+};
+
+// Whether some empty rack could run a gang of `tasks`.
+struct RackFit {
+  FitRequirements requirements;
+  std::size_t tasks = 0;
+  bool fits = false;
+};
+
 // Number of tasks of one size for which the usable candidates have accelerators
 // now, and after all stop orders are carried out. Other resources are ignored.
 struct TaskFitCount {
@@ -62,6 +100,12 @@
   // Keyed by the accelerators of a task. A count is computed on first use and
   // dropped when the free capacity changes.
   std::map<Accelerators, TaskFitCount> fit_counts;
+  // Capacity only shrinks during a pass, so what did not fit once is not tried
+  // again until a preemption adds capacity.
+  std::vector<KnownMisfit> misfits;
+  std::vector<RackFit> rack_fits;
+  // Number of preemptions that the pass may still plan.
+  std::size_t preemptions_left = 0;
 };
 
 // Takes capacity of a candidate for tasks that are placed now.
@@ -100,15 +144,28 @@
 // Whether the unit must be placed within one rack, because it runs several
 // times longer across racks. A unit that has waited too long is placed across
 // racks.
-[[nodiscard]] bool NeedsOneRack(const TaskPlacementPass& pass,
+[[nodiscard]] bool NeedsOneRack(TaskPlacementPass& pass,
                                 const PlacementUnit& unit);
 
+[[nodiscard]] FitRequirements MakeRequirements(const PlacementUnit& unit,
+                                               bool one_rack,
+                                               AvailableCapacity available);
+// Whether as many tasks, or fewer, are known not to fit in this pass.
+[[nodiscard]] bool IsKnownMisfit(const TaskPlacementPass& pass,
+                                 const FitRequirements& requirements,
+                                 std::size_t tasks);
+// Records that the unit's tasks do not fit.
+void RecordMisfit(TaskPlacementPass& pass,
+                  const PlacementUnit& unit,
+                  const FitRequirements& requirements);
+
 [[nodiscard]] std::vector<std::size_t> ListAllCandidates(
     const TaskPlacementPass& pass);
 
-// Selects a candidate for each task of the unit and returns their indices, or
-// nothing if the tasks do not all fit. With `include_stopping`, capacity that
-// stop orders will free counts as free.
+// Selects a candidate for each task of the unit and returns their indices. If
+// the tasks do not all fit, returns nothing, or the candidates of those that
+// fit if the unit is divisible and any does. With `include_stopping`, capacity
+// that stop orders will free counts as free.
 [[nodiscard]] std::optional<std::vector<std::size_t>> SelectCandidates(
     TaskPlacementPass& pass,
     const PlacementUnit& unit,
--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 #include <utility>
+#include <vector>
 
 #include "chicorystep/systems/task_unresponsive_workers.h"
 #include "chicorystep/systems/task_worker_clock.h"
@@ -34,6 +35,10 @@
 // Concurrent orders per worker, each on its own connection. The members of a
 // gang wait for the one that starts last.
 constexpr std::size_t kMaxOrdersInFlight = 8;
+// Orders that one tick may send; the rest follows in the next ticks. Each costs
+// the traffic thread a connection or a write, and an append that follows must
+// not wait for thousands of them.
+constexpr std::size_t kMaxOrdersPerTick = 128;
 
 bool RunsUrgentTask(const WorkflowWorld& world, const TaskWorker& worker) {
   return std::any_of(
@@ -93,6 +98,11 @@
   while (!worker.orders.empty()) {
     WorkerOrder order = std::move(worker.orders.front());
     worker.orders.pop_front();
+    if (outbox.orders.size() >= kMaxOrdersPerTick) {
+      world.scheduling.orders_deferred = true;
+      deferred.push_back(std::move(order));
+      continue;
+    }
     if (worker.orders_in_flight.size() >= kMaxOrdersInFlight ||
         worker.orders_in_flight.contains(order.task) ||
         (order.kind == OrderKind::kStart && worker.recorded_unresponsive)) {
@@ -136,16 +146,39 @@
   if (!world.holding.may_order) {
     return;
   }
-  for (TaskWorker& worker : world.scheduling.workers.rows) {
-    SendQueued(world, worker, now, outbox);
-    if (!worker.hold_in_flight && now >= worker.next_hold &&
-        NeedsHold(worker)) {
-      SendHold(world, worker, now, outbox);
+  Scheduling& scheduling = world.scheduling;
+  std::vector<TaskWorker>& workers = scheduling.workers.rows;
+  scheduling.orders_deferred = false;
+  // Workers with tasks go first, as their leases must be renewed.
+  for (const bool with_tasks : {true, false}) {
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      const std::size_t row = (scheduling.next_worker + i) % workers.size();
+      TaskWorker& worker = workers[row];
+      if (worker.tasks.empty() == with_tasks) {
+        continue;
+      }
+      const bool hold_due = !worker.hold_in_flight && now >= worker.next_hold &&
+                            NeedsHold(worker);
+      if (outbox.orders.size() >= kMaxOrdersPerTick &&
+          (hold_due || !worker.orders.empty())) {
+        scheduling.next_worker = row;
+        scheduling.orders_deferred = true;
+        return;
+      }
+      if (!worker.orders.empty()) {
+        SendQueued(world, worker, now, outbox);
+      }
+      if (hold_due) {
+        SendHold(world, worker, now, outbox);
+      }
     }
   }
 }
 
-TimePoint NextOrderDue(const WorkflowWorld& world) {
+TimePoint NextOrderDue(const WorkflowWorld& world, TimePoint now) {
+  if (world.scheduling.orders_deferred) {
+    return now;
+  }
   TimePoint due = kNever;
   for (const TaskWorker& worker : world.scheduling.workers.rows) {
     if (!worker.hold_in_flight && NeedsHold(worker)) {
--- a/chicorystep/systems/task_orders.h
+++ b/chicorystep/systems/task_orders.h
@@ -6,10 +6,11 @@
 namespace chicorystep {
 
 // Sends queued orders, with a bounded number in flight per worker, and the
-// holds that are due.
+// holds that are due. The orders of one tick are bounded; the rest follows in
+// the next ticks.
 void SendOrders(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox);
 
-[[nodiscard]] TimePoint NextOrderDue(const WorkflowWorld& world);
+[[nodiscard]] TimePoint NextOrderDue(const WorkflowWorld& world, TimePoint now);
 
 }  // namespace chicorystep
 
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -23,6 +23,9 @@
 constexpr Duration kPlacementSpacing = milliseconds(10);
 // Without any event, a pass runs after this time, because exclusions end.
 constexpr Duration kPlacementPeriod = milliseconds(250);
+// A pass that has placed this many tasks leaves the rest to the next one, so
+// that a backlog does not delay the records and starts of what is placed.
+constexpr std::size_t kMaxTasksPlacedPerPass = 256;
 // Only work of this priority may preempt other work.
 constexpr std::uint32_t kUrgentPriority = 0;
 
@@ -40,15 +43,18 @@
                const PlacementUnit& unit,
                const std::vector<std::size_t>& candidates) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  // All members of a gang get the same run number.
   std::uint32_t newest = 0;
   for (const TaskIndex index : unit.tasks) {
     newest = std::max(newest, unit.run->tasks[index.value].run.value);
   }
+  unit.workflow->state = WorkflowState::kRunning;
+  MarkDirty(*pass.world, unit.id, *unit.workflow);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     CandidateWorker& candidate = pass.candidates[candidates[i]];
     Task& task = unit.run->tasks[unit.tasks[i].value];
     task.state = TaskState::kPlaced;
-    task.run = RunNumber(newest + 1);
+    task.run = RunNumber((unit.divisible ? task.run.value : newest) + 1);
     task.worker = candidate.worker->listing.id;
     task.incarnation = candidate.worker->listing.incarnation;
     task.since = pass.time.now;
@@ -59,10 +65,10 @@
     candidate.worker->tasks[key] = task.run;
     AllocateCapacity(pass, candidates[i], spec.need);
     pass.world->scheduling.starts_to_record.push_back(
-        AwaitedStart{.task = key, .run = task.run});
+        AwaitedStart{.task = key,
+                     .run = task.run,
+                     .change = pass.world->scheduling.changes_queued});
   }
-  unit.workflow->state = WorkflowState::kRunning;
-  MarkDirty(*pass.world, unit.id, *unit.workflow);
   Log(LogLevel::kInfo, "placed",
       {{"workflow", unit.id.value},
        {"step", unit.run->step.value},
@@ -73,23 +79,31 @@
        {"lateness", std::string(EnumName(unit.lateness))}});
 }
 
-// Places the unit; otherwise reserves capacity that stop orders will free for
-// it; otherwise, if it is urgent, preempts other work.
-void PlaceOrReserve(TaskPlacementPass& pass, const PlacementUnit& unit) {
+// Places the unit, or as much of it as fits; otherwise reserves capacity that
+// stop orders will free for it; otherwise, if it is urgent, preempts other
+// work. Returns the number of tasks placed.
+std::size_t PlaceOrReserve(TaskPlacementPass& pass, PlacementUnit& unit) {
+  std::size_t placed = 0;
   if (const auto candidates = SelectCandidates(pass, unit, false)) {
+    placed = candidates->size();
     PlaceUnit(pass, unit, *candidates);
-    return;
+    if (placed == unit.tasks.size()) {
+      return placed;
+    }
+    unit.tasks.erase(unit.tasks.begin(),
+                     unit.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
   }
   if (const auto candidates = SelectCandidates(pass, unit, true)) {
     const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
     for (const std::size_t index : *candidates) {
       ReserveCapacity(pass, index, spec.need);
     }
-    return;
+    return placed;
   }
   if (unit.workflow->terms.priority == kUrgentPriority) {
     PreemptForUnit(pass, unit);
   }
+  return placed;
 }
 
 void AddUnits(const WorkflowId& id,
@@ -99,11 +113,14 @@
               std::vector<PlacementUnit>& units) {
   const StepSpec& spec = workflow.spec.steps[run.step.value];
   PlacementUnit unit{.id = id, .workflow = &workflow, .run = &run};
-  const std::int64_t allowance = WholeMillis(
-      workflow.terms.target +
-      Duration(static_cast<Duration::rep>(
-          workflow.terms.stretch *
-          static_cast<double>(CriticalPathLength(workflow.spec).count()))));
+  if (workflow.critical_path == Duration()) {
+    workflow.critical_path = CriticalPathLength(workflow.spec);
+  }
+  const std::int64_t allowance =
+      WholeMillis(workflow.terms.target +
+                  Duration(static_cast<Duration::rep>(
+                      workflow.terms.stretch *
+                      static_cast<double>(workflow.critical_path.count()))));
   unit.deadline = workflow.accepted + UnixMillis(allowance);
   const UnixMillis end = time.wall + UnixMillis(WholeMillis(spec.estimate));
   if (end > unit.deadline) {
@@ -122,6 +139,15 @@
     }
     return;
   }
+  if (unit.tasks.empty()) {
+    return;
+  }
+  if (workflow.terms.priority != kUrgentPriority) {
+    unit.divisible = true;
+    units.push_back(std::move(unit));
+    return;
+  }
+  // Urgent tasks are counted against the guarantee one by one.
   for (const TaskIndex task : unit.tasks) {
     PlacementUnit single = unit;
     single.tasks = {task};
@@ -134,7 +160,7 @@
   std::vector<PlacementUnit> units;
   for (const WorkflowId& id : world.scheduling.open) {
     Workflow& workflow = *world.workflows.find(id);
-    if (workflow.cancel_requested) {
+    if (workflow.cancel_requested || workflow.attempts_exhausted) {
       continue;
     }
     for (StepRun& run : workflow.runs) {
@@ -158,11 +184,11 @@
     if (workflow.terms.priority != kUrgentPriority) {
       continue;
     }
+    Accelerators& used = in_use[workflow.terms.workspace];
     for (const StepRun& run : workflow.runs) {
       for (const Task& task : run.tasks) {
         if (HoldsCapacity(task.state)) {
-          in_use[workflow.terms.workspace] +=
-              workflow.spec.steps[run.step.value].need.accelerators;
+          used += workflow.spec.steps[run.step.value].need.accelerators;
         }
       }
     }
@@ -209,8 +235,13 @@
   MarkGuaranteed(world, units);
   std::stable_sort(units.begin(), units.end(), IsPlacedBefore);
   TaskPlacementPass pass = BeginPass(world, time);
-  for (const PlacementUnit& unit : units) {
-    PlaceOrReserve(pass, unit);
+  std::size_t placed = 0;
+  for (PlacementUnit& unit : units) {
+    placed += PlaceOrReserve(pass, unit);
+    if (placed >= kMaxTasksPlacedPerPass) {
+      scheduling.placement_due = true;
+      break;
+    }
   }
 }
 
--- a/chicorystep/systems/task_preemption.cc
+++ b/chicorystep/systems/task_preemption.cc
@@ -48,10 +48,8 @@
 
 std::vector<Victim> FindVictims(const TaskPlacementPass& pass,
                                 const PlacementUnit& unit) {
-  std::map<WorkerId, std::size_t> candidate_by_worker;
-  for (std::size_t i = 0; i < pass.candidates.size(); ++i) {
-    candidate_by_worker[pass.candidates[i].worker->listing.id] = i;
-  }
+  // Candidates have the order of the workers' rows.
+  const auto& candidate_by_worker = pass.world->scheduling.workers.index;
   std::vector<Victim> victims;
   for (const WorkflowId& id : pass.world->scheduling.open) {
     Workflow& workflow = *pass.world->workflows.find(id);
@@ -63,10 +61,12 @@
       Victim gang{.need = spec.need};
       for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
         const Task& task = run.tasks[i];
+        if (task.state != TaskState::kStarting &&
+            task.state != TaskState::kRunning) {
+          continue;
+        }
         const auto candidate = candidate_by_worker.find(task.worker);
-        if ((task.state != TaskState::kStarting &&
-             task.state != TaskState::kRunning) ||
-            candidate == candidate_by_worker.end()) {
+        if (candidate == candidate_by_worker.end()) {
           continue;
         }
         gang.tasks.push_back(
@@ -193,7 +193,22 @@
 }  // namespace
 
 void PreemptForUnit(TaskPlacementPass& pass, const PlacementUnit& unit) {
+  const bool one_rack = NeedsOneRack(pass, unit);
+  const FitRequirements requirements =
+      MakeRequirements(unit, one_rack, AvailableCapacity::kFreeAfterPreemption);
+  if (IsKnownMisfit(pass, requirements, unit.tasks.size())) {
+    return;
+  }
+  if (pass.preemptions_left == 0) {
+    pass.world->scheduling.placement_due = true;
+    return;
+  }
+  --pass.preemptions_left;
   const std::vector<Victim> victims = FindVictims(pass, unit);
+  if (victims.empty()) {
+    RecordMisfit(pass, unit, requirements);
+    return;
+  }
   std::vector<std::vector<std::size_t>> by_candidate(pass.candidates.size());
   for (std::size_t i = 0; i < victims.size(); ++i) {
     for (const std::size_t candidate : victims[i].candidates) {
@@ -204,7 +219,7 @@
     }
   }
   std::optional<PreemptionPlan> best;
-  if (NeedsOneRack(pass, unit)) {
+  if (one_rack) {
     for (const auto& [rack, members] : pass.racks) {
       auto plan = PlanPreemption(pass, unit, victims, by_candidate, members);
       if (plan && (!best || plan->loss < best->loss)) {
@@ -216,6 +231,7 @@
                           ListAllCandidates(pass));
   }
   if (!best) {
+    RecordMisfit(pass, unit, requirements);
     return;
   }
   std::size_t stopped = 0;
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -104,6 +104,8 @@
 
 void ApplyEnds(WorkflowWorld& world, const OrderResult& hold, TimePoint now) {
   const WorkerId id = hold.worker;
+  const EndNumber applied_before =
+      world.scheduling.workers.find(id)->applied_ends;
   for (const EndReport& end : hold.ended) {
     TaskWorker* worker = world.scheduling.workers.find(id);
     if (end.number <= worker->applied_ends) {
@@ -125,6 +127,14 @@
       worker->exclusion = {};
     }
   }
+  if (const TaskWorker* worker = world.scheduling.workers.find(id);
+      worker->applied_ends > applied_before) {
+    world.scheduling.ends_to_record.push_back(
+        AwaitedEnds{.worker = id,
+                    .incarnation = worker->listing.incarnation,
+                    .applied = worker->applied_ends,
+                    .change = world.scheduling.changes_queued});
+  }
 }
 
 // Reconciles the runs that the worker reports with the tables: stops orphaned
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_unresponsive_workers.h"
@@ -18,38 +21,53 @@
   return listing.labels.size() < 2 ? Rack() : Rack(listing.labels[1]);
 }
 
+// The tasks that the recorded progress places on workers that are not in the
+// table yet.
+using PlacedTasks = std::unordered_map<WorkerId, std::vector<TaskKey>>;
+
+PlacedTasks CollectTasksOfNewWorkers(const WorkflowWorld& world) {
+  PlacedTasks placed;
+  for (const WorkflowId& id : world.scheduling.open) {
+    const Workflow* workflow = world.workflows.find(id);
+    for (const StepRun& run : workflow->runs) {
+      for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
+        const Task& task = run.tasks[i];
+        if (HoldsCapacity(task.state) &&
+            world.scheduling.workers.find(task.worker) == nullptr) {
+          placed[task.worker].push_back(
+              TaskKey{id, run.occurrence, run.step, TaskIndex(i)});
+        }
+      }
+    }
+  }
+  return placed;
+}
+
 // Adds a worker and the tasks that the recorded progress places on it.
 void AddWorker(WorkflowWorld& world,
                const WorkerListing& listing,
+               const PlacedTasks& placed,
                TimePoint now) {
   TaskWorker worker{.listing = listing,
                     .rack = GetRack(listing),
                     .free = listing.capacity,
                     .next_hold = now};
   InheritLeaseExpiry(world, worker);
-  for (const WorkflowId& id : world.scheduling.open) {
-    Workflow* workflow = world.workflows.find(id);
-    if (workflow == nullptr) {
-      continue;
-    }
-    for (const StepRun& run : workflow->runs) {
-      const Capacity& need = workflow->spec.steps[run.step.value].need;
-      for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
-        const Task& task = run.tasks[i];
-        if (!HoldsCapacity(task.state) || task.worker != listing.id) {
-          continue;
-        }
-        worker.tasks[TaskKey{id, run.occurrence, run.step, TaskIndex(i)}] =
-            task.run;
-        worker.free = worker.free - need;
-        if (task.state == TaskState::kStopping) {
-          // The task was being stopped before the worker was added.
-          worker.orders.push_back(WorkerOrder{
-              .kind = OrderKind::kStop,
-              .worker = listing.id,
-              .task = TaskKey{id, run.occurrence, run.step, TaskIndex(i)},
-              .run = task.run});
-        }
+  if (const auto own = placed.find(listing.id); own != placed.end()) {
+    for (const TaskKey& key : own->second) {
+      const TaskRef ref = FindTask(world, key);
+      if (!ref || !HoldsCapacity(ref.task->state) ||
+          ref.task->worker != listing.id) {
+        continue;
+      }
+      worker.tasks[key] = ref.task->run;
+      worker.free = worker.free - ref.spec->need;
+      if (ref.task->state == TaskState::kStopping) {
+        // The task was being stopped before the worker was added.
+        worker.orders.push_back(WorkerOrder{.kind = OrderKind::kStop,
+                                            .worker = listing.id,
+                                            .task = key,
+                                            .run = ref.task->run});
       }
     }
   }
@@ -58,21 +76,17 @@
 
 // Adds workers that the recorded progress places tasks on but the platform no
 // longer lists: these tasks may run until their leases expire.
-void AddUnlistedWorkers(WorkflowWorld& world, TimePoint now) {
+void AddUnlistedWorkers(WorkflowWorld& world,
+                        const PlacedTasks& placed,
+                        TimePoint now) {
   std::set<WorkerId> unknown;
-  for (const WorkflowId& id : world.scheduling.open) {
-    const Workflow* workflow = world.workflows.find(id);
-    for (const StepRun& run : workflow->runs) {
-      for (const Task& task : run.tasks) {
-        if (HoldsCapacity(task.state) &&
-            world.scheduling.workers.find(task.worker) == nullptr) {
-          unknown.insert(task.worker);
-        }
-      }
+  for (const auto& [id, tasks] : placed) {
+    if (world.scheduling.workers.find(id) == nullptr) {
+      unknown.insert(id);
     }
   }
   for (const WorkerId& id : unknown) {
-    AddWorker(world, WorkerListing{.id = id}, now);
+    AddWorker(world, WorkerListing{.id = id}, placed, now);
     world.scheduling.workers.find(id)->listed = false;
     Log(LogLevel::kWarn, "worker_not_listed", {{"worker", id.value}});
   }
@@ -111,10 +125,11 @@
 
 void ApplyListing(WorkflowWorld& world,
                   const WorkerListing& listing,
+                  const PlacedTasks& placed,
                   TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(listing.id);
   if (worker == nullptr) {
-    AddWorker(world, listing, now);
+    AddWorker(world, listing, placed, now);
     world.scheduling.placement_due = true;
     StopTasksOfOtherIncarnations(world, listing, now);
     return;
@@ -242,11 +257,15 @@
       continue;
     }
     world.scheduling.workers_loaded = true;
-    std::set<WorkerId> seen;
+    // Only a complete list can name workers with tasks that are not in the
+    // table: the first one adds every worker that has tasks.
+    const PlacedTasks placed =
+        read.workers_complete ? CollectTasksOfNewWorkers(world) : PlacedTasks();
+    std::unordered_set<WorkerId> seen;
     for (const auto& [id, listing] : read.workers) {
       if (listing) {
         seen.insert(id);
-        ApplyListing(world, *listing, time.now);
+        ApplyListing(world, *listing, placed, time.now);
       } else {
         ApplyUnlisted(world, id);
       }
@@ -258,7 +277,7 @@
           ApplyUnlisted(world, id);
         }
       }
-      AddUnlistedWorkers(world, time.now);
+      AddUnlistedWorkers(world, placed, time.now);
     }
   }
 }
@@ -267,19 +286,22 @@
   if (world.holding.state != HoldingState::kHolding) {
     return;
   }
-  const auto known = world.scheduling.workers.keys;
-  for (const WorkerId& id : known) {
-    TaskWorker* worker = world.scheduling.workers.find(id);
-    if ((worker->unanswered_holds > 0 || !worker->listed) &&
-        !worker->tasks.empty() && HaveLeasesExpired(*worker, time.now)) {
+  Table<WorkerId, TaskWorker>& workers = world.scheduling.workers;
+  // Erasing moves the last row into the gap, so going backwards visits each row
+  // once.
+  for (std::size_t i = workers.size(); i-- > 0;) {
+    const TaskWorker& worker = workers.rows[i];
+    if ((worker.unanswered_holds > 0 || !worker.listed) &&
+        !worker.tasks.empty() && HaveLeasesExpired(worker, time.now)) {
       // A start that is still in flight can no longer be carried out either.
-      ReleaseLostTasks(world, id, "all its leases have expired", time.now);
+      ReleaseLostTasks(world, WorkerId(workers.keys[i]),
+                       "all its leases have expired", time.now);
     }
-    if (!worker->listed && worker->tasks.empty() && !worker->hold_in_flight &&
-        worker->orders_in_flight.empty() && !worker->recorded_unresponsive &&
-        (worker->unanswered_holds > 0 ||
-         worker->recorded_ends == worker->acknowledged_ends)) {
-      world.scheduling.workers.erase(id);
+    if (!worker.listed && worker.tasks.empty() && !worker.hold_in_flight &&
+        worker.orders_in_flight.empty() && !worker.recorded_unresponsive &&
+        (worker.unanswered_holds > 0 ||
+         worker.recorded_ends == worker.acknowledged_ends)) {
+      workers.erase(WorkerId(workers.keys[i]));
     }
   }
 }
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -6,6 +6,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflow_tables.h"
 #include "chicorystep/systems/workflow_writes.h"
 
 namespace chicorystep {
@@ -28,6 +29,10 @@
 // let larger ones claim first.
 constexpr double kMinProcessorShare = 0.25;
 constexpr Duration kSmallShareClaimDelay = milliseconds(400);
+// An entry that has just lost the role, or a claim to it, lets others claim
+// first: it was probably too slow to keep the role.
+constexpr Duration kLossMemory = std::chrono::seconds(10);
+constexpr Duration kLossClaimDelay = milliseconds(600);
 // Spreads the claims of entries that are equally near to the store.
 constexpr std::uint64_t kClaimJitterMillis = 120;
 // A claim that is not read back within this time is abandoned.
@@ -89,6 +94,7 @@
   for (std::size_t i = 0; i < world.workflows.size(); ++i) {
     Workflow& workflow = world.workflows.rows[i];
     workflow.dirty = false;
+    workflow.advance_queued = false;
     workflow.announced = workflow.state;
     if (workflow.state != workflow.shown) {
       // The previous holder wrote this progress but not the state record that
@@ -103,6 +109,7 @@
       continue;
     }
     world.scheduling.open.insert(world.workflows.keys[i]);
+    QueueAdvance(world, world.workflows.keys[i], workflow);
     for (StepRun& run : workflow.runs) {
       workflow.occurrences_begun =
           std::max(workflow.occurrences_begun, run.occurrence.value + 1);
@@ -160,6 +167,7 @@
        {"why", why}});
   const bool held = holding.state == HoldingState::kHolding;
   holding.state = HoldingState::kFollowing;
+  holding.lost = now;
   for (HolderLane* lane : {&holding.journal, &holding.progress}) {
     lane->in_flight.reset();
     lane->sent = false;
@@ -212,8 +220,10 @@
     const Duration small_share_delay =
         world.self.processor_share < kMinProcessorShare ? kSmallShareClaimDelay
                                                         : Duration();
+    const Duration loss_delay =
+        time.now - holding.lost < kLossMemory ? kLossClaimDelay : Duration();
     holding.claim_due =
-        time.now + distance_delay + small_share_delay +
+        time.now + distance_delay + small_share_delay + loss_delay +
         milliseconds(world.self.incarnation.value % kClaimJitterMillis);
   }
   if (time.now >= holding.claim_due) {
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflow_progress.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chicorystep/core/logging.h"
@@ -96,8 +97,8 @@
              const WorkflowId& id,
              Workflow& workflow,
              const WorkflowTime& time) {
-  const bool failed = HasExhaustedAttempts(workflow);
-  if (workflow.cancel_requested || failed) {
+  workflow.attempts_exhausted = HasExhaustedAttempts(workflow);
+  if (workflow.cancel_requested || workflow.attempts_exhausted) {
     for (StepRun& run : workflow.runs) {
       StopStepRun(world, id, workflow, run, time.now);
     }
@@ -115,23 +116,43 @@
   }
 }
 
+// Queues the workflows with an occurrence that has become due.
+void QueueDueOccurrences(WorkflowWorld& world, const WorkflowTime& time) {
+  for (const WorkflowId& id : world.scheduling.scheduled) {
+    Workflow* workflow = world.workflows.find(id);
+    if (DueAt(workflow->spec, workflow->occurrences_begun) <= time.wall) {
+      QueueAdvance(world, id, *workflow);
+    }
+  }
+}
+
 }  // namespace
 
 void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time) {
   if (world.holding.state != HoldingState::kHolding) {
     return;
   }
-  std::vector<WorkflowId> ended;
-  for (const WorkflowId& id : world.scheduling.open) {
+  Scheduling& scheduling = world.scheduling;
+  QueueDueOccurrences(world, time);
+  for (const WorkflowId& id : std::exchange(scheduling.to_advance, {})) {
     Workflow* workflow = world.workflows.find(id);
+    if (workflow == nullptr) {
+      continue;
+    }
+    workflow->advance_queued = false;
+    if (!scheduling.open.contains(id)) {
+      continue;
+    }
     Advance(world, id, *workflow, time);
     if (IsTerminal(workflow->state)) {
-      ended.push_back(id);
+      scheduling.open.erase(id);
+      scheduling.scheduled.erase(id);
+    } else if (workflow->occurrences_begun < OccurrenceCount(workflow->spec)) {
+      scheduling.scheduled.insert(id);
+    } else {
+      scheduling.scheduled.erase(id);
     }
   }
-  for (const WorkflowId& id : ended) {
-    world.scheduling.open.erase(id);
-  }
 }
 
 void EvictEndedWorkflows(WorkflowWorld& world, const WorkflowTime& time) {
@@ -158,13 +179,14 @@
 TimePoint NextOccurrenceDue(const WorkflowWorld& world,
                             const WorkflowTime& time) {
   TimePoint due = kNever;
-  for (const WorkflowId& id : world.scheduling.open) {
+  if (!world.scheduling.to_advance.empty()) {
+    return time.now;
+  }
+  for (const WorkflowId& id : world.scheduling.scheduled) {
     const Workflow* workflow = world.workflows.find(id);
-    if (workflow->occurrences_begun < workflow->spec.occurrences) {
-      const UnixMillis at = DueAt(workflow->spec, workflow->occurrences_begun);
-      due = std::min(due, time.now + std::chrono::milliseconds(
-                                         at.value - time.wall.value));
-    }
+    const UnixMillis at = DueAt(workflow->spec, workflow->occurrences_begun);
+    due = std::min(
+        due, time.now + std::chrono::milliseconds(at.value - time.wall.value));
   }
   return due;
 }
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -6,6 +6,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
@@ -46,12 +47,14 @@
   if (world.workflows.find(record.id) != nullptr) {
     return;
   }
-  world.workflows.insert(record.id, Workflow{.spec = record.spec,
-                                             .terms = record.terms,
-                                             .accepted = record.accepted});
+  Workflow& workflow =
+      world.workflows.insert(record.id, Workflow{.spec = record.spec,
+                                                 .terms = record.terms,
+                                                 .accepted = record.accepted});
   if (world.holding.state == HoldingState::kHolding) {
     world.scheduling.open.insert(record.id);
     world.scheduling.placement_due = true;
+    QueueAdvance(world, record.id, workflow);
   }
 }
 
@@ -256,6 +259,9 @@
   } else if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
     if (Workflow* workflow = world.workflows.find(cancel->id)) {
       workflow->cancel_requested = true;
+      if (world.holding.state == HoldingState::kHolding) {
+        QueueAdvance(world, cancel->id, *workflow);
+      }
     }
   } else if (const auto* eviction = std::get_if<EvictionRecord>(&record)) {
     if (world.holding.state != HoldingState::kHolding) {
--- a/chicorystep/systems/workflow_tables.cc
+++ b/chicorystep/systems/workflow_tables.cc
@@ -1,6 +1,7 @@
 #include "chicorystep/systems/workflow_tables.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace chicorystep {
@@ -24,10 +25,19 @@
   return {};
 }
 
+void QueueAdvance(WorkflowWorld& world,
+                  const WorkflowId& id,
+                  Workflow& workflow) {
+  if (!std::exchange(workflow.advance_queued, true)) {
+    world.scheduling.to_advance.push_back(id);
+  }
+}
+
 void MarkDirty(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow) {
-  if (!workflow.dirty) {
-    workflow.dirty = true;
+  QueueAdvance(world, id, workflow);
+  if (!std::exchange(workflow.dirty, true)) {
     world.scheduling.dirty.push_back(id);
+    ++world.scheduling.changes_queued.value;
   }
 }
 
--- a/chicorystep/systems/workflow_tables.h
+++ b/chicorystep/systems/workflow_tables.h
@@ -19,8 +19,13 @@
 };
 [[nodiscard]] TaskRef FindTask(WorkflowWorld& world, const TaskKey& key);
 
+// Queues the workflow to be advanced in the next pass over changed workflows.
+void QueueAdvance(WorkflowWorld& world,
+                  const WorkflowId& id,
+                  Workflow& workflow);
+
 // Marks the workflow's progress record as out of date, so that it is written
-// again.
+// again, and queues the workflow to be advanced.
 void MarkDirty(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow);
 
 // Releases the capacity that a task holds on its worker.
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <variant>
@@ -22,7 +23,11 @@
 // each task that is up to 140 kB, which a connection between regions carries in
 // 0.3 s.
 constexpr std::size_t kMaxRecords = 300;
-constexpr std::size_t kMaxTasks = 2000;
+constexpr std::int64_t kMaxTasks = 2000;
+// Each change rewrites all tasks of its workflow, so appends are spaced in
+// proportion to the tasks that the last one held. Several changes of a wide
+// workflow then share one record.
+constexpr Duration kProgressSpacingPerTask = std::chrono::microseconds(50);
 
 bool IsRelease(const AppendJournal& append) {
   return std::any_of(append.records.begin(), append.records.end(),
@@ -49,8 +54,11 @@
 // Orders the starts whose placement has been written.
 void OrderRecordedStarts(WorkflowWorld& world, TimePoint now) {
   Scheduling& scheduling = world.scheduling;
-  for (const AwaitedStart& start :
-       std::exchange(scheduling.starts_being_recorded, {})) {
+  while (!scheduling.starts_to_record.empty() &&
+         scheduling.starts_to_record.front().change <=
+             scheduling.changes_taken) {
+    const AwaitedStart start = std::move(scheduling.starts_to_record.front());
+    scheduling.starts_to_record.pop_front();
     const TaskRef ref = FindTask(world, start.task);
     if (!ref || ref.task->state != TaskState::kPlaced ||
         ref.task->run != start.run) {
@@ -73,8 +81,10 @@
 
 // Acknowledges to workers the ends that have been written.
 void AcknowledgeRecordedEnds(Scheduling& scheduling, TimePoint now) {
-  for (const AwaitedEnds& awaited :
-       std::exchange(scheduling.ends_being_recorded, {})) {
+  while (!scheduling.ends_to_record.empty() &&
+         scheduling.ends_to_record.front().change <= scheduling.changes_taken) {
+    const AwaitedEnds awaited = std::move(scheduling.ends_to_record.front());
+    scheduling.ends_to_record.pop_front();
     if (TaskWorker* worker = scheduling.workers.find(awaited.worker);
         worker != nullptr &&
         worker->listing.incarnation == awaited.incarnation) {
@@ -164,25 +174,29 @@
   }
 }
 
-// Begins an append of progress that has changed.
+// Begins an append of progress that has changed. No append of progress is in
+// flight, so every change taken so far is written.
 void WriteProgress(WorkflowWorld& world, const WorkflowTime& time) {
   Scheduling& scheduling = world.scheduling;
-  if (scheduling.dirty.empty() && scheduling.progress_to_remove.empty()) {
+  AcknowledgeRecordedEnds(scheduling, time.now);
+  if ((scheduling.dirty.empty() && scheduling.progress_to_remove.empty()) ||
+      time.now < scheduling.next_progress) {
     return;
   }
   std::vector<JournalRecord> records;
-  std::size_t taken = 0;
-  std::size_t tasks = 0;
-  while (taken < scheduling.dirty.size() && taken < kMaxRecords &&
+  std::int64_t tasks = 0;
+  while (!scheduling.dirty.empty() && records.size() < kMaxRecords &&
          tasks < kMaxTasks) {
-    const WorkflowId& id = scheduling.dirty[taken++];
+    const WorkflowId id = std::move(scheduling.dirty.front());
+    scheduling.dirty.pop_front();
+    ++scheduling.changes_taken.value;
     Workflow* workflow = world.workflows.find(id);
     if (workflow == nullptr) {
       continue;
     }
     workflow->dirty = false;
     for (const StepRun& run : workflow->runs) {
-      tasks += run.tasks.size();
+      tasks += std::ssize(run.tasks);
     }
     records.push_back(ProgressRecord{
         .id = id,
@@ -191,25 +205,11 @@
         .ended_at = IsTerminal(workflow->state) ? time.wall : UnixMillis{},
         .runs = workflow->runs});
   }
-  scheduling.dirty.erase(
-      scheduling.dirty.begin(),
-      scheduling.dirty.begin() + static_cast<std::ptrdiff_t>(taken));
   for (const WorkflowId& id :
        std::exchange(scheduling.progress_to_remove, {})) {
     records.push_back(ProgressRemovalRecord{.id = id});
   }
-  if (scheduling.dirty.empty()) {
-    scheduling.starts_being_recorded =
-        std::exchange(scheduling.starts_to_record, {});
-    for (const TaskWorker& worker : scheduling.workers.rows) {
-      if (worker.applied_ends > worker.recorded_ends) {
-        scheduling.ends_being_recorded.push_back(
-            AwaitedEnds{.worker = worker.listing.id,
-                        .incarnation = worker.listing.incarnation,
-                        .applied = worker.applied_ends});
-      }
-    }
-  }
+  scheduling.next_progress = time.now + kProgressSpacingPerTask * tasks;
   BeginAppend(world.holding, world.holding.progress, std::move(records),
               time.now);
 }
@@ -260,6 +260,16 @@
   outbox.appends.push_back(*lane.in_flight);
 }
 
+// When progress that has changed may be appended.
+TimePoint NextProgressDue(const WorkflowWorld& world) {
+  const Scheduling& scheduling = world.scheduling;
+  return world.holding.progress.in_flight ||
+                 (scheduling.dirty.empty() &&
+                  scheduling.progress_to_remove.empty())
+             ? kNever
+             : scheduling.next_progress;
+}
+
 TimePoint NextSendDue(const HolderLane& lane, const StoreAnswer& newest) {
   if (!lane.in_flight) {
     return lane.lane == AppendLane::kHolder ? lane.last_written + kHeartbeat
@@ -350,8 +360,9 @@
   const Holding& holding = world.holding;
   return holding.state == HoldingState::kFollowing
              ? kNever
-             : std::min(NextSendDue(holding.journal, world.store_answer),
-                        NextSendDue(holding.progress, world.store_answer));
+             : std::min({NextSendDue(holding.journal, world.store_answer),
+                         NextSendDue(holding.progress, world.store_answer),
+                         NextProgressDue(world)});
 }
 
 }  // namespace chicorystep
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -338,6 +338,8 @@
   // intend to.
   TimePoint claim_due = kDistantPast;
   TimePoint claimed{};
+  // When this process last lost the role or a claim to it.
+  TimePoint lost = kDistantPast;
   // Begin of the newest request to the store whose answer confirmed the claim.
   TimePoint confirmed = kDistantPast;
   // Orders may be sent: the claim was confirmed within `kConfirmationBound`.
@@ -353,17 +355,23 @@
   std::vector<WorkflowId> progress_left_over;
 };
 
+// A position in the sequence of changed workflows: the number of changes queued
+// so far. A change is recorded once as many have been written.
+using ChangeNumber = Id<struct ChangeNumberTag, std::uint64_t>;
+
 // A placement that must be recorded before its task is started.
 struct AwaitedStart {
   TaskKey task;
   RunNumber run;
+  ChangeNumber change;
 };
 // Ends reported by a worker, up to the number `applied`, that are acknowledged
-// to it once the batch in flight is written.
+// to it once the change that they caused is recorded.
 struct AwaitedEnds {
   WorkerId worker;
   WorkerIncarnation incarnation;
   EndNumber applied;
+  ChangeNumber change;
 };
 
 // Tables that only the holder maintains.
@@ -371,18 +379,27 @@
   Table<WorkerId, TaskWorker> workers;
   // Workflows that have not ended.
   std::unordered_set<WorkflowId> open;
-  // Workflows whose progress must be written.
-  std::vector<WorkflowId> dirty;
+  // Open workflows with occurrences that are not due yet.
+  std::unordered_set<WorkflowId> scheduled;
+  // Open workflows that were accepted, cancelled or changed since they were
+  // last advanced.
+  std::vector<WorkflowId> to_advance;
+  // Workflows whose progress must be written, oldest change first.
+  std::deque<WorkflowId> dirty;
+  // Changes queued in `dirty` so far, and those of them that have been taken
+  // into an append.
+  ChangeNumber changes_queued;
+  ChangeNumber changes_taken;
   // State records to append to the journal, each of progress that is written.
   std::vector<StateRecord> to_announce;
   // Workflows whose end is recorded in the journal, so that the next batch of
   // progress removes their progress.
   std::vector<WorkflowId> progress_to_remove;
-  // Placements whose record is in the batch in flight, and those that the next
-  // batch records.
-  std::vector<AwaitedStart> starts_being_recorded;
-  std::vector<AwaitedStart> starts_to_record;
-  std::vector<AwaitedEnds> ends_being_recorded;
+  // Placements and ends that are not recorded yet, oldest change first.
+  std::deque<AwaitedStart> starts_to_record;
+  std::deque<AwaitedEnds> ends_to_record;
+  // The next append of progress is not sent before this time.
+  TimePoint next_progress{};
   // Ended workflows whose records the next journal batch removes.
   std::vector<WorkflowId> to_evict;
   TimePoint next_eviction{};
@@ -394,6 +411,10 @@
   // A change may allow a placement that was not possible before.
   bool placement_due = false;
   TimePoint next_placement{};
+  // Position in `workers` at which the next tick begins to send orders. Set
+  // when a tick has sent as many orders as one tick may.
+  std::size_t next_worker = 0;
+  bool orders_deferred = false;
 };
 
 // All control state of the workflow scheduler in one entry process.
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -202,6 +202,12 @@
   // The state that the next progress record carries.
   WorkflowState state = WorkflowState::kQueued;
   bool dirty = false;
+  // Whether the workflow is queued to be advanced.
+  bool advance_queued = false;
+  // Some task has used all its attempts, so no further task is placed.
+  bool attempts_exhausted = false;
+  // Length of the critical path; zero until it is first needed.
+  Duration critical_path{};
   // The newest state that was queued for the journal, whether it is written or
   // not.
   WorkflowState announced = WorkflowState::kQueued;
