Survive odd entries, answers and records of other writers

Cause: another writer's entry among those of the workers, or an odd answer, could end a process or stop it following the list.

--- a/chicorystep/control/workflow_loop.cc
+++ b/chicorystep/control/workflow_loop.cc
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <chrono>
+#include <exception>
+
+#include "chicorystep/core/logging.h"
 
 namespace chicorystep {
 
@@ -60,7 +63,12 @@
     return;
   }
   const WorkflowInbox inbox = TakeInbox(this->mailbox);
-  this->process_outbox(WorkflowTick(this->world, inbox, time), this->world);
+  try {
+    this->process_outbox(WorkflowTick(this->world, inbox, time), this->world);
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "tick_failed", {{"error", error.what()}});
+    RecoverFromFailedTick(this->world, time.now);
+  }
   const Duration tick_time = BootTimeNow() - time.now;
   const Duration rest = RestAfterTick(
       tick_time, this->world.holding.state != HoldingState::kFollowing);
--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -65,6 +65,17 @@
   return outbox;
 }
 
+void RecoverFromFailedTick(WorkflowWorld& world, TimePoint now) {
+  StopHolding(world, "a tick failed", now);
+  world.scheduling = Scheduling{};
+  world.workflows = {};
+  for (auto& [stream, position] : world.streams) {
+    ReloadStream(world, stream, now);
+    position.read_in_flight = false;
+    position.discard_read = false;
+  }
+}
+
 TimePoint NextWorkflowDue(const WorkflowWorld& world,
                           const WorkflowTime& time) {
   const bool holds = world.holding.state != HoldingState::kFollowing;
--- a/chicorystep/control/workflow_tick.h
+++ b/chicorystep/control/workflow_tick.h
@@ -11,6 +11,12 @@
                                           const WorkflowInbox& inbox,
                                           const WorkflowTime& time);
 
+// Makes the world usable after a tick that threw an exception and may have
+// applied only part of its inbox: gives up the holder role and reads all
+// streams from the start. Calls whose message was lost time out at their
+// caller.
+void RecoverFromFailedTick(WorkflowWorld& world, TimePoint now);
+
 // Returns when the next tick is due if no event arrives before.
 [[nodiscard]] TimePoint NextWorkflowDue(const WorkflowWorld& world,
                                         const WorkflowTime& time);
--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -104,7 +104,8 @@
       json["workers"].push_back(DumpWorker(worker, now));
     }
   }
-  return json.dump(1);
+  // Text that is not UTF-8 is replaced rather than rejected.
+  return json.dump(1, ' ', false, PlainJson::error_handler_t::replace);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -22,6 +22,18 @@
 // that a new holder's record does not replace the previous holder's.
 constexpr std::string_view kUnresponsivePrefix = "silent-";
 
+// Accepted workflows have fewer tasks. A record with more was not written by an
+// entry, and must not take up the memory of those that read it.
+constexpr std::uint32_t kMaxTasksOfStep = 100'000;
+
+std::uint32_t ReadTaskCount(const PlainJson& json) {
+  const auto count = json.get<std::uint64_t>();
+  if (count > kMaxTasksOfStep) {
+    throw std::runtime_error("too many tasks");
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
 PlainJson ToPlainJson(const StepSpec& step) {
   PlainJson json = {{"n", step.count}};
   const auto number = [&](const char* name, std::int64_t value) {
@@ -59,7 +71,7 @@
 
 StepSpec StepFromPlainJson(const PlainJson& json) {
   StepSpec step;
-  step.count = json.at("n").get<std::uint32_t>();
+  step.count = ReadTaskCount(json.at("n"));
   step.need.processors = Millicores(json.value("cpu", std::int64_t{0}));
   step.need.memory = Mebibytes(json.value("mem", std::int64_t{0}));
   step.need.accelerators = Accelerators(json.value("acc", std::int64_t{0}));
@@ -173,7 +185,7 @@
 StepRun StepRunFromPlainJson(const PlainJson& json) {
   StepRun run{.occurrence = Occurrence(json.at(0).get<std::uint32_t>()),
               .step = StepIndex(json.at(1).get<std::uint32_t>())};
-  run.tasks.resize(json.at(2).get<std::uint32_t>());
+  run.tasks.resize(ReadTaskCount(json.at(2)));
   const auto done = json.at(3).get<std::string>();
   for (std::size_t i = 0; i < run.tasks.size(); ++i) {
     if (IsDoneInBitmap(done, i)) {
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -79,6 +79,15 @@
   workflow->ended_at = record.ended_at;
 }
 
+// Whether the record's step runs belong to the workflow's steps.
+bool MatchesSpec(const ProgressRecord& record, const WorkflowSpec& spec) {
+  return std::all_of(
+      record.runs.begin(), record.runs.end(), [&](const StepRun& run) {
+        return run.step.value < spec.steps.size() &&
+               run.tasks.size() == spec.steps[run.step.value].count;
+      });
+}
+
 // Replaces the tasks' state with the progress that the previous holder has
 // written.
 void ApplyProgressLoad(WorkflowWorld& world, const StreamRead& read) {
@@ -101,6 +110,11 @@
       world.holding.progress_left_over.push_back(progress->id);
       continue;
     }
+    if (!MatchesSpec(*progress, workflow->spec)) {
+      Log(LogLevel::kWarn, "progress_of_other_steps",
+          {{"workflow", progress->id.value}, {"offset", offset.value}});
+      continue;
+    }
     workflow->state = progress->state;
     workflow->ended_at = progress->ended_at;
     workflow->runs = progress->runs;
