Reject settings files with bare characters that are not ASCII

Change: such characters are looked for before the parser runs and reported with line and column; TOML allows none outside of strings and comments.

--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -1,7 +1,5 @@
 // Fuzzes the decoders of data from the users' platform: bodies, records and
-// instance entries. The settings file is left out, because toml++ 3.3.0 as
-// packaged by Debian has undefined behaviour on U+FE3F outside of strings
-// (bytes ef b8 bf); see docs/PROOFS.md.
+// instance entries, and the settings file.
 
 #include <cstddef>
 #include <cstdint>
@@ -9,12 +7,14 @@
 
 #include "fuzz/check.h"
 #include "platform/codec.h"
+#include "platform/settings.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace chicorystep;
   const std::string_view text(reinterpret_cast<const char*>(data), size);
   (void)platform::DecodeConfig(text);
+  (void)platform::ParseSettings(text);
   (void)platform::DecodeListing("i-1", text);
   (void)platform::DecodeNewestPage(text);
   if (const auto page = platform::DecodeLogPage(text)) {
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -400,6 +400,15 @@
     {"not TOML", "Node = = 1", false},
     {"without a store", "Node = \"a\"\n[Listen]\nFront = \"1.2.3.4:5\"", false},
     {"empty", "", false},
+    {"a byte order mark", "\xef\xbb\xbf" + kSettings, true},
+    {"a comment that is not ASCII", "# caf\xc3\xa9 \"\n" + kSettings, true},
+    {"strings that are not ASCII",
+     "A = \"\\\"\xc3\xa9\"\nB = '\xc3\xa9'\nC = \"\"\"\n\xc3\xa9\"\"\"\n" +
+         kSettings,
+     true},
+    {"a key that is not ASCII", "caf\xc3\xa9 = 1\n" + kSettings, false},
+    {"bytes that toml++ 3.3.0 does not survive", "\xef\xb8\xbf{\"<i", false},
+    {"a string that is not closed", "A = \"\xc3\xa9", false},
 };
 
 BOOST_AUTO_TEST_CASE(settings_are_parsed_or_report_the_error) {
