--- a/bench/workflow_bench.cc
+++ b/bench/workflow_bench.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <numeric>
 #include <string>
 #include <vector>
@@ -173,6 +174,7 @@
              sample.name, ticks.size(), Percentile(ticks, 0.5),
              Percentile(ticks, 0.99), Percentile(ticks, 1.0),
              total / 10 / length, ended, emulation.expected_to_end.size());
+  std::fflush(stdout);
   Expect(goals, "urgent_workflows_end", ended > 0, sample.name);
   if (index == kGoalCase) {
     Expect(goals, "tick_time_within_goal",
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -441,9 +441,9 @@
 bool IsReady(const WorkflowWorld& world, TimePoint now) {
   return world.config && !world.stopping && !IsStoreUnresponsive(world) &&
          IsFresh(world, FollowedStream::kConfig,
-                 kUnreadyAfter + milliseconds(1500), now) &&
+                 kUnreadyAfter + kLongestReadWait, now) &&
          IsFresh(world, FollowedStream::kJournal,
-                 kUnreadyAfter + milliseconds(1500), now);
+                 kUnreadyAfter + kLongestReadWait, now);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -16,8 +16,8 @@
 // How long the platform may hold a read until a record is written. A longer
 // wait saves calls, but the age of the configuration grows with it and must
 // stay well below `revoke_bound`.
-constexpr Duration kConfigWait = milliseconds(1500);
-constexpr Duration kHolderWait = milliseconds(1500);
+constexpr Duration kConfigWait = kLongestReadWait;
+constexpr Duration kHolderWait = kLongestReadWait;
 // How often entries other than the holder read the journal. On average callers
 // see the end of a workflow half of this period late; the platform charges for
 // each read.
--- a/chicorystep/systems/workflow_streams.h
+++ b/chicorystep/systems/workflow_streams.h
@@ -5,6 +5,10 @@
 
 namespace chicorystep {
 
+// The longest time that a read waits for a record. A stream without news is
+// confirmed only this long after the read began.
+inline constexpr Duration kLongestReadWait = std::chrono::milliseconds(1500);
+
 // Applies the results of reads to the tables. The configuration version never
 // decreases, the first acceptance of a workflow wins, and the claim with the
 // highest epoch determines the holder.
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -294,8 +294,8 @@
     const WorkflowOutbox outbox = WorkflowTick(entry.world, inbox, time);
     entry.due = NextWorkflowDue(entry.world, time);
     entry.busy_until =
-        this->now + this->order_cost * (outbox.orders.size() +
-                                        inbox.order_results.size());
+        this->now +
+        this->order_cost * (outbox.orders.size() + inbox.order_results.size());
     this->most_orders_in_tick =
         std::max(this->most_orders_in_tick, outbox.orders.size());
     if (entry.world.holding.state == HoldingState::kHolding) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -65,8 +65,12 @@
   }
 
   // Waits for the process to end and reaps it. Returns the exit code, or -1
-  // when a signal ended it.
+  // when a signal ended it or it could not be started.
   int Wait() {
+    if (this->pid <= 0) {
+      // The process could not be started, or has been reaped.
+      return -1;
+    }
     int status = 0;
     const pid_t reaped = ::waitpid(std::exchange(this->pid, -1), &status, 0);
     return reaped > 0 && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
