Give up a claim that the store rejects

The store turned an entry away that claimed; it repeated the claim until the store accepted it, which fenced a holder that would have recovered, and it could not complete the claim for 4 s. Change: a rejected claim is given up at once. Another entry can claim the epoch. Result: a_claim_that_the_store_rejects_is_given_up (the rejected row stayed claiming before).

--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -328,6 +328,10 @@
     } else if (ended.outcome == AppendOutcome::kFenced ||
                ended.outcome == AppendOutcome::kOutOfSequence) {
       StopHolding(world, EnumName(ended.outcome), time.now);
+    } else if (is_claim && ended.outcome == AppendOutcome::kRejected) {
+      // The store may serve other entries better. A claim that it accepts from
+      // this one later would end a holder that has recovered meanwhile.
+      StopHolding(world, "the store rejected the claim", time.now);
     } else {
       Log(LogLevel::kWarn, "append_not_confirmed",
           {{"lane", std::string(EnumName(ended.lane))},
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -4,6 +4,7 @@
 #include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflow_writes.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
@@ -229,5 +230,48 @@
   }
 }
 
+// How the store answers a claim, and whether the claim stands afterwards.
+struct ClaimCase {
+  std::string name;
+  AppendOutcome outcome;
+  HoldingState state;
+};
+
+const std::vector<ClaimCase> kClaimCases = {
+    {"written", AppendOutcome::kWritten, HoldingState::kClaiming},
+    {"no answer", AppendOutcome::kUnknown, HoldingState::kClaiming},
+    {"rejected", AppendOutcome::kRejected, HoldingState::kFollowing},
+    {"fenced", AppendOutcome::kFenced, HoldingState::kFollowing},
+    {"another entry's claim is first", AppendOutcome::kOutOfSequence,
+     HoldingState::kFollowing},
+};
+
+// Pattern: the store turns some entries away while it serves others. A claim
+// that is repeated until the store accepts it ends a sound holder, and nobody
+// places work until it times out (atlas-dechets-large, inc-269c).
+BOOST_AUTO_TEST_CASE(a_claim_that_the_store_rejects_is_given_up) {
+  for (const ClaimCase& sample : kClaimCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      Holding& holding = world.holding;
+      holding.state = HoldingState::kClaiming;
+      holding.own_epoch = Epoch(2);
+      holding.journal.sequence = FirstSequence(world.self);
+      BeginAppend(holding, holding.journal, {HolderRecord{.epoch = Epoch(2)}},
+                  kStart.now);
+      WorkflowOutbox outbox;
+      WriteHolderRecords(world, kStart, outbox);
+      BOOST_REQUIRE(outbox.appends.size() == 1U);
+      EndHolderAppends(world,
+                       {.appended = {{.lane = AppendLane::kHolder,
+                                      .epoch = Epoch(2),
+                                      .batch = outbox.appends[0].batch,
+                                      .outcome = sample.outcome}}},
+                       kStart);
+      BOOST_TEST((holding.state == sample.state));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
