Recover from a failed tick without half of a stream, and spare forestalled claimers

Cause: reading the diff. After a failed tick a read that was still in flight counted as the load of its stream, so that entries before it were missing for a moment. An entry whose claim came second was treated like one that could not hold the role, so after a takeover the capable entries all claimed later. Change: a read in flight is dropped after a failed tick; the outbox is processed outside of the guarded part. Only losing the role, a time-out or a rejection of a claim delays the next claim.

--- a/chicorystep/control/workflow_loop.cc
+++ b/chicorystep/control/workflow_loop.cc
@@ -6,6 +6,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <chrono>
 #include <exception>
+#include <utility>
 
 #include "chicorystep/core/logging.h"
 
@@ -63,12 +64,14 @@
     return;
   }
   const WorkflowInbox inbox = TakeInbox(this->mailbox);
+  WorkflowOutbox outbox;
   try {
-    this->process_outbox(WorkflowTick(this->world, inbox, time), this->world);
+    outbox = WorkflowTick(this->world, inbox, time);
   } catch (const std::exception& error) {
     Log(LogLevel::kError, "tick_failed", {{"error", error.what()}});
-    RecoverFromFailedTick(this->world, time.now);
+    RecoverFromFailedTick(this->world, inbox, time.now);
   }
+  this->process_outbox(std::move(outbox), this->world);
   const Duration tick_time = BootTimeNow() - time.now;
   const Duration rest = RestAfterTick(
       tick_time, this->world.holding.state != HoldingState::kFollowing);
--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -65,14 +65,18 @@
   return outbox;
 }
 
-void RecoverFromFailedTick(WorkflowWorld& world, TimePoint now) {
+void RecoverFromFailedTick(WorkflowWorld& world,
+                           const WorkflowInbox& inbox,
+                           TimePoint now) {
   StopHolding(world, "a tick failed", now);
   world.scheduling = Scheduling{};
   world.workflows = {};
+  for (const StreamRead& read : inbox.reads) {
+    world.streams[read.stream].read_in_flight = false;
+  }
   for (auto& [stream, position] : world.streams) {
+    // Drops the result of a read that is still in flight.
     ReloadStream(world, stream, now);
-    position.read_in_flight = false;
-    position.discard_read = false;
   }
 }
 
--- a/chicorystep/control/workflow_tick.h
+++ b/chicorystep/control/workflow_tick.h
@@ -15,7 +15,9 @@
 // applied only part of its inbox: gives up the holder role and reads all
 // streams from the start. Calls whose message was lost time out at their
 // caller.
-void RecoverFromFailedTick(WorkflowWorld& world, TimePoint now);
+void RecoverFromFailedTick(WorkflowWorld& world,
+                           const WorkflowInbox& inbox,
+                           TimePoint now);
 
 // Returns when the next tick is due if no event arrives before.
 [[nodiscard]] TimePoint NextWorkflowDue(const WorkflowWorld& world,
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -29,10 +29,11 @@
 // let larger ones claim first.
 constexpr double kMinProcessorShare = 0.25;
 constexpr Duration kSmallShareClaimDelay = milliseconds(400);
-// An entry that has just lost the role, or a claim to it, lets others claim
-// first: it was probably too slow to keep the role.
-constexpr Duration kLossMemory = std::chrono::seconds(10);
-constexpr Duration kLossClaimDelay = milliseconds(600);
+// An entry that lost the role, or could not complete a claim, less than this
+// long ago lets others claim first: it is probably too slow, or the store turns
+// it away.
+constexpr Duration kFailureMemory = std::chrono::seconds(10);
+constexpr Duration kFailureClaimDelay = milliseconds(600);
 // Spreads the claims of entries that are equally near to the store.
 constexpr std::uint64_t kClaimJitterMillis = 120;
 // A claim that is not read back within this time is abandoned.
@@ -142,6 +143,7 @@
     BecomeHolder(world, time);
   } else if (holding.load_began != kNever) {
     if (time.now - holding.load_began > kLoadTimeout) {
+      holding.failed_to_hold = time.now;
       StopHolding(world,
                   "loading the progress of the previous holder timed out",
                   time.now);
@@ -150,6 +152,7 @@
     holding.load_began = time.now;
     ReloadStream(world, FollowedStream::kProgress, time.now);
   } else if (time.now - holding.claimed > kClaimTimeout) {
+    holding.failed_to_hold = time.now;
     StopHolding(world, "the claim was not confirmed in time", time.now);
   }
 }
@@ -167,7 +170,9 @@
        {"why", why}});
   const bool held = holding.state == HoldingState::kHolding;
   holding.state = HoldingState::kFollowing;
-  holding.lost = now;
+  if (held) {
+    holding.failed_to_hold = now;
+  }
   for (HolderLane* lane : {&holding.journal, &holding.progress}) {
     lane->in_flight.reset();
     lane->sent = false;
@@ -220,10 +225,11 @@
     const Duration small_share_delay =
         world.self.processor_share < kMinProcessorShare ? kSmallShareClaimDelay
                                                         : Duration();
-    const Duration loss_delay =
-        time.now - holding.lost < kLossMemory ? kLossClaimDelay : Duration();
+    const Duration failure_delay =
+        time.now - holding.failed_to_hold < kFailureMemory ? kFailureClaimDelay
+                                                           : Duration();
     holding.claim_due =
-        time.now + distance_delay + small_share_delay + loss_delay +
+        time.now + distance_delay + small_share_delay + failure_delay +
         milliseconds(world.self.incarnation.value % kClaimJitterMillis);
   }
   if (time.now >= holding.claim_due) {
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -331,6 +331,7 @@
     } else if (is_claim && ended.outcome == AppendOutcome::kRejected) {
       // The store may serve other entries better. A claim that it accepts from
       // this one later would end a holder that has recovered meanwhile.
+      holding.failed_to_hold = time.now;
       StopHolding(world, "the store rejected the claim", time.now);
     } else {
       Log(LogLevel::kWarn, "append_not_confirmed",
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -338,8 +338,9 @@
   // intend to.
   TimePoint claim_due = kDistantPast;
   TimePoint claimed{};
-  // When this process last lost the role or a claim to it.
-  TimePoint lost = kDistantPast;
+  // When this process last lost the role or could not complete a claim; not
+  // when another entry claimed first.
+  TimePoint failed_to_hold = kDistantPast;
   // Begin of the newest request to the store whose answer confirmed the claim.
   TimePoint confirmed = kDistantPast;
   // Orders may be sent: the claim was confirmed within `kConfirmationBound`.
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -273,5 +273,41 @@
   }
 }
 
+// Whether the result of a stream's read was part of the failed tick, and
+// whether a result that arrives afterwards is dropped.
+struct FailedTickCase {
+  std::string name;
+  bool read_in_inbox;
+  bool drops_next_result;
+};
+
+const std::vector<FailedTickCase> kFailedTickCases = {
+    {"its read had ended", true, false},
+    {"its read is still in flight", false, true},
+};
+
+// A read that was requested before the failed tick continues from an offset, so
+// it must not count as the load of the whole stream.
+BOOST_AUTO_TEST_CASE(streams_are_read_again_after_a_failed_tick) {
+  for (const FailedTickCase& sample : kFailedTickCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      world.holding.state = HoldingState::kHolding;
+      StreamPosition& position = world.streams[FollowedStream::kJournal];
+      position.next = Offset(7);
+      position.read_in_flight = true;
+      WorkflowInbox inbox;
+      if (sample.read_in_inbox) {
+        inbox.reads.push_back({.stream = FollowedStream::kJournal});
+      }
+      RecoverFromFailedTick(world, inbox, kStart.now);
+      BOOST_TEST((world.holding.state == HoldingState::kFollowing));
+      BOOST_TEST(!position.next.has_value());
+      BOOST_TEST(position.discard_read == sample.drops_next_result);
+      BOOST_TEST(position.read_in_flight == sample.drops_next_result);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
