--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -117,6 +117,17 @@
   std::string how;
 };
 
+// A run that ended as done. The end counts once a cursor has reached it, unless
+// the executor's lease lapsed or its process ended before.
+struct DoneEnd {
+  std::string executor;
+  std::int64_t number = 0;
+  int run = 0;
+  bool noted = false;
+  // The task was started again after this end.
+  bool restarted = false;
+};
+
 class Scene;
 
 // The platform's store: keyed topics with one partition each.
@@ -241,9 +252,14 @@
 
   // Called for each start order before it is carried out. An executor that
   // fails part of its requests carries out the first and loses its answer, and
-  // rejects the second as unhealthy.
-  enum class Health { kGood, kLosesAnswer, kRejects };
+  // rejects the second as unhealthy. One that crashes does not carry it out.
+  enum class Health { kGood, kLosesAnswer, kRejects, kCrashes };
   std::function<Health(const std::string& task, int run)> health;
+  // Called for each hold; a hold for which it returns a time gets no answer and
+  // is carried out that much later.
+  std::function<milliseconds()> delays_hold;
+  // One way, to the edges.
+  milliseconds latency{};
   // All tasks that work here fail, a second after their start at the latest.
   bool faulty = false;
   // No bytes reach the executor or leave it.
@@ -254,7 +270,16 @@
   // The process ends: all that runs is lost, and connections break.
   void Crash();
   void Register();
+  // The cut ends. Requests that it held back are lost with their connections,
+  // as the edges have given them up.
+  void Heal() {
+    this->cut = false;
+    this->held.clear();
+    this->waiting.clear();
+  }
   void Serve(const ServedRequest& request, Respond respond);
+  // Carries a hold out and returns how long its answer waits for an end.
+  std::int64_t Hold(const Json& order);
   // Ends runs whose work is done, that were stopped or whose lease is over.
   void Advance();
 
@@ -282,6 +307,7 @@
   [[nodiscard]] Json Answer() const {
     return Json{{"ClockMs", this->ReadClock()}, {"born", this->born}};
   }
+  void ServeNow(const ServedRequest& request, Respond respond);
   void Extend(const Json& order);
   ServedResponse Start(const Json& order);
   ServedResponse Stop(const Json& order);
@@ -565,10 +591,34 @@
             task, other.id, other.running.at(task).run, executor.id, run));
       }
     }
+    const auto [from, to] = this->done_ends.equal_range(task);
+    for (auto row = from; row != to; ++row) {
+      row->second.restarted = true;
+      if (row->second.noted) {
+        this->BreakTwice(task, row->second);
+      }
+    }
     if (this->on_start) {
       this->on_start(executor, task, run);
     }
   }
+  // A cursor has reached the ends of the executor up to `seen`.
+  void NoteEnds(const std::string& executor, std::int64_t seen) {
+    for (auto& [task, end] : this->done_ends) {
+      if (end.executor == executor && end.number <= seen && !end.noted) {
+        end.noted = true;
+        if (end.restarted) {
+          this->BreakTwice(task, end);
+        }
+      }
+    }
+  }
+  // Ends that no cursor has reached count no more.
+  void DropEnds(const std::string& executor) {
+    std::erase_if(this->done_ends, [&](const auto& row) {
+      return row.second.executor == executor && !row.second.noted;
+    });
+  }
   // The members of a gang's run that are present on executors that are up.
   std::vector<Run*> FindMembers(const std::string& task, int run) {
     const std::string step = task.substr(0, task.rfind('.') + 1);
@@ -582,6 +632,12 @@
     }
     return members;
   }
+  void BreakTwice(const std::string& task, const DoneEnd& end) {
+    this->Break(fmt::format(
+        "TWICE: task {} was started again after its run {} ended done on {}, "
+        "an end that was taken note of",
+        task, end.run, end.executor));
+  }
   void Break(const std::string& what) {
     this->Write("BROKEN " + what);
     this->broken.push_back(what);
@@ -621,6 +677,7 @@
   std::map<std::string, Job*> job_by_id;
   std::set<std::string> started_jobs;
   std::uint64_t starts = 0;
+  std::multimap<std::string, DoneEnd> done_ends;
   std::vector<std::string> broken;
   std::function<void(const Executor&, const std::string&, int)> on_start;
 
@@ -885,6 +942,7 @@
   // Drops the responses, which closes their connections.
   this->waiting.clear();
   this->held.clear();
+  this->scene.DropEnds(this->id);
 }
 
 inline void Executor::Register() {
@@ -996,6 +1054,31 @@
 }
 
 inline void Executor::Serve(const ServedRequest& request, Respond respond) {
+  if (this->latency == milliseconds(0)) {
+    this->ServeNow(request, std::move(respond));
+    return;
+  }
+  Respond later =
+      [this, respond = std::move(respond)](const ServedResponse& response) {
+        this->scene.After(this->latency,
+                          [respond, response] { respond(response); });
+      };
+  this->scene.After(this->latency, [this, request, later = std::move(later)] {
+    this->ServeNow(request, later);
+  });
+}
+
+inline std::int64_t Executor::Hold(const Json& order) {
+  this->fence = order.value("Fence", std::uint64_t{0});
+  this->Extend(order);
+  const auto seen = order.value("AckCursor", std::int64_t{0});
+  this->scene.NoteEnds(this->id, seen);
+  std::erase_if(this->finished,
+                [&](const Finished& end) { return end.number <= seen; });
+  return order.value("WaitMs", std::int64_t{0});
+}
+
+inline void Executor::ServeNow(const ServedRequest& request, Respond respond) {
   if (!this->up) {
     // The response is dropped, which closes the connection.
     return;
@@ -1025,6 +1108,12 @@
     const std::string task = order.at("Task").get<std::string>();
     const int run = order.at("Run").get<int>();
     const Health now = this->health ? this->health(task, run) : Health::kGood;
+    if (now == Health::kCrashes) {
+      this->scene.Write(fmt::format("{} crashes before start {} run {}",
+                                    this->id, task, run));
+      this->Crash();
+      return;
+    }
     if (now == Health::kRejects) {
       this->scene.Write(fmt::format("{} answers 503 to start {} run {}",
                                     this->id, task, run));
@@ -1044,12 +1133,26 @@
     this->fence = given;
     respond(this->Stop(order));
   } else if (request.path.ends_with("hold")) {
-    this->fence = given;
-    this->Extend(order);
-    const auto seen = order.value("AckCursor", std::int64_t{0});
-    std::erase_if(this->finished,
-                  [&](const Finished& end) { return end.number <= seen; });
-    const auto wait = order.value("WaitMs", std::int64_t{0});
+    if (const milliseconds delay =
+            this->delays_hold ? this->delays_hold() : milliseconds(0);
+        delay > milliseconds(0)) {
+      this->held.push_back(std::move(respond));
+      this->scene.Write(
+          fmt::format("{} leaves a hold with cursor {} "
+                      "unanswered",
+                      this->id, order.value("AckCursor", std::int64_t{0})));
+      this->scene.After(delay, [this, order, given] {
+        if (this->up && given >= this->fence) {
+          this->scene.Write(fmt::format(
+              "{} carries a late hold out, cursor {}, {} ends listed", this->id,
+              order.value("AckCursor", std::int64_t{0}),
+              this->finished.size()));
+          (void)this->Hold(order);
+        }
+      });
+      return;
+    }
+    const std::int64_t wait = this->Hold(order);
     if (wait > 0 && this->finished.empty()) {
       this->waiting.push_back(
           Waiting{.until = Clock::now() + milliseconds(wait),
@@ -1072,6 +1175,11 @@
       .number = ++this->last_number, .task = task, .run = run, .how = how});
   this->scene.Write(
       fmt::format("{} ends task {} run {}: {}", this->id, task, run, how));
+  if (how == "done") {
+    this->scene.done_ends.emplace(
+        task,
+        DoneEnd{.executor = this->id, .number = this->last_number, .run = run});
+  }
 }
 
 // Returns how the run ends now, or nothing. A task begins to work at its start,
@@ -1120,6 +1228,9 @@
   if (now - this->began > milliseconds((this->beats + 1) * kHeartbeatMs)) {
     this->beats = (now - this->began) / milliseconds(kHeartbeatMs);
   }
+  if (this->ReadClock() > this->leased_until) {
+    this->scene.DropEnds(this->id);
+  }
   std::vector<std::string> present;
   for (const auto& [task, run] : this->running) {
     present.push_back(task);
