--- a/review/standin/case_cursor.cc
+++ b/review/standin/case_cursor.cc
@@ -66,7 +66,7 @@
   const std::int64_t traffic_begins = scene.Now();
   std::size_t next = 0;
   std::function<void()> submit = [&] {
-    if (scene.Now() - traffic_begins > 22'000) {
+    if (scene.Now() - traffic_begins > 36'000) {
       return;
     }
     // Of sixty durations, so that ends come one by one.
@@ -87,8 +87,8 @@
   if (scene.starts < 500) {
     return scene.NotRun("too few tasks started");
   }
-  // Executors of the other region crash in two waves, those that work most.
-  for (int wave = 0; wave < 2; ++wave) {
+  // Executors of the other region crash in four waves, those that work most.
+  for (int wave = 0; wave < 4; ++wave) {
     if (scene.trouble) {
       CrashBusiest(scene);
     }
--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
@@ -363,6 +364,12 @@
           this->store.Serve(request, std::move(respond));
         });
     this->Write(fmt::format("disruption: {}", this->trouble ? "yes" : "no"));
+    // A script that is stopped ends its processes, too.
+    this->signals.async_wait([](const std::error_code& error, int) {
+      if (!error) {
+        throw std::runtime_error("stopped by a signal");
+      }
+    });
   }
   Scene(const Scene&) = delete;
   Scene& operator=(const Scene&) = delete;
@@ -766,6 +773,7 @@
         kAppendMs, kRecordBytes);
   }
 
+  asio::signal_set signals{context, SIGTERM, SIGINT};
   std::deque<chicorystep::platform::HttpServer> servers;
   std::deque<chicorystep::platform::HttpClient> clients;
 };
