--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -320,6 +320,8 @@
   lane.next_send = time.now + kAppendRetryDelay;
   if (unknown && lane.unanswered_since == kNever) {
     lane.unanswered_since = time.now;
+    // Usually one connection broke, so the first retry need not wait.
+    lane.next_send = time.now;
   }
 }
 
--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -8,6 +8,8 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <future>
+#include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -151,6 +153,86 @@
   BOOST_TEST(loopback.Send(echo_request).status == 200);
 }
 
+// A server that answers its first request, ends the connection of the second
+// without an answer, and answers all later requests with 503.
+struct BreakingServer {
+  asio::io_context context;
+  int received = 0;
+  HttpServer server{
+      context, [this](const ServedRequest&, const Respond& respond) {
+        if (++this->received != 2) {
+          respond(ServedResponse{.status = this->received == 1 ? 200 : 503});
+        }
+      }};
+  HttpClient client{context};
+  Address address;
+
+  BreakingServer() {
+    for (int port = 21'200; port < 21'400; ++port) {
+      this->address = Address("127.0.0.1:" + std::to_string(port));
+      if (this->server.Listen(this->address)) {
+        return;
+      }
+    }
+    BOOST_FAIL("no free port");
+  }
+
+  HttpReply Send(HttpRequest request) {
+    request.address = this->address;
+    std::optional<HttpReply> reply;
+    this->client.Send(std::move(request),
+                      [&](HttpReply got) { reply = std::move(got); });
+    while (!reply) {
+      this->context.run_one();
+    }
+    return *reply;
+  }
+};
+
+// A request whose reused connection ends without an answer, its outcome and how
+// often the server has received it.
+struct BrokenConnectionCase {
+  std::string name;
+  HttpRequest request;
+  HttpOutcome outcome;
+  int status;
+  int received;
+};
+
+const std::vector<BrokenConnectionCase> kBrokenConnectionCases = {
+    {"a request that changes state",
+     {.method = "POST", .target = "/"},
+     HttpOutcome::kNoAnswer,
+     0,
+     1},
+    {"a read without the option",
+     {.target = "/"},
+     HttpOutcome::kNoAnswer,
+     0,
+     1},
+    {"a read that may be resent",
+     {.target = "/", .resend_if_broken = true},
+     HttpOutcome::kAnswered,
+     503,
+     2},
+};
+
+// Guards against an append or a start that was carried out and is reported as
+// rejected, because the rejection of a hidden second send replaced the unknown
+// outcome of the first one.
+BOOST_AUTO_TEST_CASE(a_request_is_sent_once_unless_it_may_be_resent) {
+  for (const BrokenConnectionCase& sample : kBrokenConnectionCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      BreakingServer breaking;
+      BOOST_TEST(breaking.Send({.target = "/"}).status == 200);
+      const HttpReply reply = breaking.Send(sample.request);
+      BOOST_TEST((reply.outcome == sample.outcome));
+      BOOST_TEST(reply.status == sample.status);
+      BOOST_TEST(breaking.received - 1 == sample.received);
+    }
+  }
+}
+
 // A server that answers one request, reads `reads` more on the same connection,
 // then closes the connection and stops listening.
 struct ServerExitCase {
--- /dev/null
+++ b/tests/platform_orders_test.cc
@@ -0,0 +1,112 @@
+#define BOOST_TEST_MODULE platform_orders
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/http_server.h"
+#include "platform/workers.h"
+
+namespace chicorystep::platform {
+namespace {
+
+const std::string kEmptyLists =
+    R"({"ClockMs":5,"born":7,"Running":[],"Finished":[]})";
+
+// A worker that gives every order the same answer, and a client, on this
+// thread.
+struct FakeWorker {
+  asio::io_context context;
+  ServedResponse answer{.body = kEmptyLists};
+  // Number of orders whose connection ends without an answer.
+  int unanswered = 0;
+  int received = 0;
+  HttpServer server{context,
+                    [this](const ServedRequest&, const Respond& respond) {
+                      ++this->received;
+                      if (this->unanswered > 0) {
+                        --this->unanswered;
+                      } else {
+                        respond(this->answer);
+                      }
+                    }};
+  HttpClient client{context};
+  Address address;
+
+  FakeWorker() {
+    for (int port = 21'400; port < 21'600; ++port) {
+      this->address = Address("127.0.0.1:" + std::to_string(port));
+      if (this->server.Listen(this->address)) {
+        return;
+      }
+    }
+    BOOST_FAIL("no free port");
+  }
+
+  OrderOutcome Order(OrderKind kind) {
+    std::optional<OrderResult> got;
+    CarryOutOrder(
+        this->client,
+        WorkerOrder{.kind = kind,
+                    .worker = WorkerId("w"),
+                    .address = this->address,
+                    .task = {.workflow = WorkflowId("0123456789abcdef")},
+                    .run = RunNumber(1)},
+        [&](const OrderResult& ended) { got = ended; });
+    while (!got) {
+      this->context.run_one();
+    }
+    return got->outcome;
+  }
+};
+
+// An order on a reused connection: how often the worker ends the connection
+// without an answer, the answer to what it receives then, the outcome, and how
+// often the worker received the order.
+struct OrderCase {
+  std::string name;
+  OrderKind kind;
+  int unanswered;
+  int status;
+  std::string body;
+  OrderOutcome outcome;
+  int received;
+};
+
+const std::vector<OrderCase> kOrderCases = {
+    {"a start is carried out", OrderKind::kStart, 0, 200, R"({"ClockMs":5})",
+     OrderOutcome::kDone, 1},
+    {"an unhealthy worker has done nothing", OrderKind::kStart, 0, 503, "{}",
+     OrderOutcome::kUnhealthy, 1},
+    {"a start that the worker cannot read", OrderKind::kStart, 0, 400, "{}",
+     OrderOutcome::kRejected, 1},
+    {"the connection of a start ends, then the worker rejects",
+     OrderKind::kStart, 1, 503, "{}", OrderOutcome::kUnknown, 1},
+    {"the connection of a stop ends, then the worker rejects", OrderKind::kStop,
+     1, 503, "{}", OrderOutcome::kUnknown, 1},
+    {"the connection of a hold ends, and the hold is repeated",
+     OrderKind::kHold, 1, 200, kEmptyLists, OrderOutcome::kDone, 2},
+    {"the connections of a hold end twice", OrderKind::kHold, 2, 200,
+     kEmptyLists, OrderOutcome::kUnknown, 2},
+};
+
+// Guards against a task that is placed on a second worker while it runs on the
+// first: the first has carried out the start and rejects a repeat of it.
+BOOST_AUTO_TEST_CASE(an_order_counts_as_rejected_only_if_no_send_can_count) {
+  for (const OrderCase& sample : kOrderCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      FakeWorker worker;
+      // Leaves a connection to reuse.
+      BOOST_TEST((worker.Order(OrderKind::kHold) == OrderOutcome::kDone));
+      worker.unanswered = sample.unanswered;
+      worker.answer =
+          ServedResponse{.status = sample.status, .body = sample.body};
+      BOOST_TEST(EnumName(worker.Order(sample.kind)) ==
+                 EnumName(sample.outcome));
+      BOOST_TEST(worker.received - 1 == sample.received);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::platform
--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -17,10 +17,18 @@
 struct FakeStore {
   asio::io_context context;
   ServedResponse answer;
-  HttpServer server{context,
-                    [this](const ServedRequest&, const Respond& respond) {
-                      respond(this->answer);
-                    }};
+  // Number of requests whose connection ends without an answer.
+  int unanswered = 0;
+  int appends = 0;
+  HttpServer server{
+      context, [this](const ServedRequest& request, const Respond& respond) {
+        this->appends += request.path.ends_with("log-append") ? 1 : 0;
+        if (this->unanswered > 0) {
+          --this->unanswered;
+        } else {
+          respond(this->answer);
+        }
+      }};
   HttpClient client{context};
   Store store{.client = &client};
 
@@ -46,8 +54,61 @@
     }
     return *got;
   }
+
+  JournalAppended Append() {
+    std::optional<JournalAppended> got;
+    CarryOutAppend(this->store,
+                   AppendJournal{.records = {CancelRecord{
+                                     .id = WorkflowId("0123456789abcdef")}}},
+                   [&](const JournalAppended& appended) { got = appended; });
+    while (!got) {
+      this->context.run_one();
+    }
+    return *got;
+  }
+};
+
+// How a store ends an append on a reused connection, and the outcome.
+struct AppendCase {
+  std::string name;
+  // Whether the connection ends after the append was received.
+  bool broken;
+  // The status of every answer.
+  int status;
+  AppendOutcome outcome;
 };
 
+const std::vector<AppendCase> kAppendCases = {
+    {"written", false, 200, AppendOutcome::kWritten},
+    {"rejected", false, 503, AppendOutcome::kRejected},
+    {"over the rate limit", false, 429, AppendOutcome::kRejected},
+    {"the store is full", false, 507, AppendOutcome::kRejected},
+    {"an undocumented status", false, 500, AppendOutcome::kUnknown},
+    {"the connection ends, then the store is back", true, 200,
+     AppendOutcome::kUnknown},
+    {"the connection ends, then the store rejects", true, 503,
+     AppendOutcome::kUnknown},
+    {"the connection ends, then the rate limit rejects", true, 429,
+     AppendOutcome::kUnknown},
+};
+
+// Guards against a submission that is refused although its append was carried
+// out: the connection ended after the append, and a second send was rejected.
+BOOST_AUTO_TEST_CASE(an_append_has_the_outcome_of_its_only_send) {
+  for (const AppendCase& sample : kAppendCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      FakeStore fake;
+      fake.answer = ServedResponse{.body = "{}"};
+      // Leaves a connection to reuse.
+      (void)fake.Append();
+      fake.answer.status = sample.status;
+      fake.unanswered = sample.broken ? 1 : 0;
+      BOOST_TEST(EnumName(fake.Append().outcome) == EnumName(sample.outcome));
+      BOOST_TEST(fake.appends == 2);
+    }
+  }
+}
+
 std::string BigEndian8(std::uint64_t value) {
   std::string bytes;
   for (int shift = 56; shift >= 0; shift -= 8) {
