Count an order's undocumented or unreadable answer as an unknown outcome

A start that got 500, 502, 504 or an unreadable 200 counted as rejected, and its task was placed on another worker.

--- a/tests/platform_orders_test.cc
+++ b/tests/platform_orders_test.cc
@@ -88,10 +88,19 @@
      OrderKind::kHold, 1, 200, kEmptyLists, OrderOutcome::kDone, 2},
     {"the connections of a hold end twice", OrderKind::kHold, 2, 200,
      kEmptyLists, OrderOutcome::kUnknown, 2},
+    {"an error inside the worker leaves the outcome open", OrderKind::kStart, 0,
+     500, "{}", OrderOutcome::kUnknown, 1},
+    {"a gateway without an answer", OrderKind::kStart, 0, 502, "",
+     OrderOutcome::kUnknown, 1},
+    {"a gateway that timed out", OrderKind::kStop, 0, 504, "",
+     OrderOutcome::kUnknown, 1},
+    {"success with an unreadable body", OrderKind::kStart, 0, 200, "{",
+     OrderOutcome::kUnknown, 1},
 };
 
 // Guards against a task that is placed on a second worker while it runs on the
-// first: the first has carried out the start and rejects a repeat of it.
+// first: the first has carried out the start and rejects a repeat of it, or
+// answers with a status that does not say whether it did.
 BOOST_AUTO_TEST_CASE(an_order_counts_as_rejected_only_if_no_send_can_count) {
   for (const OrderCase& sample : kOrderCases) {
     BOOST_TEST_CONTEXT(sample.name) {
