Repeat a rejected claim whose earlier send may have been written

A claim that got no answer and whose resend was rejected was given up. If the first send was written, the other entries waited for the heartbeats of a holder that did not know its role. The lane now keeps whether a send of its append is unconfirmed, and only a claim without such a send is given up. The row "no answer, then rejected" of workflow_streams_test failed before.

--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -255,6 +255,7 @@
                                     : now < lane.next_send)) {
     return;
   }
+  lane.unconfirmed = lane.unconfirmed || lane.sent;
   lane.sent = true;
   RecordSend(lane.latency, now);
   outbox.appends.push_back(*lane.in_flight);
@@ -294,6 +295,7 @@
                                  .epoch = holding.own_epoch,
                                  .sequence = lane.sequence};
   lane.sent = false;
+  lane.unconfirmed = false;
   lane.latency.unanswered_sends = 0;
   lane.next_send = now;
 }
@@ -309,6 +311,8 @@
         ended.batch != lane.in_flight->batch) {
       continue;
     }
+    lane.unconfirmed =
+        lane.unconfirmed || ended.outcome == AppendOutcome::kUnknown;
     if (!RecordSendOutcome(lane.latency, ended, time.now)) {
       continue;
     }
@@ -328,9 +332,12 @@
     } else if (ended.outcome == AppendOutcome::kFenced ||
                ended.outcome == AppendOutcome::kOutOfSequence) {
       StopHolding(world, EnumName(ended.outcome), time.now);
-    } else if (is_claim && ended.outcome == AppendOutcome::kRejected) {
+    } else if (is_claim && ended.outcome == AppendOutcome::kRejected &&
+               !lane.unconfirmed) {
       // The store may serve other entries better. A claim that it accepts from
-      // this one later would end a holder that has recovered meanwhile.
+      // this one later would end a holder that has recovered meanwhile. A claim
+      // that may have been written is repeated instead: the other entries would
+      // wait for its heartbeats.
       holding.failed_to_hold = time.now;
       StopHolding(world, "the store rejected the claim", time.now);
     } else {
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -311,6 +311,8 @@
   std::optional<AppendJournal> in_flight;
   // `in_flight` has been sent and its outcome is awaited.
   bool sent = false;
+  // Some send of `in_flight` has got no answer, so it may still be written.
+  bool unconfirmed = false;
   TimePoint next_send{};
   TimePoint last_written = kDistantPast;
   AppendLatency latency;
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -230,19 +230,29 @@
   }
 }
 
-// How the store answers a claim, and whether the claim stands afterwards.
+// How the store answers successive sends of a claim, and whether the claim
+// stands afterwards.
 struct ClaimCase {
   std::string name;
-  AppendOutcome outcome;
+  std::vector<AppendOutcome> outcomes;
   HoldingState state;
 };
 
 const std::vector<ClaimCase> kClaimCases = {
-    {"written", AppendOutcome::kWritten, HoldingState::kClaiming},
-    {"no answer", AppendOutcome::kUnknown, HoldingState::kClaiming},
-    {"rejected", AppendOutcome::kRejected, HoldingState::kFollowing},
-    {"fenced", AppendOutcome::kFenced, HoldingState::kFollowing},
-    {"another entry's claim is first", AppendOutcome::kOutOfSequence,
+    {"written", {AppendOutcome::kWritten}, HoldingState::kClaiming},
+    {"no answer", {AppendOutcome::kUnknown}, HoldingState::kClaiming},
+    {"rejected", {AppendOutcome::kRejected}, HoldingState::kFollowing},
+    {"fenced", {AppendOutcome::kFenced}, HoldingState::kFollowing},
+    {"another entry's claim is first",
+     {AppendOutcome::kOutOfSequence},
+     HoldingState::kFollowing},
+    // The first send may have been written, or may be written later. The other
+    // entries would then wait for the heartbeats of this one.
+    {"no answer, then rejected",
+     {AppendOutcome::kUnknown, AppendOutcome::kRejected},
+     HoldingState::kClaiming},
+    {"no answer, then another entry's claim is first",
+     {AppendOutcome::kUnknown, AppendOutcome::kOutOfSequence},
      HoldingState::kFollowing},
 };
 
@@ -259,15 +269,19 @@
       holding.journal.sequence = FirstSequence(world.self);
       BeginAppend(holding, holding.journal, {HolderRecord{.epoch = Epoch(2)}},
                   kStart.now);
-      WorkflowOutbox outbox;
-      WriteHolderRecords(world, kStart, outbox);
-      BOOST_REQUIRE(outbox.appends.size() == 1U);
-      EndHolderAppends(world,
-                       {.appended = {{.lane = AppendLane::kHolder,
-                                      .epoch = Epoch(2),
-                                      .batch = outbox.appends[0].batch,
-                                      .outcome = sample.outcome}}},
-                       kStart);
+      WorkflowTime time = kStart;
+      for (const AppendOutcome outcome : sample.outcomes) {
+        time.now += milliseconds(300);
+        WorkflowOutbox outbox;
+        WriteHolderRecords(world, time, outbox);
+        BOOST_REQUIRE(outbox.appends.size() == 1U);
+        EndHolderAppends(world,
+                         {.appended = {{.lane = AppendLane::kHolder,
+                                        .epoch = Epoch(2),
+                                        .batch = outbox.appends[0].batch,
+                                        .outcome = outcome}}},
+                         time);
+      }
       BOOST_TEST((holding.state == sample.state));
     }
   }
