Count a gang's failed run once, not once for each member

ApplyEnd raised the count for each report and copied it to all members; a member that is being stopped still holds capacity, so its report passed the check.

A task now keeps the newest run that is counted, shared by the members of a gang and recorded with the progress, since a takeover may come between two reports of one run.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -172,9 +172,14 @@
       entry.push_back("");
       entry.push_back(0);
     }
-    if (!task.checkpoint.empty()) {
+    const bool run_counted_as_failed =
+        HoldsCapacity(task.state) && task.failed_run == task.run;
+    if (!task.checkpoint.empty() || run_counted_as_failed) {
       entry.push_back(task.checkpoint);
     }
+    if (run_counted_as_failed) {
+      entry.push_back(true);
+    }
     others.push_back(std::move(entry));
   }
   return {run.occurrence.value, run.step.value, run.tasks.size(),
@@ -205,6 +210,9 @@
     if (entry.size() > 5) {
       task.checkpoint = entry.at(5).get<std::string>();
     }
+    if (entry.size() > 6 && entry.at(6).get<bool>()) {
+      task.failed_run = task.run;
+    }
   }
   return run;
 }
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -77,8 +77,11 @@
     }
     return;
   }
-  if (end.end == RunEnd::kFailed) {
+  const bool new_failure =
+      end.end == RunEnd::kFailed && task.failed_run != end.run;
+  if (new_failure) {
     ++task.failures;
+    task.failed_run = end.run;
   }
   ReturnToWaiting(world, end.task, ref, now);
   if (!ref.spec->gang) {
@@ -88,8 +91,9 @@
     if (!end.checkpoint.empty()) {
       member.checkpoint = end.checkpoint;
     }
-    if (end.end == RunEnd::kFailed && &member != &task) {
-      member.failures = std::max(member.failures, task.failures);
+    if (new_failure) {
+      member.failures = task.failures;
+      member.failed_run = task.failed_run;
     }
   }
   StopStepRun(world, end.task.workflow, *ref.workflow, *ref.run, now);
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -127,8 +127,11 @@
   TaskState state = TaskState::kWaiting;
   // The newest start; 0 before the first one.
   RunNumber run;
-  // Number of runs that ended as failed.
+  // Number of runs that ended as failed, and the newest run that is counted.
+  // The members of a gang share both, so that a run that several of them report
+  // as failed counts once.
   std::uint32_t failures = 0;
+  RunNumber failed_run;
   // Where the newest run was placed.
   WorkerId worker;
   WorkerIncarnation incarnation;
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "chicorystep/encoding/workflow_record.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
@@ -192,5 +193,145 @@
   }
 }
 
+// Makes a holder's world in which a step of `count` tasks runs, each task on a
+// worker of its own.
+WorkflowWorld MakeStepWorld(std::uint32_t count, bool gang) {
+  WorkflowWorld world;
+  world.config = Emulation::MakeConfig(1);
+  world.holding.state = HoldingState::kHolding;
+  world.holding.own_epoch = Epoch(1);
+  Workflow workflow;
+  workflow.spec.steps = {MakeStep(count, 1, gang)};
+  workflow.runs = {StepRun{}};
+  for (std::uint32_t i = 0; i < count; ++i) {
+    TaskWorker worker{.listing = {.id = WorkerId(fmt::format("w{}", i)),
+                                  .incarnation = WorkerIncarnation(1)},
+                      .fenced = true};
+    TaskKey key = kTask;
+    key.task = TaskIndex(i);
+    worker.tasks[key] = kRun;
+    workflow.runs[0].tasks.push_back(Task{.state = TaskState::kRunning,
+                                          .run = kRun,
+                                          .worker = worker.listing.id,
+                                          .incarnation = WorkerIncarnation(1),
+                                          .since = kNow.now});
+    const WorkerId id = worker.listing.id;
+    world.scheduling.workers.insert(id, std::move(worker));
+  }
+  world.workflows.insert(kTask.workflow, workflow);
+  world.scheduling.open.insert(kTask.workflow);
+  return world;
+}
+
+// Writes the progress of the only workflow and loads it, as at a takeover.
+void TakeOver(WorkflowWorld& world) {
+  Workflow& workflow = *world.workflows.find(kTask.workflow);
+  const auto encoded = EncodeJournalRecord(
+      ProgressRecord{.id = kTask.workflow, .runs = workflow.runs});
+  const auto decoded =
+      DecodeJournalRecord(encoded.at(0).key, encoded.at(0).value);
+  workflow.runs = std::get<ProgressRecord>(*decoded.value()).runs;
+}
+
+// An event of the step: an end that a task's worker reports, the start of the
+// next run of all tasks, or a takeover by another holder.
+struct StepEvent {
+  enum class Kind : std::uint8_t { kEnd, kNextRun, kTakeover };
+  Kind kind = Kind::kEnd;
+  std::uint32_t task = 0;
+  RunEnd end = RunEnd::kFailed;
+};
+constexpr StepEvent kNextRun{.kind = StepEvent::Kind::kNextRun};
+constexpr StepEvent kTakeover{.kind = StepEvent::Kind::kTakeover};
+
+StepEvent Ends(std::uint32_t task, RunEnd end = RunEnd::kFailed) {
+  return StepEvent{.task = task, .end = end};
+}
+
+// Events of a step of three tasks, and the failures of the first task
+// afterwards.
+struct AttemptCase {
+  std::string name;
+  bool gang;
+  std::vector<StepEvent> events;
+  std::uint32_t failures;
+};
+
+const std::vector<AttemptCase> kAttemptCases = {
+    {"a task fails", false, {Ends(0)}, 1},
+    {"another task fails", false, {Ends(1)}, 0},
+    {"a task fails in two runs", false, {Ends(0), kNextRun, Ends(0)}, 2},
+    {"a run is stopped", false, {Ends(0, RunEnd::kStopped)}, 0},
+    {"a lease expires", false, {Ends(0, RunEnd::kLeaseExpired)}, 0},
+    {"one member of a gang fails", true, {Ends(1)}, 1},
+    {"one member fails and breaks the others",
+     true,
+     {Ends(0, RunEnd::kGangBroken), Ends(1), Ends(2, RunEnd::kGangBroken)},
+     1},
+    {"two members fail in one run", true, {Ends(0), Ends(2)}, 1},
+    {"all members fail in one run", true, {Ends(0), Ends(1), Ends(2)}, 1},
+    {"all members fail in two runs",
+     true,
+     {Ends(0), Ends(1), Ends(2), kNextRun, Ends(2), Ends(1), Ends(0)},
+     2},
+    {"a takeover between the failures of one run",
+     true,
+     {Ends(1), kTakeover, Ends(2), Ends(0)},
+     1},
+    {"a takeover between two runs that fail",
+     true,
+     {Ends(1), Ends(2), Ends(0), kTakeover, kNextRun, Ends(0), Ends(1)},
+     2},
+    {"the members start at different times",
+     true,
+     {Ends(0, RunEnd::kGangIncomplete), Ends(1, RunEnd::kGangIncomplete)},
+     0},
+    {"no member fails",
+     true,
+     {Ends(0, RunEnd::kGangBroken), Ends(1, RunEnd::kStopped)},
+     0},
+};
+
+// Guards against a gang whose members all report one failed run and thereby use
+// up its attempts, so that its workflow is shown as failed after one run.
+BOOST_AUTO_TEST_CASE(a_failed_run_counts_as_one_attempt) {
+  for (const AttemptCase& sample : kAttemptCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeStepWorld(3, sample.gang);
+      RunNumber run = kRun;
+      std::uint64_t ends = 0;
+      for (const StepEvent& event : sample.events) {
+        auto& tasks = world.workflows.find(kTask.workflow)->runs[0].tasks;
+        if (event.kind == StepEvent::Kind::kNextRun) {
+          ++run.value;
+          for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            tasks[i].state = TaskState::kRunning;
+            tasks[i].run = run;
+            tasks[i].worker = WorkerId(fmt::format("w{}", i));
+          }
+        } else if (event.kind == StepEvent::Kind::kTakeover) {
+          TakeOver(world);
+        } else {
+          TaskKey key = kTask;
+          key.task = TaskIndex(event.task);
+          ApplyOrderResults(
+              world,
+              {.order_results = {{.worker =
+                                      WorkerId(fmt::format("w{}", event.task)),
+                                  .fence = Epoch(1),
+                                  .outcome = OrderOutcome::kDone,
+                                  .incarnation = WorkerIncarnation(1),
+                                  .ended = {{.number = EndNumber(++ends),
+                                             .task = key,
+                                             .run = run,
+                                             .end = event.end}}}}},
+              kNow);
+        }
+      }
+      BOOST_TEST(GetTask(world).failures == sample.failures);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
