Raise a worker's fence at each restart, so that late orders have no effect

A hold that got no answer was carried out late by the worker's next incarnation, which kept the id that the order names. Its cursor, which counts ends of the earlier incarnation, removed ends that the holder had not seen.

Ruled out: cursors of the holder's own holds to the new incarnation, which start at 0, and smaller cursors, since any may exceed the new incarnation's ends.

A holder's fence for a worker now rises with each restart that it sees, within its epoch. Nothing is placed before the new incarnation has accepted it, and only reports under it are applied. Until then the longest lease is assumed there, as an order to the earlier incarnation bears a time of another clock.

--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -134,7 +134,7 @@
 void Restart(EmulatedWorker& worker, TimePoint now) {
   worker.up = true;
   worker.started = now;
-  worker.fence = Epoch();
+  worker.fence = Fence();
   worker.leased_until = WorkerClock();
   worker.running.clear();
   worker.barred.clear();
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -40,7 +40,7 @@
   // Speed of the tasks relative to a healthy worker.
   double speed = 1.0;
 
-  Epoch fence;
+  Fence fence;
   WorkerClock leased_until;
   std::map<TaskKey, EmulatedRun> running;
   // The highest run of each task that was stopped or has ended on this worker;
--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -69,7 +69,7 @@
   WorkerOrder hold{.kind = OrderKind::kHold,
                    .worker = worker.listing.id,
                    .address = worker.listing.address,
-                   .fence = world.holding.own_epoch,
+                   .fence = MakeFence(world.holding.own_epoch, worker.restarts),
                    .acknowledged = worker.recorded_ends};
   // The leases of a worker that does not answer are not renewed: they must
   // expire before its tasks can start elsewhere.
@@ -110,7 +110,7 @@
       continue;
     }
     order.address = worker.listing.address;
-    order.fence = world.holding.own_epoch;
+    order.fence = MakeFence(world.holding.own_epoch, worker.restarts);
     if (order.kind == OrderKind::kStart) {
       order.until = ComputeLeaseExpiry(worker, world.self.lease, now);
       worker.leased_until = std::max(worker.leased_until, *order.until);
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -229,18 +229,26 @@
     worker.clock_read = result.answered;
     if (!worker.fenced) {
       // The previous holder's leases were granted earlier, relative to no later
-      // reading of the worker's clock.
-      worker.leased_until =
-          std::max(worker.leased_until,
-                   worker.clock + WorkerClock(WholeMillis(world.self.lease)));
+      // reading of the worker's clock. An order to an earlier incarnation bears
+      // an expiry on that incarnation's clock, for which the present one may
+      // have granted its longest lease.
+      const Duration lease =
+          worker.restarts > 0 ? world.self.longest_lease : world.self.lease;
+      worker.leased_until = std::max(
+          worker.leased_until, worker.clock + WorkerClock(WholeMillis(lease)));
     }
   }
 }
 
+// Notes that a hold has ended without a report that can be applied.
+void EndHoldWithoutReport(TaskWorker& worker) {
+  worker.hold_in_flight = false;
+  worker.answer_deadline = kNever;
+}
+
 void ApplyHold(WorkflowWorld& world, const OrderResult& hold, TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
-  worker->hold_in_flight = false;
-  worker->answer_deadline = kNever;
+  EndHoldWithoutReport(*worker);
   if (hold.outcome != OrderOutcome::kDone) {
     if (hold.outcome == OrderOutcome::kUnknown) {
       ++worker->unanswered_holds;
@@ -350,20 +358,22 @@
   for (const OrderResult& result : inbox.order_results) {
     TaskWorker* worker = world.scheduling.workers.find(result.worker);
     if (world.holding.state != HoldingState::kHolding || worker == nullptr ||
-        result.fence != world.holding.own_epoch) {
+        EpochOf(result.fence) != world.holding.own_epoch) {
       continue;
     }
+    // The order was sent before the worker was seen to restart.
+    const bool outdated =
+        result.fence != MakeFence(world.holding.own_epoch, worker->restarts);
     if (result.kind != OrderKind::kHold) {
       worker->orders_in_flight.erase(result.task);
     }
-    if (result.outcome == OrderOutcome::kFenced) {
+    if (result.outcome == OrderOutcome::kFenced && !outdated) {
       StopHolding(world, "a worker has accepted a higher fence", time.now);
       return;
     }
     if (result.outcome == OrderOutcome::kOtherIncarnation) {
       if (result.kind == OrderKind::kHold) {
-        worker->hold_in_flight = false;
-        worker->answer_deadline = kNever;
+        EndHoldWithoutReport(*worker);
       }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
       ReleaseLostTasks(world, result.worker,
@@ -382,12 +392,21 @@
         ApplyWorkerRestart(world, result.worker, *result.incarnation, time.now);
       }
       if (result.kind == OrderKind::kHold) {
-        worker->hold_in_flight = false;
-        worker->answer_deadline = kNever;
+        EndHoldWithoutReport(*worker);
       }
       continue;
     }
     UpdateClock(world, *worker, result);
+    if (outdated) {
+      // Other late orders may still change what the worker runs, so only a
+      // report under the current fence counts. The tasks of orders that were in
+      // flight at the restart are being stopped.
+      if (result.kind == OrderKind::kHold) {
+        EndHoldWithoutReport(*worker);
+        worker->next_hold = time.now;
+      }
+      continue;
+    }
     switch (result.kind) {
       case OrderKind::kHold:
         ApplyHold(world, result, time.now);
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -204,6 +204,7 @@
   // previous holder may arrive, too.
   const bool had_accepted_fence = worker->fenced;
   worker->listing.incarnation = incarnation;
+  ++worker->restarts;
   worker->fenced = false;
   worker->orders.clear();
   std::size_t lost = 0;
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_TABLES_TASK_WORKERS_H_
 #define CHICORYSTEP_TABLES_TASK_WORKERS_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -75,6 +76,24 @@
   std::string checkpoint;
 };
 
+// Orders the senders of orders to one worker. A worker does nothing for an
+// order with a lower fence than it has seen in its present incarnation.
+using Fence = Id<struct FenceTag, std::uint64_t>;
+
+// Each holder may raise its fence this often for one worker.
+inline constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 20;
+
+// The fence of a holder's orders to a worker that it has seen restart
+// `restarts` times. It rises with each restart, so that the new incarnation
+// ignores orders to the earlier ones that arrive late.
+[[nodiscard]] constexpr Fence MakeFence(Epoch epoch, std::uint32_t restarts) {
+  return Fence(epoch.value * kFencesPerEpoch +
+               std::min<std::uint64_t>(restarts, kFencesPerEpoch - 1));
+}
+[[nodiscard]] constexpr Epoch EpochOf(Fence fence) {
+  return Epoch(fence.value / kFencesPerEpoch);
+}
+
 enum class OrderKind : std::uint8_t { kStart, kStop, kHold };
 template <>
 inline constexpr std::array kEnumNames<OrderKind> = {
@@ -89,7 +108,7 @@
   OrderKind kind = OrderKind::kHold;
   WorkerId worker;
   Address address;
-  Epoch fence;
+  Fence fence;
   TaskKey task;
   RunNumber run;
   std::string payload;
@@ -134,7 +153,7 @@
 struct OrderResult {
   OrderKind kind = OrderKind::kHold;
   WorkerId worker;
-  Epoch fence;
+  Fence fence;
   TaskKey task;
   RunNumber run;
   OrderOutcome outcome = OrderOutcome::kUnknown;
@@ -160,7 +179,9 @@
   // Tasks that occupy capacity on the worker, with their runs.
   std::map<TaskKey, RunNumber> tasks;
 
-  // Whether its current incarnation has accepted this holder's fence.
+  // How often this holder has seen it restart.
+  std::uint32_t restarts = 0;
+  // Whether its current incarnation has accepted this holder's current fence.
   bool fenced = false;
   bool hold_in_flight = false;
   // Tasks with a start or stop order in flight; at most one order per task.
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -49,9 +49,10 @@
     // Appends or orders per 1000 that are executed but not answered.
     int lost_appends = 0;
     int lost_orders = 0;
-    // Start and stop orders per 1000 that are executed 2 to 8 seconds later and
-    // not answered.
+    // Start and stop orders, and holds, per 1000 that are executed 2 to 8
+    // seconds later and not answered, by the incarnation that runs then.
     int late_orders = 0;
+    int late_holds = 0;
   };
 
   std::multimap<TimePoint, std::function<void()>> events;
@@ -385,8 +386,9 @@
   }
 
   void SendOrder(Entry& entry, const WorkerOrder& order) {
-    const bool late = order.kind != OrderKind::kHold &&
-                      this->DrawChance(this->rates.late_orders);
+    const bool late = this->DrawChance(order.kind == OrderKind::kHold
+                                           ? this->rates.late_holds
+                                           : this->rates.late_orders);
     const bool lost = late || this->DrawChance(this->rates.lost_orders);
     const TimePoint sent = this->now;
     const Duration delay =
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -111,7 +111,7 @@
               : request.path.ends_with("run-stop") ? OrderKind::kStop
                                                    : OrderKind::kHold,
       .worker = WorkerId(request.headers.at("x-expect-instance")),
-      .fence = Epoch(json.value("Fence", std::uint64_t{0}))};
+      .fence = Fence(json.value("Fence", std::uint64_t{0}))};
   if (json.contains("UntilMs")) {
     order.until = WorkerClock(json.at("UntilMs").get<std::int64_t>());
   }
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -52,7 +52,7 @@
 // Applies the result of an order at `after` from the start of the test.
 void ApplyResult(WorkflowWorld& world, OrderResult result, Duration after) {
   result.worker = kWorker;
-  result.fence = Epoch(1);
+  result.fence = MakeFence(Epoch(1), 0);
   result.incarnation = WorkerIncarnation(1);
   result.answered = kNow.now + after;
   WorkflowInbox inbox;
@@ -318,7 +318,7 @@
               world,
               {.order_results = {{.worker =
                                       WorkerId(fmt::format("w{}", event.task)),
-                                  .fence = Epoch(1),
+                                  .fence = MakeFence(Epoch(1), 0),
                                   .outcome = OrderOutcome::kDone,
                                   .incarnation = WorkerIncarnation(1),
                                   .ended = {{.number = EndNumber(++ends),
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -273,6 +273,61 @@
   }
 }
 
+// Runs many short tasks while orders are carried out late and half of the
+// workers restart again and again.
+void RunThroughRestarts(Emulation& run, const Emulation::Rates& rates) {
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(8);
+  run.AddEntries(2);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  run.rates = rates;
+  for (int number = 1; number <= 60; ++number) {
+    Emulation::Submitted what{.work = milliseconds(100),
+                              .work_increment = milliseconds(37)};
+    what.spec.payload = "p";
+    what.spec.steps = {MakeStep(24, 1)};
+    run.Submit(0, "bulk", Emulation::MakeId(number), what);
+    run.RunFor(milliseconds(300));
+    if (number % 8 == 0) {
+      CrashWorkers(run, 4);
+      run.RunFor(milliseconds(100));
+      RestartAndListLater(run, 4);
+    }
+  }
+  run.rates = {};
+  BOOST_TEST(run.RunFor(seconds(40), [&] { return run.AllWorkflowsEnded(); }));
+}
+
+const std::vector<unsigned> kLateOrderSeeds = {1, 2, 3, 4};
+
+// Guards against a hold that is carried out by the next incarnation of its
+// worker and acknowledges ends there that the holder has not seen, so that
+// their tasks run again (soak seed 344).
+BOOST_AUTO_TEST_CASE(late_holds_remove_no_ends_of_the_next_incarnation) {
+  for (const unsigned seed : kLateOrderSeeds) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Emulation run;
+      run.random.seed(seed);
+      RunThroughRestarts(run, {.late_holds = 100});
+      ExpectNoViolation(run);
+    }
+  }
+}
+
+// A start that arrives after its run has ended, was recorded and its worker has
+// restarted, but before the holder has reached the new incarnation, is carried
+// out there. KNOWN-RED.txt lists this case.
+BOOST_AUTO_TEST_CASE(late_starts_have_no_effect_on_the_next_incarnation) {
+  for (const unsigned seed : kLateOrderSeeds) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Emulation run;
+      run.random.seed(seed);
+      RunThroughRestarts(run, {.late_orders = 100});
+      ExpectNoViolation(run);
+    }
+  }
+}
+
 // How long workers are unreachable.
 struct ReturnCase {
   std::string name;
