--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -39,6 +39,8 @@
   bool enforces_capacity = true;
   // Speed of the tasks relative to a healthy worker.
   double speed = 1.0;
+  // Every run fails soon after it has begun to work.
+  bool fails_runs = false;
 
   Fence fence;
   WorkerClock leased_until;
