Give a restarted worker nothing until its present incarnation is listed

The holder learns of a restart from an answer, before it reads the list again, and kept the labels, capacity and service of the previous incarnation. The listing now counts as outdated until the platform lists the incarnation that answers. Both rows of restarted_workers_get_work_once_they_are_listed_again failed before: two starts without the label, and two workers over their capacity.

--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -32,9 +32,9 @@
 bool IsUsable(const WorkflowWorld& world,
               const TaskWorker& worker,
               TimePoint now) {
-  return worker.fenced && worker.listed && !worker.listing.draining &&
-         worker.unanswered_holds == 0 && now < worker.answer_deadline &&
-         now >= worker.excluded_until &&
+  return worker.fenced && worker.listed && !worker.listing_outdated &&
+         !worker.listing.draining && worker.unanswered_holds == 0 &&
+         now < worker.answer_deadline && now >= worker.excluded_until &&
          (worker.orphaned_runs == 0 || EnforcesCapacity(world, worker));
 }
 
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "chicorystep/core/logging.h"
@@ -152,6 +153,9 @@
   }
   worker->free = worker->free + listing.capacity - worker->listing.capacity;
   worker->listing = listing;
+  if (std::exchange(worker->listing_outdated, false)) {
+    world.scheduling.placement_due = true;
+  }
   worker->rack = GetRack(listing);
   if (!worker->listed) {
     worker->listed = true;
@@ -204,6 +208,7 @@
   // previous holder may arrive, too.
   const bool had_accepted_fence = worker->fenced;
   worker->listing.incarnation = incarnation;
+  worker->listing_outdated = true;
   ++worker->restarts;
   worker->fenced = false;
   worker->orders.clear();
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -273,6 +273,58 @@
   }
 }
 
+// How a worker differs after its restart, and the step that its previous
+// incarnation could run.
+struct OtherKindCase {
+  std::string name;
+  bool enforces_capacity;
+  std::function<void(WorkerListing&)> change;
+  std::string required_label;
+};
+
+const std::vector<OtherKindCase> kOtherKindCases = {
+    {"another label", true,
+     [](WorkerListing& listing) { listing.labels[0] = "b"; }, "a"},
+    {"less capacity, which it does not enforce", false,
+     [](WorkerListing& listing) {
+       listing.capacity.accelerators = Accelerators(2);
+     },
+     ""},
+};
+
+// Guards against work that is started on a restarted worker by the labels or
+// the capacity of its previous incarnation, before the platform has listed the
+// present one (review case 5).
+BOOST_AUTO_TEST_CASE(restarted_workers_get_work_once_they_are_listed_again) {
+  for (const OtherKindCase& sample : kOtherKindCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(4, Service(sample.enforces_capacity ? "service" : "open"),
+                     sample.enforces_capacity);
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(3000)};
+      what.spec.steps = {MakeStep(4, 8)};
+      what.spec.steps[0].required_label = sample.required_label;
+      run.Submit(0, sample.enforces_capacity ? "normal" : "open",
+                 Emulation::MakeId(1), what);
+      run.RunFor(seconds(1));
+      BOOST_REQUIRE_EQUAL(run.RunningTasks(), 4U);
+      CrashWorkers(run, 2);
+      for (std::size_t i = 0; i < 2; ++i) {
+        sample.change(run.workers[i].listing);
+      }
+      run.RunFor(milliseconds(300));
+      RestartAndListLater(run, 2);
+      // The tasks of the restarted workers run on the others.
+      BOOST_TEST(
+          run.RunFor(seconds(12), [&] { return run.AllWorkflowsEnded(); }));
+      ExpectNoViolation(run);
+    }
+  }
+}
+
 // Runs many short tasks while orders are carried out late and half of the
 // workers restart again and again.
 void RunThroughRestarts(Emulation& run, const Emulation::Rates& rates) {
