Reclaim guarantees from urgent work of other workspaces

A unit within its guarantee may now also stop urgent work of other workspaces if stopping all less urgent work does not suffice. Spared is what the guarantees of those workspaces cover, that which would lose most first.

--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -190,11 +190,15 @@
                                  bool one_rack,
                                  AvailableCapacity available) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  return FitRequirements{.service = unit.workflow->terms.service,
-                         .label = spec.required_label,
-                         .need = spec.need,
-                         .one_rack = one_rack,
-                         .available = available};
+  FitRequirements requirements{.service = unit.workflow->terms.service,
+                               .label = spec.required_label,
+                               .need = spec.need,
+                               .one_rack = one_rack,
+                               .available = available};
+  if (available == AvailableCapacity::kFreeAfterPreemption && unit.guaranteed) {
+    requirements.reclaiming = unit.workflow->terms.workspace;
+  }
+  return requirements;
 }
 
 bool IsKnownMisfit(const TaskPlacementPass& pass,
--- a/chicorystep/systems/task_candidates.h
+++ b/chicorystep/systems/task_candidates.h
@@ -66,6 +66,9 @@
   // The tasks must fit within one rack.
   bool one_rack = false;
   AvailableCapacity available = AvailableCapacity::kFreeNow;
+  // Set for work within its workspace's guarantee when capacity is freed by
+  // preemption: it may then also stop urgent work of other workspaces.
+  std::optional<Workspace> reclaiming;
 
   friend bool operator==(const FitRequirements&,
                          const FitRequirements&) = default;
--- a/chicorystep/systems/task_preemption.cc
+++ b/chicorystep/systems/task_preemption.cc
@@ -20,6 +20,9 @@
 // Core-milliseconds added to the loss of each stopped task: a stop costs calls
 // and another start, so fewer victims are better.
 constexpr std::int64_t kStopCost = 2000;
+// Added to the loss of urgent work, which is stopped only when stopping all
+// less urgent work does not suffice.
+constexpr std::int64_t kUrgentLoss = 1'000'000'000'000;
 
 // Work that can be stopped for more urgent work: a single task or a whole gang.
 struct Victim {
@@ -31,6 +34,8 @@
   // Core-milliseconds of work that would have to be repeated, with accelerators
   // counted as `kAcceleratorCores` cores, and the cost of the stops.
   std::int64_t loss = 0;
+  // The workspace of urgent work; empty for other work.
+  std::optional<Workspace> urgent_of;
 };
 
 // Computes the work that is lost if the task is stopped now. A task that saves
@@ -46,6 +51,41 @@
   return kStopCost + weight * repeated;
 }
 
+// Whether running work may be stopped for the unit, apart from the guarantee of
+// its own workspace.
+bool MayYield(const Workflow& workflow, const PlacementUnit& unit) {
+  const WorkflowTerms& terms = workflow.terms;
+  const WorkflowTerms& urgent = unit.workflow->terms;
+  return terms.priority > urgent.priority ||
+         (unit.guaranteed && terms.priority == urgent.priority &&
+          terms.workspace != urgent.workspace);
+}
+
+// Removes the urgent work that the guarantees of its workspaces cover. Of each
+// workspace the work that would lose most is covered first.
+void SpareGuaranteed(const TaskPlacementPass& pass,
+                     std::vector<Victim>& victims) {
+  std::stable_sort(
+      victims.begin(), victims.end(),
+      [](const Victim& a, const Victim& b) { return a.loss > b.loss; });
+  const auto& workspaces = pass.world->config->workspaces;
+  std::map<Workspace, Accelerators> covered;
+  std::erase_if(victims, [&](const Victim& victim) {
+    if (!victim.urgent_of) {
+      return false;
+    }
+    const auto workspace = workspaces.find(*victim.urgent_of);
+    const Accelerators wanted = victim.need.accelerators * victim.tasks.size();
+    Accelerators& used = covered[*victim.urgent_of];
+    if (workspace == workspaces.end() ||
+        used + wanted > workspace->second.guaranteed) {
+      return false;
+    }
+    used += wanted;
+    return true;
+  });
+}
+
 std::vector<Victim> FindVictims(const TaskPlacementPass& pass,
                                 const PlacementUnit& unit) {
   // Candidates have the order of the workers' rows.
@@ -53,12 +93,18 @@
   std::vector<Victim> victims;
   for (const WorkflowId& id : pass.world->scheduling.open) {
     Workflow& workflow = *pass.world->workflows.find(id);
-    if (workflow.terms.priority <= unit.workflow->terms.priority) {
+    if (!MayYield(workflow, unit)) {
       continue;
     }
+    Victim none;
+    if (workflow.terms.priority == unit.workflow->terms.priority) {
+      none.urgent_of = workflow.terms.workspace;
+      none.loss = kUrgentLoss;
+    }
     for (StepRun& run : workflow.runs) {
       const StepSpec& spec = workflow.spec.steps[run.step.value];
-      Victim gang{.need = spec.need};
+      none.need = spec.need;
+      Victim gang = none;
       for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
         const Task& task = run.tasks[i];
         if (task.state != TaskState::kStarting &&
@@ -74,7 +120,7 @@
         gang.candidates.push_back(candidate->second);
         gang.loss += ComputeLoss(pass, spec, task);
         if (!spec.gang) {
-          victims.push_back(std::exchange(gang, Victim{.need = spec.need}));
+          victims.push_back(std::exchange(gang, none));
         }
       }
       if (!gang.tasks.empty()) {
@@ -82,6 +128,9 @@
       }
     }
   }
+  if (unit.guaranteed) {
+    SpareGuaranteed(pass, victims);
+  }
   std::stable_sort(
       victims.begin(), victims.end(),
       [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -323,6 +323,104 @@
   }
 }
 
+// The urgent and other work of workspaces on a full cell of four workers when
+// an urgent gang arrives that needs whole workers, and how many tasks are
+// stopped for it. The gang's workspace is "team", which is guaranteed two
+// workers.
+struct ReclaimCase {
+  std::string name;
+  struct Running {
+    std::string workspace;
+    std::uint32_t priority;
+    // Each takes a whole worker.
+    std::uint32_t tasks;
+    bool gang;
+    std::size_t stopped;
+  };
+  // What "other" is guaranteed.
+  Accelerators guaranteed;
+  std::vector<Running> running;
+  std::uint32_t wanted;
+};
+
+const std::vector<ReclaimCase> kReclaimCases = {
+    {"urgent work beyond its guarantee yields",
+     Accelerators(16),
+     {{"other", 0, 4, false, 2}},
+     2},
+    {"urgent work of a workspace without a guarantee yields",
+     Accelerators(0),
+     {{"other", 0, 4, false, 2}},
+     2},
+    {"urgent work of an unknown workspace yields",
+     Accelerators(16),
+     {{"removed", 0, 4, false, 1}},
+     1},
+    {"urgent work within its guarantee stays",
+     Accelerators(32),
+     {{"other", 0, 4, false, 0}},
+     1},
+    {"nothing is stopped if what may be stopped is not enough",
+     Accelerators(24),
+     {{"other", 0, 4, false, 0}},
+     2},
+    {"a gang larger than its workspace's guarantee yields whole",
+     Accelerators(16),
+     {{"other", 0, 4, true, 4}},
+     2},
+    {"less urgent work is stopped before urgent work",
+     Accelerators(0),
+     {{"other", 0, 3, false, 0}, {"other", 2, 1, false, 1}},
+     1},
+    {"less urgent work is stopped as far as it suffices",
+     Accelerators(0),
+     {{"other", 0, 3, false, 1}, {"other", 2, 1, false, 1}},
+     2},
+    {"work beyond its own guarantee stops nothing urgent",
+     Accelerators(0),
+     {{"other", 0, 2, false, 0}, {"team", 0, 2, false, 0}},
+     1},
+    {"work of the same workspace is not stopped",
+     Accelerators(0),
+     {{"team", 0, 4, false, 0}},
+     1},
+};
+
+// Pattern: many urgent users of one workspace take all that is idle, and then a
+// workspace asks for what it is guaranteed (review case 4).
+BOOST_AUTO_TEST_CASE(guaranteed_gangs_reclaim_from_urgent_work) {
+  for (const ReclaimCase& sample : kReclaimCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 4);
+      world.config->workspaces[Workspace("other")] =
+          WorkflowWorkspace{.guaranteed = sample.guaranteed};
+      std::vector<WorkflowId> ids;
+      int number = 0;
+      for (const auto& running : sample.running) {
+        ids.push_back(AddWorkflow(world, ++number, running.priority,
+                                  MakeStep(running.tasks, 8, running.gang)));
+        world.workflows.find(ids.back())->terms.workspace =
+            Workspace(running.workspace);
+        RunPlacement(world, kNow);
+        BeginRunning(world, ids.back(), kNow.now - seconds(number));
+      }
+      AddWorkflow(world, 99, 0, MakeStep(sample.wanted, 8, true));
+      RunPlacement(world, kNow);
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        BOOST_TEST(CountTasks(world, ids[i], TaskState::kStopping) ==
+                   sample.running[i].stopped);
+      }
+      // The stopped work does not take the capacity back.
+      RunPlacement(world, WorkflowTime{.now = kNow.now + milliseconds(50),
+                                       .wall = kNow.wall});
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        BOOST_TEST(CountTasks(world, ids[i], TaskState::kStopping) ==
+                   sample.running[i].stopped);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(urgent_gangs_stay_in_one_rack_when_they_preempt) {
   WorkflowWorld world = MakeWorld(2, 2);
   const WorkflowId bulk = AddWorkflow(world, 1, 2, MakeStep(4, 8));
