Store the progress of large workflows in parts that fit the store's records

Progress is now stored in parts of 1,000 tasks, written by one append and merged at a takeover. Workflows with more than 10,000 tasks, or with an acceptance longer than a record, are rejected at once with 400. The emulated store rejects long records.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -17,6 +19,8 @@
 constexpr std::string_view kCancelPrefix = "c-";
 constexpr std::string_view kStatePrefix = "s-";
 constexpr std::string_view kProgressPrefix = "p-";
+// Separates the id of a workflow from the number of a part of its progress.
+constexpr char kPartSeparator = '.';
 constexpr std::string_view kHolderKey = "holder";
 // The key consists of this prefix and 0 for even epochs or 1 for odd ones, so
 // that a new holder's record does not replace the previous holder's.
@@ -157,9 +161,17 @@
   return ((digit >> (index % 4)) & 1) != 0;
 }
 
-PlainJson ToPlainJson(const StepRun& run) {
+// A section of a step run's tasks, those of one part of a progress record.
+struct TaskSection {
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  // The first section of a run also tells which of all its tasks are done.
+  bool is_first = true;
+};
+
+PlainJson ToPlainJson(const StepRun& run, const TaskSection& section) {
   PlainJson others = PlainJson::array();
-  for (std::size_t i = 0; i < run.tasks.size(); ++i) {
+  for (std::size_t i = section.begin; i < section.end; ++i) {
     const Task& task = run.tasks[i];
     if (task.state == TaskState::kDone || task.run.empty()) {
       continue;
@@ -182,8 +194,9 @@
     }
     others.push_back(std::move(entry));
   }
+  const bool has_bitmap = section.is_first && run.done > 0;
   return {run.occurrence.value, run.step.value, run.tasks.size(),
-          run.done == 0 ? std::string() : EncodeDoneBitmap(run.tasks),
+          has_bitmap ? EncodeDoneBitmap(run.tasks) : std::string(),
           std::move(others)};
 }
 
@@ -247,20 +260,59 @@
                     StateToPlainJson(record).dump()};
 }
 
-KeyedValue Encode(const ProgressRecord& record) {
-  PlainJson json = StateToPlainJson(record);
+std::string ProgressKey(const WorkflowId& id, std::uint32_t part) {
+  return part == 0 ? fmt::format("{}{}", kProgressPrefix, id.value)
+                   : fmt::format("{}{}{}{}", kProgressPrefix, id.value,
+                                 kPartSeparator, part);
+}
+
+// Encodes the progress in parts. Each part has the state of the workflow.
+std::vector<KeyedValue> Encode(const ProgressRecord& record) {
+  std::vector<PlainJson> parts(1, StateToPlainJson(record));
   if (!IsTerminal(record.state)) {
-    json["t"] = PlainJson::array();
+    parts.back()["t"] = PlainJson::array();
+    std::size_t room = kRowsPerProgressPart;
     for (const StepRun& run : record.runs) {
-      json["t"].push_back(ToPlainJson(run));
+      TaskSection section;
+      do {
+        if (room == 0) {
+          parts.push_back(StateToPlainJson(record));
+          parts.back()["t"] = PlainJson::array();
+          room = kRowsPerProgressPart;
+        }
+        // The row of the run itself counts with its first section.
+        const std::size_t own_row = section.is_first ? 1 : 0;
+        section.end =
+            std::min(run.tasks.size(), section.begin + room - own_row);
+        parts.back()["t"].push_back(ToPlainJson(run, section));
+        room -= own_row + (section.end - section.begin);
+        section = TaskSection{.begin = section.end, .is_first = false};
+      } while (section.begin < run.tasks.size());
     }
   }
-  return KeyedValue{fmt::format("{}{}", kProgressPrefix, record.id.value),
-                    json.dump()};
+  std::vector<KeyedValue> records;
+  for (std::uint32_t part = 0; part < parts.size(); ++part) {
+    records.push_back(
+        KeyedValue{ProgressKey(record.id, part), parts[part].dump()});
+  }
+  return records;
 }
 
-ProgressRecord DecodeProgress(const WorkflowId& id, const PlainJson& json) {
-  auto record = StateFromPlainJson<ProgressRecord>(id, json);
+// Decodes one part. `name` is the workflow's id, with the number of the part
+// unless it is the first.
+ProgressRecord DecodeProgress(std::string_view name, const PlainJson& json) {
+  const std::size_t separator = name.find(kPartSeparator);
+  auto record = StateFromPlainJson<ProgressRecord>(
+      WorkflowId(std::string(name.substr(0, separator))), json);
+  if (separator != std::string_view::npos) {
+    const std::string_view digits = name.substr(separator + 1);
+    const auto parsed = std::from_chars(
+        digits.data(), digits.data() + digits.size(), record.part);
+    if (parsed.ec != std::errc() ||
+        parsed.ptr != digits.data() + digits.size() || record.part == 0) {
+      throw std::runtime_error("no such part");
+    }
+  }
   if (const auto runs = json.find("t"); runs != json.end()) {
     for (const PlainJson& run : *runs) {
       record.runs.push_back(StepRunFromPlainJson(run));
@@ -317,11 +369,10 @@
     return {Encode(*state)};
   }
   if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
-    return {Encode(*progress)};
+    return Encode(*progress);
   }
   if (const auto* dropped = std::get_if<ProgressRemovalRecord>(&record)) {
-    return {KeyedValue{fmt::format("{}{}", kProgressPrefix, dropped->id.value),
-                       std::nullopt}};
+    return {KeyedValue{ProgressKey(dropped->id, dropped->part), std::nullopt}};
   }
   if (const auto* holder = std::get_if<HolderRecord>(&record)) {
     return {Encode(*holder)};
@@ -372,8 +423,8 @@
           WorkflowId(std::string(key.substr(kStatePrefix.size()))), json));
     }
     if (key.starts_with(kProgressPrefix)) {
-      return std::optional<JournalRecord>(DecodeProgress(
-          WorkflowId(std::string(key.substr(kProgressPrefix.size()))), json));
+      return std::optional<JournalRecord>(
+          DecodeProgress(key.substr(kProgressPrefix.size()), json));
     }
   } catch (const std::exception& error) {
     return DecodingError{fmt::format("{}: {}", key, error.what())};
--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -63,6 +63,14 @@
                          std::vector<KeyedValue> records,
                          const std::optional<ProducerSequence>& producer) {
   JournalAppended appended;
+  const bool too_long = std::any_of(
+      records.begin(), records.end(), [&](const KeyedValue& keyed) {
+        return 1 + keyed.key.size() + (keyed.value ? keyed.value->size() : 0) >
+               log.max_record;
+      });
+  if (too_long) {
+    return appended;
+  }
   if (producer) {
     appended.epoch = producer->epoch;
     if (producer->epoch < log.epoch) {
--- a/chicorystep/standin/emulated_store.h
+++ b/chicorystep/standin/emulated_store.h
@@ -26,6 +26,10 @@
   // that epoch. Appends with a lower epoch are fenced.
   Epoch epoch;
   std::uint64_t sequence = 0;
+
+  // Appends with a longer record are not written and get an answer that the
+  // platform does not document, so that their outcome counts as unknown.
+  std::size_t max_record = 262'144;
 };
 
 // An in-memory model of the platform's store, without sockets or time. It has
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -37,6 +38,13 @@
 // Size of a record without payload and steps, and of each step.
 constexpr Bytes kRecordOverhead(300);
 constexpr Bytes kStepOverhead(120);
+// Digits and comma of a step's number in a list.
+constexpr std::size_t kDependencySize = 6;
+
+// Larger acceptances do not fit a record of the store, which holds 256 KB.
+constexpr Bytes kMaxAcceptance(200'000);
+// The progress of more tasks does not fit one append, which holds 2 MB.
+constexpr std::uint64_t kMaxTasks = 10'000;
 
 constexpr std::size_t kIdLength = 16;
 
@@ -134,6 +142,36 @@
   }
 }
 
+// Estimates how many bytes the record takes in an append.
+Bytes EstimateSize(const JournalRecord& record) {
+  const auto* accepted = std::get_if<AcceptedRecord>(&record);
+  if (accepted == nullptr) {
+    return kRecordOverhead;
+  }
+  std::size_t variable = accepted->spec.payload.size();
+  for (const StepSpec& step : accepted->spec.steps) {
+    variable += step.required_label.size() + step.data_rack.value.size() +
+                kDependencySize * step.depends_on.size();
+  }
+  return kRecordOverhead + kStepOverhead * accepted->spec.steps.size() +
+         Bytes(static_cast<std::int64_t>(variable));
+}
+
+// Why a workflow of this size cannot be recorded; nothing if it can.
+std::optional<std::string> FindSizeProblem(const AcceptedRecord& record) {
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : record.spec.steps) {
+    tasks += step.count;
+  }
+  if (tasks > kMaxTasks) {
+    return "more than 10000 tasks";
+  }
+  if (EstimateSize(record) > kMaxAcceptance) {
+    return "the steps take too much space";
+  }
+  return std::nullopt;
+}
+
 void Submit(WorkflowWorld& world,
             const PendingCall& pending,
             const WorkflowRoute& route,
@@ -151,19 +189,25 @@
     Answer(pending, CallAnswer{.detail = "known already"}, time.now, outbox);
     return;
   }
-  QueueAppend(
-      world, pending,
-      AcceptedRecord{.id = pending.workflow,
-                     .spec = *pending.call.spec,
-                     .terms = WorkflowTerms{.route = route.name,
-                                            .workspace = workspace,
-                                            .service = route.service,
-                                            .priority = route.priority,
-                                            .max_attempts = route.max_attempts,
-                                            .target = route.target,
-                                            .stretch = route.stretch},
-                     .accepted = time.wall},
-      time.now, outbox);
+  AcceptedRecord record{
+      .id = pending.workflow,
+      .spec = *pending.call.spec,
+      .terms = WorkflowTerms{.route = route.name,
+                             .workspace = workspace,
+                             .service = route.service,
+                             .priority = route.priority,
+                             .max_attempts = route.max_attempts,
+                             .target = route.target,
+                             .stretch = route.stretch},
+      .accepted = time.wall};
+  if (auto problem = FindSizeProblem(record)) {
+    Answer(pending,
+           CallAnswer{.result = CallResult::kMalformed,
+                      .detail = std::move(*problem)},
+           time.now, outbox);
+    return;
+  }
+  QueueAppend(world, pending, std::move(record), time.now, outbox);
 }
 
 void HandleCall(WorkflowWorld& world,
@@ -249,16 +293,6 @@
   outbox.appends.push_back(std::move(append));
 }
 
-// Estimates how many bytes the record takes in an append.
-Bytes EstimateSize(const JournalRecord& record) {
-  const auto* accepted = std::get_if<AcceptedRecord>(&record);
-  if (accepted == nullptr) {
-    return kRecordOverhead;
-  }
-  return kRecordOverhead + kStepOverhead * accepted->spec.steps.size() +
-         Bytes(static_cast<std::int64_t>(accepted->spec.payload.size()));
-}
-
 // Answers the calls that wait for a read of the journal. Only a read that began
 // after the call arrived proves that the workflow does not exist.
 void AnswerAwaitingRead(WorkflowWorld& world,
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -88,6 +88,33 @@
       });
 }
 
+// Adds the tasks of a part of the progress to those of the parts before it.
+void AddProgressPart(std::vector<StepRun>& runs,
+                     const std::vector<StepRun>& part) {
+  if (runs.empty()) {
+    runs = part;
+    return;
+  }
+  for (const StepRun& added : part) {
+    const auto run =
+        std::find_if(runs.begin(), runs.end(), [&](const StepRun& known) {
+          return known.occurrence == added.occurrence &&
+                 known.step == added.step;
+        });
+    if (run == runs.end()) {
+      runs.push_back(added);
+      continue;
+    }
+    for (std::size_t i = 0; i < added.tasks.size(); ++i) {
+      if (added.tasks[i].state != TaskState::kWaiting ||
+          !added.tasks[i].run.empty()) {
+        run->tasks[i] = added.tasks[i];
+      }
+    }
+    run->done += added.done;
+  }
+}
+
 // Replaces the tasks' state with the progress that the previous holder has
 // written.
 void ApplyProgressLoad(WorkflowWorld& world, const StreamRead& read) {
@@ -107,7 +134,8 @@
     Workflow* workflow = world.workflows.find(progress->id);
     if (workflow == nullptr || IsTerminal(workflow->shown)) {
       // The previous holder stopped before it removed this progress.
-      world.holding.progress_left_over.push_back(progress->id);
+      world.holding.progress_left_over.push_back(
+          ProgressRemovalRecord{.id = progress->id, .part = progress->part});
       continue;
     }
     if (!MatchesSpec(*progress, workflow->spec)) {
@@ -117,7 +145,7 @@
     }
     workflow->state = progress->state;
     workflow->ended_at = progress->ended_at;
-    workflow->runs = progress->runs;
+    AddProgressPart(workflow->runs, progress->runs);
   }
   world.holding.progress_loaded = true;
 }
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -107,6 +107,17 @@
   AcknowledgeRecordedEnds(world.scheduling, now);
 }
 
+// Queues the removal of all parts of the workflow's progress.
+void RemoveProgress(WorkflowWorld& world, const WorkflowId& id) {
+  const Workflow* workflow = world.workflows.find(id);
+  const std::uint32_t parts =
+      workflow == nullptr ? 1 : CountProgressParts(workflow->runs);
+  for (std::uint32_t part = 0; part < parts; ++part) {
+    world.scheduling.progress_to_remove.push_back(
+        ProgressRemovalRecord{.id = id, .part = part});
+  }
+}
+
 // Applies a batch of journal records that has been written.
 void ApplyJournalWritten(WorkflowWorld& world, const AppendJournal& written) {
   for (const JournalRecord& record : written.records) {
@@ -123,7 +134,7 @@
       workflow->ended_at = state->ended_at;
     }
     if (IsTerminal(state->state)) {
-      world.scheduling.progress_to_remove.push_back(state->id);
+      RemoveProgress(world, state->id);
     }
   }
 }
@@ -205,9 +216,9 @@
         .ended_at = IsTerminal(workflow->state) ? time.wall : UnixMillis{},
         .runs = workflow->runs});
   }
-  for (const WorkflowId& id :
+  for (ProgressRemovalRecord& removal :
        std::exchange(scheduling.progress_to_remove, {})) {
-    records.push_back(ProgressRemovalRecord{.id = id});
+    records.push_back(std::move(removal));
   }
   scheduling.next_progress = time.now + kProgressSpacingPerTask * tasks;
   BeginAppend(world.holding, world.holding.progress, std::move(records),
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -353,9 +353,8 @@
   bool progress_fenced = false;
   TimePoint load_began = kNever;
   bool progress_loaded = false;
-  // Workflows that have ended but whose progress was still in the loaded
-  // stream.
-  std::vector<WorkflowId> progress_left_over;
+  // Progress that was still in the loaded stream of workflows that have ended.
+  std::vector<ProgressRemovalRecord> progress_left_over;
 };
 
 // A position in the sequence of changed workflows: the number of changes queued
@@ -395,9 +394,9 @@
   ChangeNumber changes_taken;
   // State records to append to the journal, each of progress that is written.
   std::vector<StateRecord> to_announce;
-  // Workflows whose end is recorded in the journal, so that the next batch of
-  // progress removes their progress.
-  std::vector<WorkflowId> progress_to_remove;
+  // Progress that the next batch removes, as the end of its workflow is
+  // recorded in the journal.
+  std::vector<ProgressRemovalRecord> progress_to_remove;
   // Placements and ends that are not recorded yet, oldest change first.
   std::deque<AwaitedStart> starts_to_record;
   std::deque<AwaitedEnds> ends_to_record;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_TABLES_WORKFLOWS_H_
 #define CHICORYSTEP_TABLES_WORKFLOWS_H_
 
+#include <algorithm>
 #include <array>
 #include <compare>
 #include <cstdint>
@@ -237,14 +238,35 @@
   UnixMillis ended_at;
 };
 // All that the next holder needs of a workflow that has not ended. It changes
-// with each task, so an entry reads it only when it becomes holder.
+// with each task, so an entry reads it only when it becomes holder. A workflow
+// with many tasks is stored in several parts, which one append writes together.
 struct ProgressRecord {
   WorkflowId id;
   Epoch epoch;
   WorkflowState state = WorkflowState::kQueued;
   UnixMillis ended_at;
   std::vector<StepRun> runs;
+  // Set when a part is read: its number, from 0. The runs of a part hold the
+  // tasks that are stored in it.
+  std::uint32_t part = 0;
 };
+
+// Tasks and step runs in one part of a workflow's progress. A task takes up to
+// 230 bytes with a checkpoint of 128, and the platform's records hold 256 KB.
+inline constexpr std::size_t kRowsPerProgressPart = 1000;
+
+// The number of parts in which the progress of `runs` is stored. It depends on
+// the number of tasks alone, so each append replaces all earlier parts.
+// Otherwise parts of an older state could remain in the stream.
+[[nodiscard]] inline std::uint32_t CountProgressParts(
+    const std::vector<StepRun>& runs) {
+  std::size_t rows = 0;
+  for (const StepRun& run : runs) {
+    rows += 1 + run.tasks.size();
+  }
+  return static_cast<std::uint32_t>(std::max<std::size_t>(
+      1, (rows + kRowsPerProgressPart - 1) / kRowsPerProgressPart));
+}
 // A claim to the holder role, repeated as the holder's heartbeat.
 struct HolderRecord {
   Epoch epoch;
@@ -274,9 +296,11 @@
 struct EvictionRecord {
   WorkflowId id;
 };
-// Removes the progress of a workflow whose end is recorded in the journal.
+// Removes one part of the progress of a workflow whose end is recorded in the
+// journal.
 struct ProgressRemovalRecord {
   WorkflowId id;
+  std::uint32_t part = 0;
 };
 using JournalRecord = std::variant<AcceptedRecord,
                                    CancelRecord,
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -59,5 +59,170 @@
   }
 }
 
+// The platform's bounds on one record and on the records of one append.
+constexpr std::size_t kRecordBytes = 262'144;
+constexpr std::size_t kAppendBytes = 2'097'152;
+
+// A workflow whose tasks all run: how many steps, how many tasks each, and the
+// length of a checkpoint.
+struct RecordCase {
+  std::string name;
+  std::uint32_t steps;
+  std::uint32_t tasks;
+  std::size_t checkpoint;
+};
+
+const std::vector<RecordCase> kRecordCases = {
+    {"a single task", 1, 1, 16},
+    {"the widest gang", 1, 1024, 16},
+    {"many wide steps", 5, 1024, 16},
+    {"as many tasks as a workflow may have", 10, 1000, 16},
+    {"one step with as many tasks", 1, 10'000, 16},
+    {"many short steps", 2000, 5, 16},
+    {"long checkpoints", 1, 5000, 100},
+};
+
+std::vector<StepRun> MakeRunningSteps(const RecordCase& sample) {
+  std::vector<StepRun> runs;
+  for (std::uint32_t step = 0; step < sample.steps; ++step) {
+    StepRun run{.step = StepIndex(step)};
+    for (std::uint32_t task = 0; task < sample.tasks; ++task) {
+      run.tasks.push_back(
+          Task{.state = TaskState::kRunning,
+               .run = RunNumber(1 + task % 7),
+               .failures = task % 3,
+               .worker = WorkerId(fmt::format("i-{:08x}", task)),
+               .incarnation = WorkerIncarnation(1'760'000'000'000 + task),
+               .checkpoint = std::string(sample.checkpoint, 'c')});
+    }
+    // Every fifth task is done.
+    for (std::uint32_t task = 0; task < sample.tasks; task += 5) {
+      run.tasks[task] = Task{.state = TaskState::kDone};
+      ++run.done;
+    }
+    runs.push_back(std::move(run));
+  }
+  return runs;
+}
+
+// Pattern: a job with thousands of tasks comes among others. Guards against a
+// record that is longer than the store takes: its append is repeated for ever,
+// and no task of any workflow starts (review, case_large_job).
+BOOST_AUTO_TEST_CASE(
+    progress_of_large_workflows_fits_the_records_of_an_append) {
+  for (const RecordCase& sample : kRecordCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto records =
+          EncodeJournalRecord(ProgressRecord{.id = Emulation::MakeId(1),
+                                             .epoch = Epoch(1),
+                                             .state = WorkflowState::kRunning,
+                                             .runs = MakeRunningSteps(sample)});
+      std::size_t total = 0;
+      for (const KeyedValue& record : records) {
+        const std::size_t size = 1 + record.key.size() + record.value->size();
+        BOOST_TEST(size <= kRecordBytes);
+        total += 4 + size;
+      }
+      BOOST_TEST(total <= kAppendBytes);
+    }
+  }
+}
+
+// When the holder of a large workflow is killed.
+struct LargeWorkflowCase {
+  std::string name;
+  bool kill_holder;
+};
+
+const std::vector<LargeWorkflowCase> kLargeWorkflowCases = {
+    {"nothing fails", false},
+    {"the holder is killed while all tasks run", true},
+};
+
+BOOST_AUTO_TEST_CASE(large_workflows_do_not_stop_others) {
+  for (const LargeWorkflowCase& sample : kLargeWorkflowCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      // The emulation's ids are shorter than the platform's, and its tasks have
+      // no checkpoints, so the limit is lowered in proportion.
+      run.store.progress.max_record = 60'000;
+      run.AddWorkers(16);
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted large{.work = milliseconds(6000)};
+      for (int step = 0; step < 5; ++step) {
+        large.spec.steps.push_back(MakeStep(1024, 0));
+        large.spec.steps.back().need =
+            Capacity{Accelerators(0), Millicores(20), Mebibytes(16)};
+      }
+      run.Submit(0, "normal", Emulation::MakeId(1), large);
+      run.RunFor(seconds(4));
+      BOOST_TEST(run.RunningTasks() == 5120U);
+      if (sample.kill_holder) {
+        run.KillEntry(run.Holder());
+      }
+      Emulation::Submitted small{.work = milliseconds(500)};
+      small.spec.steps = {MakeStep(4, 1)};
+      run.Submit(run.entries[0]->up ? 0 : 1, "urgent", Emulation::MakeId(2),
+                 small);
+      BOOST_TEST(
+          run.RunFor(seconds(30), [&] { return run.AllWorkflowsEnded(); }));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+      // The progress of ended workflows is removed with all its parts.
+      run.RunFor(seconds(5));
+      BOOST_TEST(run.store.progress.newest.size() == 1U);
+    }
+  }
+}
+
+// The size of a submission, and whether it is accepted.
+struct SizeCase {
+  std::string name;
+  std::uint32_t steps;
+  std::uint32_t tasks;
+  std::uint32_t dependencies;
+  CallResult result;
+};
+
+const std::vector<SizeCase> kSizeCases = {
+    {"the widest gang", 1, 1024, 0, CallResult::kOk},
+    {"as many tasks as one append can record", 10, 1000, 0, CallResult::kOk},
+    {"one task more", 1, 10'001, 0, CallResult::kMalformed},
+    {"many steps", 1000, 1, 0, CallResult::kOk},
+    {"more steps than a record holds", 2000, 1, 0, CallResult::kMalformed},
+    {"more dependencies than a record holds", 400, 1, 399,
+     CallResult::kMalformed},
+};
+
+// What cannot be recorded is rejected at once. An append that the store never
+// takes would also hold up those of other callers.
+BOOST_AUTO_TEST_CASE(workflows_that_cannot_be_recorded_are_rejected) {
+  for (const SizeCase& sample : kSizeCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(1);
+      run.AddEntries(1);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what;
+      for (std::uint32_t step = 0; step < sample.steps; ++step) {
+        what.spec.steps.push_back(MakeStep(sample.tasks, 8));
+        for (std::uint32_t i = 0; i < sample.dependencies; ++i) {
+          what.spec.steps.back().depends_on.emplace_back(i);
+        }
+      }
+      const ExchangeId exchange =
+          run.Submit(0, "bulk", Emulation::MakeId(1), what);
+      BOOST_REQUIRE(run.RunFor(
+          seconds(1), [&] { return run.AnswerTo(exchange).has_value(); }));
+      BOOST_TEST(EnumName(run.AnswerTo(exchange)->result) ==
+                 EnumName(sample.result));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
