--- a/tests/platform_odd_entries_test.cc
+++ b/tests/platform_odd_entries_test.cc
@@ -2,12 +2,14 @@
 #include <boost/test/unit_test.hpp>
 
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
+#include "platform/callers.h"
 #include "platform/codec.h"
 #include "platform/http_server.h"
 #include "platform/store.h"
@@ -253,5 +255,42 @@
   }
 }
 
+// The body of a submission that no caller should send.
+struct OddBody {
+  std::string name;
+  std::string body;
+};
+
+const std::vector<OddBody> kOddBodies = {
+    {"nothing", ""},
+    {"a character outside ASCII", "\xc3\xa9"},
+    {"half a character", "\xc3"},
+    {"bytes that are not UTF-8", "\xff\xfe\xfd"},
+    {"a text that is not UTF-8", "{\"Spec\":\"\xff\"}"},
+    {"a member name that is not UTF-8", "{\"\xff\":1}"},
+    {"a number beyond a double", R"({"Spec":"s","Steps":[{"Count":1e999}]})"},
+    {"nested lists", Repeat("[", 100'000)},
+};
+
+// Guards against an exception while the answer is encoded, which quotes the
+// body: the calls, reads and orders of the same tick were lost with it.
+BOOST_AUTO_TEST_CASE(odd_submissions_are_answered) {
+  for (const OddBody& sample : kOddBodies) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const auto call = DecodeCall(
+          ServedRequest{.method = "POST", .path = "/p", .body = sample.body},
+          ExchangeId(1));
+      BOOST_REQUIRE(call.has_value());
+      BOOST_TEST(!call->spec.has_value());
+      ServedResponse response;
+      BOOST_CHECK_NO_THROW(
+          response = EncodeCallAnswer(CallAnswer{
+              .result = CallResult::kMalformed, .detail = call->malformed}));
+      BOOST_TEST(response.status == 400);
+      BOOST_TEST(nlohmann::json::accept(response.body));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
