Recognise restarted workers whose clock was set back

The number is a time on the worker's clock. An answer to an order that was sent after the present incarnation was known now shows a restart whatever its number; the list does so only when it changes to a higher one. The row "lower" of restarted_workers_are_used_whatever_their_clock_reads failed before.

--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -63,8 +63,8 @@
                          std::vector<KeyedValue> records,
                          const std::optional<ProducerSequence>& producer) {
   JournalAppended appended;
-  const bool too_long = std::any_of(
-      records.begin(), records.end(), [&](const KeyedValue& keyed) {
+  const bool too_long =
+      std::any_of(records.begin(), records.end(), [&](const KeyedValue& keyed) {
         return 1 + keyed.key.size() + (keyed.value ? keyed.value->size() : 0) >
                log.max_record;
       });
--- a/chicorystep/systems/task_preemption.h
+++ b/chicorystep/systems/task_preemption.h
@@ -7,8 +7,8 @@
 
 // Stops less urgent work with the least loss and reserves its capacity for the
 // unit. A unit within its workspace's guarantee may also stop equally urgent
-// work that exceeds the guarantees of other workspaces. Does nothing if stopping
-// all of it would not free enough capacity.
+// work that exceeds the guarantees of other workspaces. Does nothing if
+// stopping all of it would not free enough capacity.
 void PreemptForUnit(TaskPlacementPass& pass, const PlacementUnit& unit);
 
 }  // namespace chicorystep
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -382,7 +382,11 @@
     }
     if (result.incarnation &&
         *result.incarnation != worker->listing.incarnation) {
-      if (*result.incarnation > worker->listing.incarnation) {
+      // An order that was sent after the present incarnation was known cannot
+      // reach an earlier one. The number of a later one may be lower, as it is
+      // a time on the worker's clock.
+      if (*result.incarnation > worker->listing.incarnation ||
+          result.sent > worker->incarnation_since) {
         if (const TaskRef ref = FindTask(world, result.task);
             result.kind == OrderKind::kStart && ref &&
             ref.task->run == result.run) {
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -52,6 +52,8 @@
   TaskWorker worker{.listing = listing,
                     .rack = GetRack(listing),
                     .free = listing.capacity,
+                    .incarnation_since = now,
+                    .listed_incarnation = listing.incarnation,
                     .next_hold = now};
   InheritLeaseExpiry(world, worker);
   if (const auto own = placed.find(listing.id); own != placed.end()) {
@@ -135,6 +137,9 @@
     StopTasksOfOtherIncarnations(world, listing, now);
     return;
   }
+  const bool listed_before =
+      std::exchange(worker->listed_incarnation, listing.incarnation) ==
+      listing.incarnation;
   if (worker->listing.incarnation.empty()) {
     // The worker was added because the recorded progress places tasks on it,
     // and is listed only now.
@@ -142,7 +147,8 @@
     worker->next_hold = now;
   } else if (!listing.incarnation.empty() &&
              worker->listing.incarnation != listing.incarnation) {
-    if (listing.incarnation < worker->listing.incarnation) {
+    // The list lags behind the answers that named the present incarnation.
+    if (listed_before || listing.incarnation < worker->listing.incarnation) {
       return;
     }
     ApplyWorkerRestart(world, listing.id, listing.incarnation, now);
@@ -208,6 +214,7 @@
   // previous holder may arrive, too.
   const bool had_accepted_fence = worker->fenced;
   worker->listing.incarnation = incarnation;
+  worker->incarnation_since = now;
   worker->listing_outdated = true;
   ++worker->restarts;
   worker->fenced = false;
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -182,6 +182,10 @@
   // Tasks that occupy capacity on the worker, with their runs.
   std::map<TaskKey, RunNumber> tasks;
 
+  // When this holder learned of the incarnation in `listing`, and the one that
+  // the platform listed last.
+  TimePoint incarnation_since = kDistantPast;
+  WorkerIncarnation listed_incarnation;
   // How often this holder has seen it restart.
   std::uint32_t restarts = 0;
   // Whether its current incarnation has accepted this holder's current fence.
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -325,6 +325,50 @@
   }
 }
 
+// How the number of a worker's next incarnation compares with that of the one
+// that crashed. It is the time of the restart on the worker's clock, which may
+// have been set back.
+struct IncarnationCase {
+  std::string name;
+  std::int64_t change;
+};
+
+const std::vector<IncarnationCase> kIncarnationCases = {
+    {"higher", 1},
+    {"lower", -5},
+};
+
+BOOST_AUTO_TEST_CASE(restarted_workers_are_used_whatever_their_clock_reads) {
+  for (const IncarnationCase& sample : kIncarnationCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(2);
+      for (EmulatedWorker& worker : run.workers) {
+        worker.listing.incarnation = WorkerIncarnation(100);
+        List(run.store, worker.listing);
+      }
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(3000)};
+      what.spec.steps = {MakeStep(2, 8)};
+      run.Submit(0, "normal", Emulation::MakeId(1), what);
+      run.RunFor(seconds(1));
+      BOOST_REQUIRE_EQUAL(run.RunningTasks(), 2U);
+      CrashWorkers(run, 2);
+      run.RunFor(milliseconds(300));
+      RestartAndListLater(run, 2);
+      for (EmulatedWorker& worker : run.workers) {
+        worker.listing.incarnation =
+            WorkerIncarnation(static_cast<std::uint64_t>(100 + sample.change));
+      }
+      BOOST_TEST(
+          run.RunFor(seconds(12), [&] { return run.AllWorkflowsEnded(); }));
+      ExpectNoViolation(run);
+    }
+  }
+}
+
 // Runs many short tasks while orders are carried out late and half of the
 // workers restart again and again.
 void RunThroughRestarts(Emulation& run, const Emulation::Rates& rates) {
