Never give a worker a lower fence than before

A worker that had restarted, was unlisted and was listed again got a new row with the first fence of its holder. It had accepted a higher one and rejected the hold, which the holder took for the end of its role. The count of raised fences is now the holder's, over all workers, and a new row starts with it. Found by reading the change. a_restarted_worker_that_is_listed_again_obeys_its_holder failed before: the role went to the other entry.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -66,11 +66,12 @@
               TaskWorker& worker,
               TimePoint now,
               WorkflowOutbox& outbox) {
-  WorkerOrder hold{.kind = OrderKind::kHold,
-                   .worker = worker.listing.id,
-                   .address = worker.listing.address,
-                   .fence = MakeFence(world.holding.own_epoch, worker.restarts),
-                   .acknowledged = worker.recorded_ends};
+  WorkerOrder hold{
+      .kind = OrderKind::kHold,
+      .worker = worker.listing.id,
+      .address = worker.listing.address,
+      .fence = MakeFence(world.holding.own_epoch, worker.fence_raises),
+      .acknowledged = worker.recorded_ends};
   // The leases of a worker that does not answer are not renewed: they must
   // expire before its tasks can start elsewhere.
   if (!worker.tasks.empty() && worker.clock_read != kDistantPast &&
@@ -110,7 +111,7 @@
       continue;
     }
     order.address = worker.listing.address;
-    order.fence = MakeFence(world.holding.own_epoch, worker.restarts);
+    order.fence = MakeFence(world.holding.own_epoch, worker.fence_raises);
     if (order.kind == OrderKind::kStart) {
       order.until = ComputeLeaseExpiry(worker, world.self.lease, now);
       worker.leased_until = std::max(worker.leased_until, *order.until);
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -233,7 +233,7 @@
       // an expiry on that incarnation's clock, for which the present one may
       // have granted its longest lease.
       const Duration lease =
-          worker.restarts > 0 ? world.self.longest_lease : world.self.lease;
+          worker.restarted ? world.self.longest_lease : world.self.lease;
       worker.leased_until = std::max(
           worker.leased_until, worker.clock + WorkerClock(WholeMillis(lease)));
     }
@@ -362,8 +362,8 @@
       continue;
     }
     // The order was sent before the worker was seen to restart.
-    const bool outdated =
-        result.fence != MakeFence(world.holding.own_epoch, worker->restarts);
+    const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
+                                                    worker->fence_raises);
     if (result.kind != OrderKind::kHold) {
       worker->orders_in_flight.erase(result.task);
     }
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -54,6 +54,7 @@
                     .free = listing.capacity,
                     .incarnation_since = now,
                     .listed_incarnation = listing.incarnation,
+                    .fence_raises = world.scheduling.fence_raises,
                     .next_hold = now};
   InheritLeaseExpiry(world, worker);
   if (const auto own = placed.find(listing.id); own != placed.end()) {
@@ -216,7 +217,8 @@
   worker->listing.incarnation = incarnation;
   worker->incarnation_since = now;
   worker->listing_outdated = true;
-  ++worker->restarts;
+  worker->restarted = true;
+  worker->fence_raises = ++world.scheduling.fence_raises;
   worker->fenced = false;
   worker->orders.clear();
   std::size_t lost = 0;
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -80,15 +80,15 @@
 // order with a lower fence than it has seen in its present incarnation.
 using Fence = Id<struct FenceTag, std::uint64_t>;
 
-// Each holder may raise its fence this often for one worker.
+// Each holder may raise its fences this often.
 inline constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 20;
 
-// The fence of a holder's orders to a worker that it has seen restart
-// `restarts` times. It rises with each restart, so that the new incarnation
-// ignores orders to the earlier ones that arrive late.
-[[nodiscard]] constexpr Fence MakeFence(Epoch epoch, std::uint32_t restarts) {
+// The fence of a holder's orders to a worker after it has raised its fences
+// `raises` times. A holder raises it for a worker that restarts, so that the
+// new incarnation ignores orders to the earlier ones that arrive late.
+[[nodiscard]] constexpr Fence MakeFence(Epoch epoch, std::uint32_t raises) {
   return Fence(epoch.value * kFencesPerEpoch +
-               std::min<std::uint64_t>(restarts, kFencesPerEpoch - 1));
+               std::min<std::uint64_t>(raises, kFencesPerEpoch - 1));
 }
 [[nodiscard]] constexpr Epoch EpochOf(Fence fence) {
   return Epoch(fence.value / kFencesPerEpoch);
@@ -186,8 +186,11 @@
   // the platform listed last.
   TimePoint incarnation_since = kDistantPast;
   WorkerIncarnation listed_incarnation;
-  // How often this holder has seen it restart.
-  std::uint32_t restarts = 0;
+  // How often the holder had raised its fences when it last raised that of this
+  // worker.
+  std::uint32_t fence_raises = 0;
+  // The holder has seen it restart.
+  bool restarted = false;
   // Whether its current incarnation has accepted this holder's current fence.
   bool fenced = false;
   bool hold_in_flight = false;
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -379,6 +379,9 @@
 // Tables that only the holder maintains.
 struct Scheduling {
   Table<WorkerId, TaskWorker> workers;
+  // How often this holder has raised its fence for a worker. It counts over all
+  // workers, so that one that is removed and added again gets no lower fence.
+  std::uint32_t fence_raises = 0;
   // Workflows that have not ended.
   std::unordered_set<WorkflowId> open;
   // Open workflows with occurrences that are not due yet.
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -369,6 +369,33 @@
   }
 }
 
+// Guards against a fence that is lower than an earlier one of the same holder:
+// the worker rejects it, and the holder takes that for the end of its role.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_that_is_listed_again_obeys_its_holder) {
+  Emulation run;
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(2);
+  run.AddEntries(2);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  const int holder = run.Holder();
+  run.RunFor(seconds(1));
+  CrashWorkers(run, 1);
+  Restart(run.workers[0], run.now);
+  List(run.store, run.workers[0].listing);
+  run.RunFor(seconds(2));
+  const Fence accepted = run.workers[0].fence;
+  Unlist(run.store, run.workers[0].listing.id);
+  run.RunFor(seconds(3));
+  List(run.store, run.workers[0].listing);
+  Emulation::Submitted what{.work = milliseconds(500)};
+  what.spec.steps = {MakeStep(2, 8)};
+  run.Submit(0, "normal", Emulation::MakeId(1), what);
+  BOOST_TEST(run.RunFor(seconds(5), [&] { return run.AllWorkflowsEnded(); }));
+  BOOST_TEST(run.Holder() == holder);
+  BOOST_TEST((run.workers[0].fence >= accepted));
+  ExpectNoViolation(run);
+}
+
 // Runs many short tasks while orders are carried out late and half of the
 // workers restart again and again.
 void RunThroughRestarts(Emulation& run, const Emulation::Rates& rates) {
