--- a/chicorystep/systems/task_preemption.cc
+++ b/chicorystep/systems/task_preemption.cc
@@ -96,15 +96,16 @@
     if (!MayYield(workflow, unit)) {
       continue;
     }
-    Victim none;
+    // A victim of this workflow without tasks.
+    Victim blank;
     if (workflow.terms.priority == unit.workflow->terms.priority) {
-      none.urgent_of = workflow.terms.workspace;
-      none.loss = kUrgentLoss;
+      blank.urgent_of = workflow.terms.workspace;
+      blank.loss = kUrgentLoss;
     }
     for (StepRun& run : workflow.runs) {
       const StepSpec& spec = workflow.spec.steps[run.step.value];
-      none.need = spec.need;
-      Victim gang = none;
+      blank.need = spec.need;
+      Victim gang = blank;
       for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
         const Task& task = run.tasks[i];
         if (task.state != TaskState::kStarting &&
@@ -120,7 +121,7 @@
         gang.candidates.push_back(candidate->second);
         gang.loss += ComputeLoss(pass, spec, task);
         if (!spec.gang) {
-          victims.push_back(std::exchange(gang, none));
+          victims.push_back(std::exchange(gang, blank));
         }
       }
       if (!gang.tasks.empty()) {
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -240,15 +240,15 @@
   }
 }
 
-// Notes that a hold has ended without a report that can be applied.
-void EndHoldWithoutReport(TaskWorker& worker) {
+// Notes that the hold in flight has ended.
+void EndHold(TaskWorker& worker) {
   worker.hold_in_flight = false;
   worker.answer_deadline = kNever;
 }
 
 void ApplyHold(WorkflowWorld& world, const OrderResult& hold, TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
-  EndHoldWithoutReport(*worker);
+  EndHold(*worker);
   if (hold.outcome != OrderOutcome::kDone) {
     if (hold.outcome == OrderOutcome::kUnknown) {
       ++worker->unanswered_holds;
@@ -373,7 +373,7 @@
     }
     if (result.outcome == OrderOutcome::kOtherIncarnation) {
       if (result.kind == OrderKind::kHold) {
-        EndHoldWithoutReport(*worker);
+        EndHold(*worker);
       }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
       ReleaseLostTasks(world, result.worker,
@@ -396,7 +396,7 @@
         ApplyWorkerRestart(world, result.worker, *result.incarnation, time.now);
       }
       if (result.kind == OrderKind::kHold) {
-        EndHoldWithoutReport(*worker);
+        EndHold(*worker);
       }
       continue;
     }
@@ -406,7 +406,7 @@
       // report under the current fence counts. The tasks of orders that were in
       // flight at the restart are being stopped.
       if (result.kind == OrderKind::kHold) {
-        EndHoldWithoutReport(*worker);
+        EndHold(*worker);
         worker->next_hold = time.now;
       }
       continue;
