Log which entry accepted a workflow, and name it in every refusal

An acceptance carries its writer; the holder logs workflow_accepted and acceptance_repeated, placed and the state dump name the writer, an append without confirmation lists its workflows, and one that is written after its caller was answered says so. No decision changes.

--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -68,6 +68,7 @@
       {"shown", std::string(EnumName(workflow.shown))},
       {"cancel_requested", workflow.cancel_requested},
       {"accepted_unix_ms", workflow.accepted.value},
+      {"accepted_by", workflow.accepted_by.value},
       {"tasks", std::move(tasks)},
       {"waits_for", std::string(EnumName(FindWaitReason(world, workflow)))}};
 }
--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -103,7 +103,7 @@
       {"r", record.terms.route.value},   {"w", record.terms.workspace.value},
       {"s", record.terms.service.value}, {"pr", record.terms.priority},
       {"ma", record.terms.max_attempts}, {"ta", record.terms.target.count()},
-      {"st", record.terms.stretch}};
+      {"st", record.terms.stretch},      {"by", record.entry.value}};
   if (record.spec.occurrences > 0) {
     json["times"] = {record.spec.occurrences, record.spec.first_due.value,
                      record.spec.interval.count()};
@@ -127,6 +127,7 @@
   record.terms.max_attempts = json.at("ma").get<std::uint32_t>();
   record.terms.target = Duration(json.at("ta").get<std::int64_t>());
   record.terms.stretch = json.at("st").get<double>();
+  record.entry = EntryId(json.value("by", std::string()));
   if (const auto times = json.find("times"); times != json.end()) {
     record.spec.occurrences = times->at(0).get<std::uint32_t>();
     record.spec.first_due = UnixMillis(times->at(1).get<std::int64_t>());
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -75,6 +75,7 @@
        {"occurrence", unit.run->occurrence.value},
        {"tasks", candidates.size()},
        {"run", newest + 1},
+       {"accepted_by", unit.workflow->accepted_by.value},
        {"priority", unit.workflow->terms.priority},
        {"lateness", std::string(EnumName(unit.lateness))}});
 }
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -54,6 +54,25 @@
                      [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
+// The workflow that a call names, whether or not its path matches a route;
+// empty if the path does not end with an id.
+WorkflowId FindNamedWorkflow(std::string_view path) {
+  const std::size_t slash = path.rfind('/');
+  const std::string_view last =
+      slash == std::string_view::npos ? path : path.substr(slash + 1);
+  return IsWorkflowId(last) ? WorkflowId(std::string(last)) : WorkflowId();
+}
+
+// Lists the workflows of an append, as far as a log line has room for them.
+std::string ListWorkflows(const std::vector<PendingCall>& calls) {
+  constexpr std::size_t kMaxListed = 16;
+  std::string list;
+  for (std::size_t i = 0; i < std::min(calls.size(), kMaxListed); ++i) {
+    list += (i == 0 ? "" : ",") + calls[i].workflow.value;
+  }
+  return list;
+}
+
 void Answer(const PendingCall& pending,
             CallAnswer answer,
             TimePoint now,
@@ -185,8 +204,11 @@
            time.now, outbox);
     return;
   }
-  if (world.workflows.find(pending.workflow) != nullptr) {
-    Answer(pending, CallAnswer{.detail = "known already"}, time.now, outbox);
+  if (const Workflow* known = world.workflows.find(pending.workflow)) {
+    Answer(pending,
+           CallAnswer{.detail = "known already, accepted by " +
+                                known->accepted_by.value},
+           time.now, outbox);
     return;
   }
   AcceptedRecord record{
@@ -199,7 +221,8 @@
                              .max_attempts = route.max_attempts,
                              .target = route.target,
                              .stretch = route.stretch},
-      .accepted = time.wall};
+      .accepted = time.wall,
+      .entry = world.self.id};
   if (auto problem = FindSizeProblem(record)) {
     Answer(pending,
            CallAnswer{.result = CallResult::kMalformed,
@@ -216,6 +239,7 @@
                 WorkflowOutbox& outbox) {
   PendingCall pending{
       .call = call,
+      .workflow = FindNamedWorkflow(call.path),
       .arrived = time.now,
       .deadline = time.now + call.caller_timeout - kAnswerMargin};
   if (!world.config) {
@@ -322,6 +346,11 @@
     ApplyJournalRecord(world, *pending.record, time);
     if (!pending.answered) {
       Answer(pending, CallAnswer{}, time.now, outbox);
+    } else {
+      Log(LogLevel::kInfo, "written_after_answer",
+          {{"call", std::string(EnumName(pending.call.kind))},
+           {"workflow", pending.workflow.value},
+           {"waited_ms", WholeMillis(time.now - pending.arrived)}});
     }
   }
   world.callers.writing.clear();
@@ -421,6 +450,7 @@
           {{"lane", "callers"},
            {"outcome", std::string(EnumName(ended.outcome))},
            {"calls", lane.writing.size()},
+           {"workflows", ListWorkflows(lane.writing)},
            {"sent_bytes", ended.sent.value},
            {"took_ms", WholeMillis(time.now - ended.began)}});
       RequeueOrRefuse(world, ended.outcome == AppendOutcome::kUnknown, time,
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -43,15 +43,29 @@
   world.scheduling.placement_due = true;
 }
 
-void ApplyAccepted(WorkflowWorld& world, const AcceptedRecord& record) {
-  if (world.workflows.find(record.id) != nullptr) {
+void ApplyAccepted(WorkflowWorld& world,
+                   const AcceptedRecord& record,
+                   UnixMillis wall) {
+  const bool holds = world.holding.state == HoldingState::kHolding;
+  if (const Workflow* known = world.workflows.find(record.id)) {
+    if (holds && known->accepted_by != record.entry) {
+      Log(LogLevel::kInfo, "acceptance_repeated",
+          {{"workflow", record.id.value},
+           {"accepted_by", known->accepted_by.value},
+           {"repeated_by", record.entry.value}});
+    }
     return;
   }
   Workflow& workflow =
       world.workflows.insert(record.id, Workflow{.spec = record.spec,
                                                  .terms = record.terms,
-                                                 .accepted = record.accepted});
-  if (world.holding.state == HoldingState::kHolding) {
+                                                 .accepted = record.accepted,
+                                                 .accepted_by = record.entry});
+  if (holds) {
+    Log(LogLevel::kInfo, "workflow_accepted",
+        {{"workflow", record.id.value},
+         {"accepted_by", record.entry.value},
+         {"age_ms", wall.value - record.accepted.value}});
     world.scheduling.open.insert(record.id);
     world.scheduling.placement_due = true;
     QueueAdvance(world, record.id, workflow);
@@ -290,7 +304,7 @@
                         const JournalRecord& record,
                         const WorkflowTime& time) {
   if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
-    ApplyAccepted(world, *accepted);
+    ApplyAccepted(world, *accepted, time.wall);
   } else if (const auto* state = std::get_if<StateRecord>(&record)) {
     ApplyState(world, *state, time.now);
   } else if (const auto* holder = std::get_if<HolderRecord>(&record)) {
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -193,6 +193,8 @@
   WorkflowSpec spec;
   WorkflowTerms terms;
   UnixMillis accepted;
+  // The entry that wrote the acceptance.
+  EntryId accepted_by;
   // The state recorded in the journal, which callers see.
   WorkflowState shown = WorkflowState::kQueued;
   bool cancel_requested = false;
@@ -225,6 +227,8 @@
   WorkflowSpec spec;
   WorkflowTerms terms;
   UnixMillis accepted;
+  // The entry that wrote the record; empty in records of earlier builds.
+  EntryId entry;
 };
 struct CancelRecord {
   WorkflowId id;
