--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -53,6 +53,8 @@
     // seconds later and not answered, by the incarnation that runs then.
     int late_orders = 0;
     int late_holds = 0;
+    // How long after their sending lost appends are executed.
+    Duration lost_append_delay{};
   };
 
   std::multimap<TimePoint, std::function<void()>> events;
@@ -60,6 +62,8 @@
   bool store_up = true;
   // Whether the store serves the stream of progress, while it is up.
   bool progress_up = true;
+  // Whether the store answers every append with 503, while it serves reads.
+  bool rejects_appends = false;
   std::vector<std::unique_ptr<Entry>> entries;
   // Submitted workflows that must end. Tests remove those whose submission was
   // not answered as accepted.
@@ -370,15 +374,20 @@
                                    incarnation = entry.incarnation] {
       JournalAppended appended{
           .lane = append.lane, .epoch = append.epoch, .batch = append.batch};
-      if (reachable) {
+      if (reachable && this->rejects_appends) {
+        appended.outcome = AppendOutcome::kRejected;
+      } else if (reachable && lost) {
+        this->ScheduleAfter(this->rates.lost_append_delay, [this, append] {
+          (void)Append(this->store, append);
+        });
+      } else if (reachable) {
         appended = Append(this->store, append);
       }
-      if (lost) {
-        appended.outcome = AppendOutcome::kUnknown;
-      }
       appended.began = began;
       this->DeliverToEntry(entry, incarnation,
-                           reachable && !lost ? kLatency : kAppendTimeout,
+                           reachable && (!lost || this->rejects_appends)
+                               ? kLatency
+                               : kAppendTimeout,
                            [appended](WorkflowInbox& inbox) {
                              inbox.appended.push_back(appended);
                            });
--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -23,6 +23,7 @@
 #include "tests/support/platform_standin.h"
 #include "tests/support/process.h"
 #include "tests/support/relay.h"
+#include "tests/support/submission_attempts.h"
 
 namespace chicorystep::testing {
 
@@ -75,17 +76,16 @@
   std::string route;
   std::string key;
   std::string body;
-  // Whether every attempt so far was answered with a refusal, so that the
-  // workflow must not run.
-  bool always_refused = true;
   bool given_up = false;
   TimePoint accepted = kNever;
   bool cancel_wanted = false;
   bool cancel_accepted = false;
   std::string state;
-  int attempts = 0;
+  std::vector<SubmissionAttempt> attempts;
   // Attempts after which the caller gives up.
-  int max_attempts = 6;
+  std::size_t max_attempts = 6;
+  // Whether the submission arrives once more after it has been accepted.
+  bool repeats_after_acceptance = false;
 };
 
 // Runs real entry processes against the stand-in of the platform, under random
@@ -96,6 +96,7 @@
       : options(std::move(soak_options)),
         random(this->options.seed),
         load_random(this->options.seed),
+        repeat_random(this->options.seed),
         platform(this->context, this->options.seed) {
     this->platform.late_starts_outlive_workers =
         this->options.late_starts_outlive_workers;
@@ -253,10 +254,11 @@
 
   asio::io_context context;
   SoakOptions options;
-  // Faults and load use separate generators, so that the faults of a seed do
-  // not depend on how fast calls are answered.
+  // Faults, load and repeats use separate generators, so that the faults of a
+  // seed do not depend on how fast calls are answered.
   std::minstd_rand random;
   std::minstd_rand load_random;
+  std::minstd_rand repeat_random;
   PlatformStandin platform;
   std::deque<SoakEntry> entries;
   std::vector<std::unique_ptr<Relay>> worker_links;
@@ -347,7 +349,8 @@
         std::array{"urgent", "normal", "bulk"}[this->load_random() % 3];
     workflow->key = this->load_random() % 5 == 0 ? "key-b" : "key-a";
     workflow->cancel_wanted = this->load_random() % 10 == 0;
-    workflow->max_attempts = 1 + number % 6;
+    workflow->max_attempts = 1 + static_cast<std::size_t>(number % 6);
+    workflow->repeats_after_acceptance = number % 4 == 0;
     WorkerFleet::Submitted what{
         .work = milliseconds(200 + this->load_random() % 1500),
         .work_increment = milliseconds(this->load_random() % 60)};
@@ -383,10 +386,10 @@
   }
 
   platform::HttpRequest MakeRequest(const SoakWorkflow& workflow,
-                                    std::string method) {
+                                    std::string method,
+                                    const SoakEntry& entry) {
     return platform::HttpRequest{
-        .address =
-            this->entries[this->load_random() % this->entries.size()].callers,
+        .address = entry.callers,
         .method = std::move(method),
         .target = fmt::format("/{}/{}", workflow.route, workflow.id.value),
         .headers = {{"Authorization", "Token " + workflow.key},
@@ -394,6 +397,10 @@
         .timeout = seconds(4)};
   }
 
+  const SoakEntry& DrawCalledEntry() {
+    return this->entries[this->load_random() % this->entries.size()];
+  }
+
   // Calls every entry with the revoked key until fault injection ends.
   void CallWithRevokedKey() {
     if (this->faults_ended) {
@@ -437,12 +444,31 @@
   }
 
   void Submit(const std::shared_ptr<SoakWorkflow>& workflow) {
-    ++workflow->attempts;
-    platform::HttpRequest request = this->MakeRequest(*workflow, "POST");
+    const SoakEntry& entry = this->DrawCalledEntry();
+    this->SendSubmission(workflow, entry,
+                         [this, workflow](const platform::HttpReply& reply) {
+                           this->HandleSubmitReply(workflow, reply);
+                         });
+  }
+
+  // Sends the submission to `entry` and adds the attempt to those of the
+  // workflow once it has ended.
+  void SendSubmission(const std::shared_ptr<SoakWorkflow>& workflow,
+                      const SoakEntry& entry,
+                      std::function<void(const platform::HttpReply&)> done) {
+    platform::HttpRequest request = this->MakeRequest(*workflow, "POST", entry);
     request.body = workflow->body;
+    SubmissionAttempt attempt{.entry = EntryId(entry.name),
+                              .sent = BootTimeNow()};
     this->Call(std::move(request), workflow->key,
-               [this, workflow](const platform::HttpReply& reply) {
-                 this->HandleSubmitReply(workflow, reply);
+               [workflow, attempt, done = std::move(done)](
+                   const platform::HttpReply& reply) mutable {
+                 attempt.ended = BootTimeNow();
+                 attempt.status = reply.status;
+                 attempt.delivered =
+                     reply.outcome != platform::HttpOutcome::kNotSent;
+                 workflow->attempts.push_back(std::move(attempt));
+                 done(reply);
                });
   }
 
@@ -450,32 +476,47 @@
                          const platform::HttpReply& reply) {
     if (reply.status == 200) {
       workflow->accepted = BootTimeNow();
-      workflow->always_refused = false;
       this->platform.After(milliseconds(300),
                            [this, workflow] { this->PollWorkflow(workflow); });
+      if (workflow->repeats_after_acceptance) {
+        this->RepeatLater(workflow);
+      }
       return;
     }
-    const bool refused = reply.status == 503 || reply.status == 429 ||
-                         reply.status == 401 ||
-                         reply.outcome == platform::HttpOutcome::kNotSent;
-    workflow->always_refused = workflow->always_refused && refused;
     if (reply.status == 400) {
       this->violations.push_back(workflow->id.value +
                                  " is refused as malformed");
     }
-    if (reply.status == 401 || workflow->attempts >= workflow->max_attempts) {
+    if (reply.status == 401 ||
+        workflow->attempts.size() >= workflow->max_attempts) {
       workflow->given_up = true;
       return;
     }
-    this->platform.After(milliseconds(refused ? 1000 : 100),
+    const bool may_have_effect =
+        EffectOf(workflow->attempts.back()) == AttemptEffect::kPossible;
+    this->platform.After(milliseconds(may_have_effect ? 100 : 1000),
                          [this, workflow] { this->Submit(workflow); });
   }
 
+  // Sends an accepted submission again some seconds later, as a client may
+  // whose repeat was under way.
+  void RepeatLater(const std::shared_ptr<SoakWorkflow>& workflow) {
+    this->platform.After(
+        milliseconds(500 + this->repeat_random() % 4000), [this, workflow] {
+          const SoakEntry& entry =
+              this->entries[this->repeat_random() % this->entries.size()];
+          this->SendSubmission(workflow, entry,
+                               [](const platform::HttpReply&) {});
+        });
+  }
+
   void PollWorkflow(const std::shared_ptr<SoakWorkflow>& workflow) {
     const bool cancels = workflow->cancel_wanted && !workflow->cancel_accepted;
     const TimePoint sent = BootTimeNow();
     this->Call(
-        this->MakeRequest(*workflow, cancels ? "DELETE" : "GET"), workflow->key,
+        this->MakeRequest(*workflow, cancels ? "DELETE" : "GET",
+                          this->DrawCalledEntry()),
+        workflow->key,
         [this, workflow, cancels, sent](const platform::HttpReply& reply) {
           if (cancels) {
             workflow->cancel_accepted = reply.status == 200;
@@ -553,7 +594,7 @@
       if (!this->IsSettled(*workflow)) {
         this->violations.push_back(fmt::format(
             "{} ({} attempts, {}) has not ended {} s after the last fault",
-            workflow->id.value, workflow->attempts,
+            workflow->id.value, workflow->attempts.size(),
             workflow->accepted == kNever ? "not accepted" : workflow->state,
             WholeMillis(kDrainBound) / 1000));
       }
@@ -561,11 +602,14 @@
   }
 
   void CheckRefusedWorkflows() {
+    const auto& started = this->platform.fleet.started;
     for (const auto& workflow : this->workflows) {
-      if (workflow->given_up && workflow->always_refused &&
-          this->platform.fleet.started.contains(workflow->id)) {
-        this->violations.push_back(workflow->id.value +
-                                   " was refused but has run");
+      const auto first = started.find(workflow->id);
+      if (const auto broken = FindBrokenRefusal(
+              workflow->attempts, first == started.end()
+                                      ? std::nullopt
+                                      : std::optional(first->second))) {
+        this->violations.push_back(workflow->id.value + " " + *broken);
       }
     }
   }
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -72,8 +72,8 @@
   std::map<TaskKey, std::set<RunNumber>> failed_runs;
   std::vector<std::string> violations;
   std::vector<TimePoint> start_times;
-  // Workflows with at least one started task.
-  std::set<WorkflowId> started;
+  // When the first task of each workflow started.
+  std::map<WorkflowId, TimePoint> started;
 
   // Adds workers with 8 accelerators, 32 cores and 128 GiB each, 8 per rack.
   void AddWorkers(int count,
@@ -133,7 +133,7 @@
     if (worker.running.size() > before) {
       ++this->starts;
       this->start_times.push_back(this->now);
-      this->started.insert(order.task.workflow);
+      this->started.try_emplace(order.task.workflow, this->now);
       if (!HasFreeCapacity(worker, Capacity{})) {
         this->violations.push_back(worker.listing.id.value +
                                    " runs tasks that exceed its capacity");
