Never refuse a submission or a cancel that another entry may have appended

The first attempt's append got no answer; its repeats reached entries that refused at once, because of the age of their configuration, the silence or the rejection of the store, a missing configuration or too many callers, and that could not know of the append. The class: a decision from what one process knows is answered as a fact about the whole system.

An entry that cannot write cannot prove that no acceptance exists, as an append without an answer may be executed after any read. So these calls are answered with 504 and Retry-After, still at once. Queries have no effect and are refused as before.

The rows of workflow_calls_test that demanded a refusal demanded the fault: they demand the outcome unknown with a Retry-After now, and there are new rows for queries, cancels, accepted workflows and a full queue.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -21,7 +21,7 @@
 // A call is answered this long before its caller times out, so that the answer
 // arrives in time.
 constexpr Duration kAnswerMargin = milliseconds(150);
-// Retry delay in refusals; outages of the store last for seconds.
+// Retry delay of declined calls; outages of the store last for seconds.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 // Bounds the calls that wait for an append; each takes about 1 kB.
 constexpr std::size_t kMaxQueuedCalls = 500;
@@ -92,12 +92,22 @@
   outbox.answers.push_back(std::move(answer));
 }
 
-void Refuse(const PendingCall& pending,
-            std::string detail,
-            TimePoint now,
-            WorkflowOutbox& outbox) {
+// Whether the call asks for a record in the journal.
+bool IsWrite(CallKind kind) {
+  return kind == CallKind::kSubmit || kind == CallKind::kCancel;
+}
+
+// Answers a call that cannot be served now. A write may repeat one that another
+// entry has appended without an answer. Such an append may be executed even
+// after a complete read of the journal, so its outcome is unknown here; a
+// refusal would promise that the write never takes effect.
+void Decline(const PendingCall& pending,
+             std::string detail,
+             TimePoint now,
+             WorkflowOutbox& outbox) {
   Answer(pending,
-         CallAnswer{.result = CallResult::kRefused,
+         CallAnswer{.result = IsWrite(pending.call.kind) ? CallResult::kUnknown
+                                                         : CallResult::kRefused,
                     .detail = std::move(detail),
                     .retry_after = kRetryAfter},
          now, outbox);
@@ -122,18 +132,18 @@
           journal->second.last_success < world.callers.unanswered_since);
 }
 
-// Queues `record` for an append on behalf of the caller, or refuses the call.
+// Queues `record` for an append on behalf of the caller, or declines the call.
 void QueueAppend(WorkflowWorld& world,
                  PendingCall pending,
                  JournalRecord record,
                  TimePoint now,
                  WorkflowOutbox& outbox) {
   if (IsStoreUnresponsive(world)) {
-    Refuse(pending, "the store does not answer", now, outbox);
+    Decline(pending, "the store does not answer", now, outbox);
     return;
   }
   if (world.callers.queued.size() >= kMaxQueuedCalls) {
-    Refuse(pending, "too many callers wait for the store", now, outbox);
+    Decline(pending, "too many callers wait for the store", now, outbox);
     return;
   }
   pending.record = std::move(record);
@@ -243,7 +253,7 @@
       .arrived = time.now,
       .deadline = time.now + call.caller_timeout - kAnswerMargin};
   if (!world.config) {
-    Refuse(pending, "no configuration yet", time.now, outbox);
+    Decline(pending, "no configuration yet", time.now, outbox);
     return;
   }
   pending.config_version = world.config->version;
@@ -261,7 +271,8 @@
   if (!route->open) {
     if (!IsFresh(world, FollowedStream::kConfig,
                  world.self.revoke_bound - kRevokeMargin, time.now)) {
-      Refuse(pending, "the configuration may be out of date", time.now, outbox);
+      Decline(pending, "the configuration may be out of date", time.now,
+              outbox);
       return;
     }
     const auto key = world.config->keys.find(call.key);
@@ -332,7 +343,7 @@
       Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
              outbox);
     } else if (time.now >= pending.deadline) {
-      Refuse(pending, "the journal cannot be read", time.now, outbox);
+      Decline(pending, "the journal cannot be read", time.now, outbox);
     } else {
       world.awaiting_read.push_back(std::move(pending));
     }
@@ -357,12 +368,12 @@
   world.callers.unanswered_since = kNever;
 }
 
-// Requeues calls whose record may have been written, and refuses those whose
+// Requeues calls whose record may have been written, and declines those whose
 // record is guaranteed not to be.
-void RequeueOrRefuse(WorkflowWorld& world,
-                     bool unknown,
-                     const WorkflowTime& time,
-                     WorkflowOutbox& outbox) {
+void RequeueOrDecline(WorkflowWorld& world,
+                      bool unknown,
+                      const WorkflowTime& time,
+                      WorkflowOutbox& outbox) {
   CallerLane& lane = world.callers;
   std::vector<PendingCall> requeued;
   for (PendingCall& pending : lane.writing) {
@@ -373,7 +384,7 @@
     if (pending.unconfirmed) {
       requeued.push_back(std::move(pending));
     } else {
-      Refuse(pending, "the store rejects writes", time.now, outbox);
+      Decline(pending, "the store rejects writes", time.now, outbox);
     }
   }
   lane.writing.clear();
@@ -400,7 +411,7 @@
                       .detail = "the store has not confirmed it"},
            now, outbox);
   } else {
-    Refuse(pending, "the store was not reached in time", now, outbox);
+    Decline(pending, "the store was not reached in time", now, outbox);
   }
 }
 
@@ -453,8 +464,8 @@
            {"workflows", ListWorkflows(lane.writing)},
            {"sent_bytes", ended.sent.value},
            {"took_ms", WholeMillis(time.now - ended.began)}});
-      RequeueOrRefuse(world, ended.outcome == AppendOutcome::kUnknown, time,
-                      outbox);
+      RequeueOrDecline(world, ended.outcome == AppendOutcome::kUnknown, time,
+                       outbox);
     }
   }
   for (PendingCall& pending : lane.writing) {
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -120,8 +120,11 @@
   kNoRoute,
   kNoWorkflow,
   // The request has had no effect and never will; the caller may repeat it.
+  // Never the answer to a submission or a cancel, since an earlier attempt at
+  // another entry may still take effect.
   kRefused,
-  // The outcome is unknown: the request may or may not take effect.
+  // The outcome is unknown: this request, or an earlier one that it repeats,
+  // may or may not take effect.
   kUnknown,
 };
 template <>
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -50,6 +50,10 @@
     {"without a configuration",
      MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
      [](WorkflowWorld& world, WorkflowCall&) { world.config.reset(); },
+     CallResult::kUnknown},
+    {"a query without a configuration",
+     MakeCall(CallKind::kGet, "/bulk/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) { world.config.reset(); },
      CallResult::kRefused},
     {"a host without routes",
      MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
@@ -76,6 +80,27 @@
            kNow.now - milliseconds(4900);
      },
      CallResult::kRefused},
+    {"a submission by a configuration that is too old",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh_as_of =
+           kNow.now - milliseconds(4900);
+     },
+     CallResult::kUnknown},
+    {"a repeat of an accepted submission by a configuration that is too old",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh_as_of =
+           kNow.now - milliseconds(4900);
+     },
+     CallResult::kUnknown},
+    {"a cancel by a configuration that is too old",
+     MakeCall(CallKind::kCancel, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh_as_of =
+           kNow.now - milliseconds(4900);
+     },
+     CallResult::kUnknown},
     {"a configuration that is recent enough",
      MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
      [](WorkflowWorld& world, WorkflowCall&) {
@@ -108,7 +133,19 @@
      [](WorkflowWorld& world, WorkflowCall&) {
        world.callers.unanswered_since = kNow.now + milliseconds(1);
      },
-     CallResult::kRefused},
+     CallResult::kUnknown},
+    {"a cancel while the store does not answer",
+     MakeCall(CallKind::kCancel, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.callers.unanswered_since = kNow.now + milliseconds(1);
+     },
+     CallResult::kUnknown},
+    {"while too many callers wait",
+     MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.callers.queued.resize(500);
+     },
+     CallResult::kUnknown},
 };
 
 BOOST_AUTO_TEST_CASE(calls_are_answered_from_the_tables) {
@@ -127,7 +164,9 @@
       BOOST_TEST((outbox.answers[0].result == sample.result));
       const bool has_retry_after =
           outbox.answers[0].retry_after > Duration::zero();
-      BOOST_TEST(has_retry_after == (sample.result == CallResult::kRefused));
+      const bool declined = sample.result == CallResult::kRefused ||
+                            sample.result == CallResult::kUnknown;
+      BOOST_TEST(has_retry_after == declined);
     }
   }
 }
@@ -142,7 +181,9 @@
 
 const std::vector<AppendCase> kAppendCases = {
     {"written", {AppendOutcome::kWritten}, CallResult::kOk},
-    {"rejected", {AppendOutcome::kRejected}, CallResult::kRefused},
+    {"rejected: never refused, since another entry may have appended it",
+     {AppendOutcome::kRejected},
+     CallResult::kUnknown},
     {"no answer, then written",
      {AppendOutcome::kUnknown, AppendOutcome::kWritten},
      CallResult::kOk},
