Read all streams again as soon as the store has answered one

Each stream had its own retry delay, and the first read that succeeded waited 1.5 s for a new record before it confirmed anything.

A read that follows a failure does not wait for a record, a stream that recovers brings the failed ones forward, and a failure is retried after 150 ms if the store has answered another read meanwhile.

--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -183,6 +183,22 @@
   }
 }
 
+// Whether a read of any stream has succeeded since `began`.
+bool HasStoreAnsweredSince(const WorkflowWorld& world, TimePoint began) {
+  return std::any_of(
+      world.streams.begin(), world.streams.end(),
+      [&](const auto& row) { return row.second.last_success > began; });
+}
+
+// Retries the reads that have failed, since the store answers again.
+void RetryFailedReads(WorkflowWorld& world, TimePoint now) {
+  for (auto& [stream, position] : world.streams) {
+    if (position.failures > 0) {
+      position.next_read = std::min(position.next_read, now);
+    }
+  }
+}
+
 void ScheduleNextRead(WorkflowWorld& world,
                       const StreamRead& read,
                       StreamPosition& position,
@@ -190,12 +206,17 @@
   if (!read.ok) {
     ++position.failures;
     const Duration delay =
-        std::min(kMaxRetryDelay,
-                 kRetryDelayUnit * (1 << std::min(position.failures, 4U)));
+        HasStoreAnsweredSince(world, read.began)
+            ? kRetryDelayUnit
+            : std::min(
+                  kMaxRetryDelay,
+                  kRetryDelayUnit * (1 << std::min(position.failures, 4U)));
     position.next_read = now + delay;
     return;
   }
-  position.failures = 0;
+  if (std::exchange(position.failures, 0) > 0) {
+    RetryFailedReads(world, now);
+  }
   if (!read.at_end) {
     position.next_read = now;
     return;
@@ -398,7 +419,11 @@
       continue;
     }
     ReadStream read{.stream = stream, .from = position.next};
-    if (stream == FollowedStream::kConfig) {
+    if (position.failures > 0) {
+      // A read that waits for a record would confirm late that the store
+      // answers again.
+      read.wait = Duration::zero();
+    } else if (stream == FollowedStream::kConfig) {
       read.wait = kConfigWait;
     } else if (stream == FollowedStream::kJournal &&
                world.holding.state == HoldingState::kHolding) {
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -121,6 +121,101 @@
   }
 }
 
+// How long the store is away.
+const std::vector<Duration> kOutages = {milliseconds(1000), milliseconds(3100),
+                                        milliseconds(4700), milliseconds(5000),
+                                        milliseconds(6300), milliseconds(9000)};
+
+bool HasReadSince(const Emulation::Entry& entry,
+                  FollowedStream stream,
+                  TimePoint since) {
+  return entry.world.streams.at(stream).fresh_as_of >= since;
+}
+
+// Guards against an entry that reads the journal again after an outage, but
+// declines callers with keys because it reads the configuration much later
+// (issue 34).
+BOOST_AUTO_TEST_CASE(all_streams_are_read_soon_after_the_store_is_back) {
+  // A read in flight ends by its time-out of 900 ms; the next begins one retry
+  // delay of 150 ms later and takes a round trip.
+  constexpr Duration kMaxGap = milliseconds(1100);
+  for (const Duration outage : kOutages) {
+    BOOST_TEST_CONTEXT(outage.count()) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(4);
+      run.AddEntries(5);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      run.store_up = false;
+      run.RunFor(outage);
+      run.store_up = true;
+      const TimePoint back = run.now;
+      for (const auto& entry : run.entries) {
+        BOOST_REQUIRE(run.RunFor(seconds(5), [&] {
+          return HasReadSince(*entry, FollowedStream::kJournal, back);
+        }));
+      }
+      (void)run.RunFor(kMaxGap, [&] {
+        return std::all_of(
+            run.entries.begin(), run.entries.end(), [&](const auto& entry) {
+              return HasReadSince(*entry, FollowedStream::kConfig, back);
+            });
+      });
+      for (const auto& entry : run.entries) {
+        BOOST_TEST(HasReadSince(*entry, FollowedStream::kConfig, back),
+                   entry->world.self.id.value);
+      }
+    }
+  }
+}
+
+// How often reads of the configuration have failed, and what the next one does.
+struct RetryCase {
+  std::string name;
+  int failures;
+  // Whether reads of the journal had failed as well before one succeeded.
+  bool journal_failed;
+  bool retried_at_once;
+  bool waits;
+};
+
+const std::vector<RetryCase> kRetryCases = {
+    {"the journal is read again", 4, true, true, false},
+    {"the journal was read all the while", 4, false, false, false},
+    {"no read has failed", 0, false, true, true},
+};
+
+BOOST_AUTO_TEST_CASE(a_stream_that_recovers_brings_forward_the_others) {
+  for (const RetryCase& sample : kRetryCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world;
+      const auto apply = [&](FollowedStream stream, bool ok) {
+        ApplyStreamReads(world,
+                         {.reads = {{.stream = stream,
+                                     .ok = ok,
+                                     .began = kStart.now - milliseconds(5)}}},
+                         kStart);
+      };
+      if (sample.journal_failed) {
+        apply(FollowedStream::kJournal, false);
+      }
+      for (int i = 0; i < sample.failures; ++i) {
+        apply(FollowedStream::kConfig, false);
+      }
+      apply(FollowedStream::kJournal, true);
+      WorkflowOutbox outbox;
+      FollowStreams(world, kStart.now, outbox);
+      const auto read = std::find_if(
+          outbox.reads.begin(), outbox.reads.end(),
+          [](auto& r) { return r.stream == FollowedStream::kConfig; });
+      BOOST_TEST((read != outbox.reads.end()) == sample.retried_at_once);
+      if (read != outbox.reads.end()) {
+        BOOST_TEST((read->wait > Duration::zero()) == sample.waits);
+      }
+    }
+  }
+}
+
 // The result of a read, and whether the journal counts as known up to the begin
 // of the read.
 struct FreshCase {
