Keep a cancel that arrives before the acceptance it is for

A caller whose submission got no answer may cancel it at another entry.

A cancel is now recorded also when the workflow is unknown, before the 410. Entries keep it and apply it to an acceptance that follows; the holder removes it when the retention of states has passed.

Of the new cases, a_workflow_cancelled_before_its_acceptance_never_runs failed in 3 of 3 rows before (the tasks started) and early_cancels_are_removed_with_time for want of a record; both pass.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -329,7 +329,8 @@
 }
 
 // Answers the calls that wait for a read of the journal. Only a read that began
-// after the call arrived proves that the workflow does not exist.
+// after the call arrived proves that the workflow does not exist. A cancel is
+// recorded all the same, for an acceptance that is appended late.
 void AnswerAwaitingRead(WorkflowWorld& world,
                         const WorkflowTime& time,
                         WorkflowOutbox& outbox) {
@@ -340,8 +341,14 @@
       HandleKnownWorkflow(world, pending, *workflow, time.now, outbox);
     } else if (world.streams[FollowedStream::kJournal].fresh_as_of >=
                pending.arrived) {
-      Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
-             outbox);
+      if (pending.call.kind == CallKind::kCancel) {
+        CancelRecord record{.id = pending.workflow};
+        QueueAppend(world, std::move(pending), std::move(record), time.now,
+                    outbox);
+      } else {
+        Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
+               outbox);
+      }
     } else if (time.now >= pending.deadline) {
       Decline(pending, "the journal cannot be read", time.now, outbox);
     } else {
@@ -356,7 +363,11 @@
   for (PendingCall& pending : world.callers.writing) {
     ApplyJournalRecord(world, *pending.record, time);
     if (!pending.answered) {
-      Answer(pending, CallAnswer{}, time.now, outbox);
+      const bool known = world.workflows.find(pending.workflow) != nullptr;
+      Answer(pending,
+             CallAnswer{.result =
+                            known ? CallResult::kOk : CallResult::kNoWorkflow},
+             time.now, outbox);
     } else {
       Log(LogLevel::kInfo, "written_after_answer",
           {{"call", std::string(EnumName(pending.call.kind))},
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflow_progress.cc
@@ -171,8 +171,14 @@
       scheduling.to_evict.push_back(world.workflows.keys[i]);
     }
   }
+  for (const auto& [id, read] : world.early_cancels) {
+    if (read < time.now - retention) {
+      scheduling.to_evict.push_back(id);
+    }
+  }
   for (const WorkflowId& id : scheduling.to_evict) {
     world.workflows.erase(id);
+    world.early_cancels.erase(id);
   }
 }
 
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -56,11 +56,13 @@
     }
     return;
   }
-  Workflow& workflow =
-      world.workflows.insert(record.id, Workflow{.spec = record.spec,
-                                                 .terms = record.terms,
-                                                 .accepted = record.accepted,
-                                                 .accepted_by = record.entry});
+  Workflow& workflow = world.workflows.insert(
+      record.id,
+      Workflow{.spec = record.spec,
+               .terms = record.terms,
+               .accepted = record.accepted,
+               .accepted_by = record.entry,
+               .cancel_requested = world.early_cancels.erase(record.id) > 0});
   if (holds) {
     Log(LogLevel::kInfo, "workflow_accepted",
         {{"workflow", record.id.value},
@@ -339,10 +341,13 @@
       if (world.holding.state == HoldingState::kHolding) {
         QueueAdvance(world, cancel->id, *workflow);
       }
+    } else {
+      world.early_cancels.try_emplace(cancel->id, time.now);
     }
   } else if (const auto* eviction = std::get_if<EvictionRecord>(&record)) {
     if (world.holding.state != HoldingState::kHolding) {
       world.workflows.erase(eviction->id);
+      world.early_cancels.erase(eviction->id);
     }
   }
 }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -431,6 +431,9 @@
   std::optional<WorkflowConfig> config;
   std::map<FollowedStream, StreamPosition> streams;
   Table<WorkflowId, Workflow> workflows;
+  // Cancels of workflows that are not in the table, with the time at which they
+  // were read. They apply when an acceptance follows that was appended late.
+  std::map<WorkflowId, TimePoint> early_cancels;
   Holding holding;
   Scheduling scheduling;
   CallerLane callers;
--- a/tests/workflow_refusals_test.cc
+++ b/tests/workflow_refusals_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE workflow_refusals
 #include <boost/test/unit_test.hpp>
 
+#include "chicorystep/encoding/workflow_record.h"
 #include "tests/support/emulation.h"
 #include "tests/support/submission_attempts.h"
 
@@ -157,5 +158,79 @@
   }
 }
 
+// What happens between the cancel of a workflow that no entry knows and the
+// late execution of the append of its acceptance.
+struct EarlyCancelCase {
+  std::string name;
+  std::function<void(Emulation&)> inject;
+};
+
+const std::vector<EarlyCancelCase> kEarlyCancelCases = {
+    {"nothing", {}},
+    {"the holder changes", [](Emulation& run) { run.KillEntry(run.Holder()); }},
+    {"the journal is compacted and all entries restart",
+     [](Emulation& run) {
+       Compact(run.store);
+       RestartOtherEntries(run);
+     }},
+};
+
+// Guards against work that starts after its cancel was acknowledged, because
+// the acceptance was appended late (same cause as REFUSED of issue 34).
+BOOST_AUTO_TEST_CASE(a_workflow_cancelled_before_its_acceptance_never_runs) {
+  for (const EarlyCancelCase& sample : kEarlyCancelCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(8);
+      run.AddEntries(4);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      run.rates = {.lost_appends = 1000, .lost_append_delay = seconds(5)};
+      Emulation::Submitted what{.work = milliseconds(300)};
+      what.spec.steps = {MakeStep(2, 1)};
+      run.Submit(kFirstEntry, "normal", kId, what);
+      run.RunFor(milliseconds(3));
+      run.rates.lost_appends = 0;
+      run.KillEntry(kFirstEntry);
+      run.RunFor(milliseconds(100));
+      const ExchangeId cancel =
+          run.CallWorkflow(1, CallKind::kCancel, "normal", kId);
+      run.RunFor(seconds(2));
+      const auto answer = run.AnswerTo(cancel);
+      BOOST_REQUIRE(answer);
+      BOOST_TEST((answer->result == CallResult::kNoWorkflow));
+      if (sample.inject) {
+        sample.inject(run);
+      }
+      run.RunFor(seconds(30));
+      // The acceptance has been written.
+      BOOST_TEST(std::any_of(
+          run.entries.begin(), run.entries.end(), [](const auto& entry) {
+            return entry->up && entry->world.workflows.find(kId) != nullptr;
+          }));
+      BOOST_TEST(!run.started.contains(kId));
+      BOOST_TEST((run.FindTerminalState(kId) == WorkflowState::kCancelled));
+    }
+  }
+}
+
+// Records of cancels that no acceptance follows must not stay in the journal.
+BOOST_AUTO_TEST_CASE(early_cancels_are_removed_with_time) {
+  Emulation run;
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(2);
+  run.AddEntries(3);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  run.CallWorkflow(1, CallKind::kCancel, "normal", kId);
+  run.RunFor(seconds(2));
+  const std::string key = EncodeJournalRecord(CancelRecord{.id = kId})[0].key;
+  BOOST_TEST(run.store.journal.newest.contains(key));
+  run.RunFor(seconds(160));
+  BOOST_TEST(!run.store.journal.newest.contains(key));
+  for (const auto& entry : run.entries) {
+    BOOST_TEST(entry->world.early_cancels.empty());
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
