Repeat rejected appends for a second before declining a submission

Since a submission cannot be refused truthfully, each rejection of its append by the store now costs the caller an attempt with an unknown outcome. The entry repeats the append for 1 s, the time after which the caller could come back (Retry-After), then declines.

--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -379,8 +379,9 @@
   world.callers.unanswered_since = kNever;
 }
 
-// Requeues calls whose record may have been written, and declines those whose
-// record is guaranteed not to be.
+// Requeues calls whose record may have been written. Those whose record is
+// guaranteed not to be are requeued until the caller could have come back, then
+// declined.
 void RequeueOrDecline(WorkflowWorld& world,
                       bool unknown,
                       const WorkflowTime& time,
@@ -392,7 +393,7 @@
     if (pending.answered) {
       continue;
     }
-    if (pending.unconfirmed) {
+    if (pending.unconfirmed || time.now < pending.arrived + kRetryAfter) {
       requeued.push_back(std::move(pending));
     } else {
       Decline(pending, "the store rejects writes", time.now, outbox);
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -182,8 +182,12 @@
 const std::vector<AppendCase> kAppendCases = {
     {"written", {AppendOutcome::kWritten}, CallResult::kOk},
     {"rejected: never refused, since another entry may have appended it",
-     {AppendOutcome::kRejected},
+     {AppendOutcome::kRejected, AppendOutcome::kRejected,
+      AppendOutcome::kRejected},
      CallResult::kUnknown},
+    {"rejected, then written within a second",
+     {AppendOutcome::kRejected, AppendOutcome::kWritten},
+     CallResult::kOk},
     {"no answer, then written",
      {AppendOutcome::kUnknown, AppendOutcome::kWritten},
      CallResult::kOk},
@@ -227,6 +231,7 @@
           kNow, outbox);
       WorkflowTime time = kNow;
       for (const AppendOutcome outcome : sample.outcomes) {
+        BOOST_TEST(outbox.answers.empty());
         time.now += milliseconds(200);
         const std::size_t before = outbox.appends.size();
         AppendCalls(world, time.now, outbox);
