Bound the removal of early cancels, and keep it from acceptances

A removal of its own deletes the cancel alone, at most 300 in two seconds; the cancel carries its workspace; at most 20,000 are kept. The append for an unknown workflow has the caller's whole deadline. A path without a route is declined, not answered with 404, when the configuration is too old. workflow_accepted is also logged by an entry that claims the role.

In the soak callers wait for the Retry-After of a declined submission, and cancel some submissions that they gave up, whose tasks must not start later.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -383,8 +383,12 @@
     return {Encode(*unresponsive)};
   }
   if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
-    return {
-        KeyedValue{fmt::format("{}{}", kCancelPrefix, cancel->id.value), "1"}};
+    return {KeyedValue{fmt::format("{}{}", kCancelPrefix, cancel->id.value),
+                       PlainJson({{"w", cancel->workspace.value}}).dump()}};
+  }
+  if (const auto* removal = std::get_if<CancelRemovalRecord>(&record)) {
+    return {KeyedValue{fmt::format("{}{}", kCancelPrefix, removal->id.value),
+                       std::nullopt}};
   }
   const std::string& id = std::get<EvictionRecord>(record).id.value;
   // The acceptance is deleted last: the other records mean nothing without it.
@@ -401,14 +405,20 @@
       return std::optional<JournalRecord>(EvictionRecord{
           .id = WorkflowId(std::string(key.substr(kAcceptedPrefix.size())))});
     }
+    if (key.starts_with(kCancelPrefix)) {
+      return std::optional<JournalRecord>(CancelRemovalRecord{
+          .id = WorkflowId(std::string(key.substr(kCancelPrefix.size())))});
+    }
     return std::optional<JournalRecord>();
   }
   try {
+    const PlainJson json = PlainJson::parse(*value);
     if (key.starts_with(kCancelPrefix)) {
+      // Earlier builds wrote a number.
       return std::optional<JournalRecord>(CancelRecord{
-          .id = WorkflowId(std::string(key.substr(kCancelPrefix.size())))});
+          .id = WorkflowId(std::string(key.substr(kCancelPrefix.size()))),
+          .workspace = Workspace(json.is_object() ? json.value("w", "") : "")});
     }
-    const PlainJson json = PlainJson::parse(*value);
     if (key == kHolderKey) {
       return std::optional<JournalRecord>(DecodeHolder(json));
     }
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -41,6 +41,10 @@
 // Digits and comma of a step's number in a list.
 constexpr std::size_t kDependencySize = 6;
 
+// Bounds the cancels of unknown workflows that are kept; each takes about
+// 200 bytes.
+constexpr std::size_t kMaxEarlyCancels = 20'000;
+
 // Larger acceptances do not fit a record of the store, which holds 256 KB.
 constexpr Bytes kMaxAcceptance(200'000);
 // The progress of more tasks does not fit one append, which holds 2 MB.
@@ -54,6 +58,11 @@
                      [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
+// When the call is answered at the latest.
+TimePoint CallDeadline(const PendingCall& pending) {
+  return pending.arrived + pending.call.caller_timeout - kAnswerMargin;
+}
+
 // The workflow that a call names, whether or not its path matches a route;
 // empty if the path does not end with an id.
 WorkflowId FindNamedWorkflow(std::string_view path) {
@@ -166,8 +175,10 @@
   } else if (cancelled || IsTerminal(workflow.shown)) {
     Answer(pending, CallAnswer{}, now, outbox);
   } else {
-    QueueAppend(world, pending, CancelRecord{.id = pending.workflow}, now,
-                outbox);
+    QueueAppend(
+        world, pending,
+        CancelRecord{.id = pending.workflow, .workspace = pending.workspace},
+        now, outbox);
   }
 }
 
@@ -204,7 +215,6 @@
 void Submit(WorkflowWorld& world,
             const PendingCall& pending,
             const WorkflowRoute& route,
-            const Workspace& workspace,
             const WorkflowTime& time,
             WorkflowOutbox& outbox) {
   if (!pending.call.spec) {
@@ -225,7 +235,7 @@
       .id = pending.workflow,
       .spec = *pending.call.spec,
       .terms = WorkflowTerms{.route = route.name,
-                             .workspace = workspace,
+                             .workspace = pending.workspace,
                              .service = route.service,
                              .priority = route.priority,
                              .max_attempts = route.max_attempts,
@@ -247,11 +257,10 @@
                 const WorkflowCall& call,
                 const WorkflowTime& time,
                 WorkflowOutbox& outbox) {
-  PendingCall pending{
-      .call = call,
-      .workflow = FindNamedWorkflow(call.path),
-      .arrived = time.now,
-      .deadline = time.now + call.caller_timeout - kAnswerMargin};
+  PendingCall pending{.call = call,
+                      .workflow = FindNamedWorkflow(call.path),
+                      .arrived = time.now};
+  pending.deadline = CallDeadline(pending);
   if (!world.config) {
     Decline(pending, "no configuration yet", time.now, outbox);
     return;
@@ -262,26 +271,25 @@
     pending.config_age = time.now - stream->second.fresh_as_of;
   }
   const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
+  if ((route == nullptr || !route->open) &&
+      !IsFresh(world, FollowedStream::kConfig,
+               world.self.revoke_bound - kRevokeMargin, time.now)) {
+    Decline(pending, "the configuration may be out of date", time.now, outbox);
+    return;
+  }
   if (route == nullptr) {
     Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, time.now,
            outbox);
     return;
   }
-  Workspace workspace;
   if (!route->open) {
-    if (!IsFresh(world, FollowedStream::kConfig,
-                 world.self.revoke_bound - kRevokeMargin, time.now)) {
-      Decline(pending, "the configuration may be out of date", time.now,
-              outbox);
-      return;
-    }
     const auto key = world.config->keys.find(call.key);
     if (key == world.config->keys.end()) {
       Answer(pending, CallAnswer{.result = CallResult::kUnauthorised}, time.now,
              outbox);
       return;
     }
-    workspace = key->second;
+    pending.workspace = key->second;
   }
   if (call.kind == CallKind::kCount) {
     if (call.path.size() > route->path_prefix.size()) {
@@ -304,7 +312,7 @@
     return;
   }
   if (call.kind == CallKind::kSubmit) {
-    Submit(world, pending, *route, workspace, time, outbox);
+    Submit(world, pending, *route, time, outbox);
   } else if (const Workflow* workflow =
                  world.workflows.find(pending.workflow)) {
     HandleKnownWorkflow(world, pending, *workflow, time.now, outbox);
@@ -328,9 +336,23 @@
   outbox.appends.push_back(std::move(append));
 }
 
+// Records the cancel of a workflow that is not in the journal, for an
+// acceptance that is appended late.
+void CancelUnknownWorkflow(WorkflowWorld& world,
+                           PendingCall pending,
+                           TimePoint now,
+                           WorkflowOutbox& outbox) {
+  if (world.early_cancels.size() >= kMaxEarlyCancels) {
+    Decline(pending, "too many cancels of unknown workflows", now, outbox);
+    return;
+  }
+  pending.deadline = CallDeadline(pending);
+  CancelRecord record{.id = pending.workflow, .workspace = pending.workspace};
+  QueueAppend(world, std::move(pending), std::move(record), now, outbox);
+}
+
 // Answers the calls that wait for a read of the journal. Only a read that began
-// after the call arrived proves that the workflow does not exist. A cancel is
-// recorded all the same, for an acceptance that is appended late.
+// after the call arrived proves that the workflow does not exist.
 void AnswerAwaitingRead(WorkflowWorld& world,
                         const WorkflowTime& time,
                         WorkflowOutbox& outbox) {
@@ -342,9 +364,7 @@
     } else if (world.streams[FollowedStream::kJournal].fresh_as_of >=
                pending.arrived) {
       if (pending.call.kind == CallKind::kCancel) {
-        CancelRecord record{.id = pending.workflow};
-        QueueAppend(world, std::move(pending), std::move(record), time.now,
-                    outbox);
+        CancelUnknownWorkflow(world, std::move(pending), time.now, outbox);
       } else {
         Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
                outbox);
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflow_progress.cc
@@ -13,6 +13,8 @@
 
 // How often ended workflows are checked for eviction.
 constexpr Duration kEvictionPeriod = std::chrono::seconds(2);
+// Early cancels that are removed in one period, so that the append stays small.
+constexpr std::size_t kMaxCancelRemovals = 300;
 // A submission may be repeated seconds after its answer, and the clocks of
 // entries differ. The id is therefore kept longer than callers can query it.
 constexpr Duration kEvictionMargin = std::chrono::seconds(30);
@@ -171,14 +173,16 @@
       scheduling.to_evict.push_back(world.workflows.keys[i]);
     }
   }
-  for (const auto& [id, read] : world.early_cancels) {
-    if (read < time.now - retention) {
-      scheduling.to_evict.push_back(id);
-    }
-  }
   for (const WorkflowId& id : scheduling.to_evict) {
     world.workflows.erase(id);
-    world.early_cancels.erase(id);
+  }
+  // The cancels leave the table when their removal is read back.
+  scheduling.cancels_to_remove.clear();
+  for (const auto& [id, cancel] : world.early_cancels) {
+    if (cancel.read < time.now - retention &&
+        scheduling.cancels_to_remove.size() < kMaxCancelRemovals) {
+      scheduling.cancels_to_remove.push_back(id);
+    }
   }
 }
 
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -43,12 +43,26 @@
   world.scheduling.placement_due = true;
 }
 
+// Whether the workflow was cancelled before its acceptance was written. The
+// cancel is no longer needed apart from the workflow then.
+bool TakeEarlyCancel(WorkflowWorld& world, const AcceptedRecord& record) {
+  const auto cancel = world.early_cancels.find(record.id);
+  if (cancel == world.early_cancels.end() ||
+      cancel->second.workspace != record.terms.workspace) {
+    return false;
+  }
+  world.early_cancels.erase(cancel);
+  return true;
+}
+
 void ApplyAccepted(WorkflowWorld& world,
                    const AcceptedRecord& record,
                    UnixMillis wall) {
   const bool holds = world.holding.state == HoldingState::kHolding;
+  // A claiming entry is likely to place the workflow.
+  const bool logs = world.holding.state != HoldingState::kFollowing;
   if (const Workflow* known = world.workflows.find(record.id)) {
-    if (holds && known->accepted_by != record.entry) {
+    if (logs && known->accepted_by != record.entry) {
       Log(LogLevel::kInfo, "acceptance_repeated",
           {{"workflow", record.id.value},
            {"accepted_by", known->accepted_by.value},
@@ -57,17 +71,19 @@
     return;
   }
   Workflow& workflow = world.workflows.insert(
-      record.id,
-      Workflow{.spec = record.spec,
-               .terms = record.terms,
-               .accepted = record.accepted,
-               .accepted_by = record.entry,
-               .cancel_requested = world.early_cancels.erase(record.id) > 0});
-  if (holds) {
+      record.id, Workflow{.spec = record.spec,
+                          .terms = record.terms,
+                          .accepted = record.accepted,
+                          .accepted_by = record.entry,
+                          .cancel_requested = TakeEarlyCancel(world, record)});
+  if (logs) {
     Log(LogLevel::kInfo, "workflow_accepted",
         {{"workflow", record.id.value},
          {"accepted_by", record.entry.value},
+         {"cancelled", workflow.cancel_requested},
          {"age_ms", wall.value - record.accepted.value}});
+  }
+  if (holds) {
     world.scheduling.open.insert(record.id);
     world.scheduling.placement_due = true;
     QueueAdvance(world, record.id, workflow);
@@ -342,12 +358,15 @@
         QueueAdvance(world, cancel->id, *workflow);
       }
     } else {
-      world.early_cancels.try_emplace(cancel->id, time.now);
+      world.early_cancels.try_emplace(
+          cancel->id,
+          EarlyCancel{.workspace = cancel->workspace, .read = time.now});
     }
+  } else if (const auto* removal = std::get_if<CancelRemovalRecord>(&record)) {
+    world.early_cancels.erase(removal->id);
   } else if (const auto* eviction = std::get_if<EvictionRecord>(&record)) {
     if (world.holding.state != HoldingState::kHolding) {
       world.workflows.erase(eviction->id);
-      world.early_cancels.erase(eviction->id);
     }
   }
 }
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -247,6 +247,9 @@
   for (const WorkflowId& id : std::exchange(scheduling.to_evict, {})) {
     records.push_back(EvictionRecord{.id = id});
   }
+  for (const WorkflowId& id : std::exchange(scheduling.cancels_to_remove, {})) {
+    records.push_back(CancelRemovalRecord{.id = id});
+  }
   if (unresponsive_due) {
     records.push_back(RecordUnresponsiveWorkers(world, time.now));
   }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -260,6 +260,8 @@
 struct PendingCall {
   WorkflowCall call;
   WorkflowId workflow;
+  // Whose key the call carries; empty on an open route.
+  Workspace workspace;
   TimePoint arrived{};
   TimePoint deadline{};
   // The configuration that the call was checked against, and how long before
@@ -410,6 +412,8 @@
   TimePoint next_progress{};
   // Ended workflows whose records the next journal batch removes.
   std::vector<WorkflowId> to_evict;
+  // Cancels without an acceptance whose records the next journal batch removes.
+  std::vector<WorkflowId> cancels_to_remove;
   TimePoint next_eviction{};
   // The complete list of workers has been read since this process became
   // holder.
@@ -425,15 +429,21 @@
   bool orders_deferred = false;
 };
 
+// A cancel of a workflow that is not in the table. It applies when an
+// acceptance of the same workspace follows, which was appended late.
+struct EarlyCancel {
+  Workspace workspace;
+  // When this entry read the record.
+  TimePoint read{};
+};
+
 // All control state of the workflow scheduler in one entry process.
 struct WorkflowWorld {
   WorkflowSelf self;
   std::optional<WorkflowConfig> config;
   std::map<FollowedStream, StreamPosition> streams;
   Table<WorkflowId, Workflow> workflows;
-  // Cancels of workflows that are not in the table, with the time at which they
-  // were read. They apply when an acceptance follows that was appended late.
-  std::map<WorkflowId, TimePoint> early_cancels;
+  std::map<WorkflowId, EarlyCancel> early_cancels;
   Holding holding;
   Scheduling scheduling;
   CallerLane callers;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -232,6 +232,13 @@
 };
 struct CancelRecord {
   WorkflowId id;
+  // Whose caller cancelled the workflow; empty on an open route, and in records
+  // of earlier builds.
+  Workspace workspace;
+};
+// Removes a cancel that no acceptance has followed.
+struct CancelRemovalRecord {
+  WorkflowId id;
 };
 // The state of a workflow that callers see. It is written only after the
 // progress that it summarises.
@@ -308,6 +315,7 @@
 };
 using JournalRecord = std::variant<AcceptedRecord,
                                    CancelRecord,
+                                   CancelRemovalRecord,
                                    StateRecord,
                                    ProgressRecord,
                                    ProgressRemovalRecord,
--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -51,6 +51,9 @@
 inline constexpr Duration kShutdownGrace = seconds(5);
 inline constexpr Duration kRevokeBound = seconds(5);
 inline constexpr Duration kVisibleBound = seconds(3);
+// Upper bound on the time from the acknowledgement of a cancel to the last
+// start.
+inline constexpr Duration kCancelBound = seconds(5);
 // Time for all workflows to end after the last fault. It covers a lease, the
 // wait for orders that an unresponsive previous holder may still send, and the
 // longest task; doubled for a loaded machine.
@@ -82,6 +85,8 @@
   bool cancel_accepted = false;
   std::string state;
   std::vector<SubmissionAttempt> attempts;
+  // When the cancel of a workflow that was given up was acknowledged.
+  TimePoint cancelled = kNever;
   // Attempts after which the caller gives up.
   std::size_t max_attempts = 6;
   // Whether the submission arrives once more after it has been accepted.
@@ -137,7 +142,7 @@
                         [this] { return this->AllWorkflowsSettled(); })) {
       this->ReportUnfinishedWorkflows();
     }
-    this->CheckRefusedWorkflows();
+    this->CheckDeclinedWorkflows();
     for (const std::string& violation : this->platform.fleet.violations) {
       this->violations.push_back(violation);
     }
@@ -490,14 +495,35 @@
     if (reply.status == 401 ||
         workflow->attempts.size() >= workflow->max_attempts) {
       workflow->given_up = true;
+      if (workflow->cancel_wanted && reply.status != 401) {
+        this->CancelGivenUp(workflow);
+      }
       return;
     }
-    const bool may_have_effect =
-        EffectOf(workflow->attempts.back()) == AttemptEffect::kPossible;
-    this->platform.After(milliseconds(may_have_effect ? 100 : 1000),
+    // Entries that decline a call at once send a `Retry-After` of 1 s.
+    const SubmissionAttempt& last = workflow->attempts.back();
+    const bool unanswered = last.delivered && last.status == 0;
+    const bool waited =
+        last.delivered && last.ended - last.sent > milliseconds(1500);
+    this->platform.After(milliseconds(unanswered || waited ? 100 : 1000),
                          [this, workflow] { this->Submit(workflow); });
   }
 
+  // Cancels a workflow whose submission has never been confirmed.
+  void CancelGivenUp(const std::shared_ptr<SoakWorkflow>& workflow) {
+    this->Call(this->MakeRequest(*workflow, "DELETE", this->DrawCalledEntry()),
+               workflow->key,
+               [this, workflow](const platform::HttpReply& reply) {
+                 if (reply.status == 200 || reply.status == 410) {
+                   workflow->cancelled = BootTimeNow();
+                 } else if (reply.status != 401 && !this->faults_ended) {
+                   this->platform.After(milliseconds(300), [this, workflow] {
+                     this->CancelGivenUp(workflow);
+                   });
+                 }
+               });
+  }
+
   // Sends an accepted submission again some seconds later, as a client may
   // whose repeat was under way.
   void RepeatLater(const std::shared_ptr<SoakWorkflow>& workflow) {
@@ -601,10 +627,15 @@
     }
   }
 
-  void CheckRefusedWorkflows() {
+  void CheckDeclinedWorkflows() {
     const auto& started = this->platform.fleet.started;
     for (const auto& workflow : this->workflows) {
       const auto first = started.find(workflow->id);
+      if (first != started.end() && workflow->cancelled != kNever &&
+          first->second > workflow->cancelled + kCancelBound) {
+        this->violations.push_back(
+            workflow->id.value + " started after its cancel was acknowledged");
+      }
       if (const auto broken = FindBrokenRefusal(
               workflow->attempts, first == started.end()
                                       ? std::nullopt
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -63,6 +63,13 @@
      MakeCall(CallKind::kGet, "/none/" + kKnown.value),
      {},
      CallResult::kNoRoute},
+    {"a path without a route by a configuration that is too old",
+     MakeCall(CallKind::kSubmit, "/none/" + kOther.value),
+     [](WorkflowWorld& world, WorkflowCall&) {
+       world.streams[FollowedStream::kConfig].fresh_as_of =
+           kNow.now - milliseconds(4900);
+     },
+     CallResult::kUnknown},
     {"an unknown key", MakeCall(CallKind::kGet, "/bulk/" + kKnown.value),
      [](WorkflowWorld&, WorkflowCall& call) { call.key = ApiKey("old"); },
      CallResult::kUnauthorised},
--- a/tests/workflow_refusals_test.cc
+++ b/tests/workflow_refusals_test.cc
@@ -14,18 +14,14 @@
 const WorkflowId kId = Emulation::MakeId(1);
 constexpr int kFirstEntry = 0;
 
+// The HTTP status of the answers that a submission may get; 0 for no answer.
 int StatusOf(const std::optional<CallAnswer>& answer) {
-  if (!answer) {
-    return 0;
-  }
-  switch (answer->result) {
-    case CallResult::kOk:
-      return 200;
-    case CallResult::kRefused:
-      return 503;
-    default:
-      return 504;
-  }
+  static const std::map<CallResult, int> statuses = {
+      {CallResult::kOk, 200},
+      {CallResult::kRefused, 503},
+      {CallResult::kUnknown, 504}};
+  BOOST_REQUIRE((!answer || statuses.contains(answer->result)));
+  return answer ? statuses.at(answer->result) : 0;
 }
 
 // Submits the workflow to an entry and waits for the answer.
@@ -145,8 +141,10 @@
         sample.inject(run);
       }
       run.RunFor(sample.repeated_after);
+      BOOST_TEST(attempts[0].status == (sample.first_answered ? 200 : 504));
       for (const int entry : sample.repeats) {
         attempts.push_back(Attempt(run, entry));
+        BOOST_TEST(attempts.back().status != 0);
       }
       run.store_up = true;
       run.rejects_appends = false;
@@ -163,16 +161,30 @@
 struct EarlyCancelCase {
   std::string name;
   std::function<void(Emulation&)> inject;
+  // From the cancel; the acceptance is executed 5 s after its sending.
+  Duration injected_after;
 };
 
+void CompactAndRestart(Emulation& run) {
+  Compact(run.store);
+  RestartOtherEntries(run);
+}
+
 const std::vector<EarlyCancelCase> kEarlyCancelCases = {
-    {"nothing", {}},
-    {"the holder changes", [](Emulation& run) { run.KillEntry(run.Holder()); }},
-    {"the journal is compacted and all entries restart",
+    {"nothing", {}, {}},
+    {"the holder changes", [](Emulation& run) { run.KillEntry(run.Holder()); },
+     seconds(2)},
+    {"the journal is compacted and all entries restart", CompactAndRestart,
+     seconds(2)},
+    {"the cancel and the acceptance are loaded from the compacted journal",
      [](Emulation& run) {
-       Compact(run.store);
-       RestartOtherEntries(run);
-     }},
+       TakeStoreDown(run);
+       run.ScheduleAfter(seconds(6), [&run] {
+         CompactAndRestart(run);
+         run.store_up = true;
+       });
+     },
+     seconds(2)},
 };
 
 // Guards against work that starts after its cancel was acknowledged, because
@@ -195,7 +207,7 @@
       run.RunFor(milliseconds(100));
       const ExchangeId cancel =
           run.CallWorkflow(1, CallKind::kCancel, "normal", kId);
-      run.RunFor(seconds(2));
+      run.RunFor(std::max(sample.injected_after, Duration(seconds(1))));
       const auto answer = run.AnswerTo(cancel);
       BOOST_REQUIRE(answer);
       BOOST_TEST((answer->result == CallResult::kNoWorkflow));
@@ -225,7 +237,10 @@
   run.RunFor(seconds(2));
   const std::string key = EncodeJournalRecord(CancelRecord{.id = kId})[0].key;
   BOOST_TEST(run.store.journal.newest.contains(key));
-  run.RunFor(seconds(160));
+  // A workflow's state can be queried for 120 s after its end.
+  run.RunFor(seconds(120));
+  BOOST_TEST(run.store.journal.newest.contains(key));
+  run.RunFor(seconds(40));
   BOOST_TEST(!run.store.journal.newest.contains(key));
   for (const auto& entry : run.entries) {
     BOOST_TEST(entry->world.early_cancels.empty());
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -58,6 +58,27 @@
      [](const WorkflowWorld& world) {
        return world.workflows.find(kId)->cancel_requested;
      }},
+    {"a cancel before the acceptance is kept for it",
+     {CancelRecord{.id = kId}, Accepted("p")},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->cancel_requested &&
+              world.early_cancels.empty();
+     }},
+    {"a cancel by another workspace does not apply to a later acceptance",
+     {CancelRecord{.id = kId, .workspace = Workspace("other")}, Accepted("p")},
+     [](const WorkflowWorld& world) {
+       return !world.workflows.find(kId)->cancel_requested;
+     }},
+    {"a removed cancel does not apply to a later acceptance",
+     {CancelRecord{.id = kId}, CancelRemovalRecord{.id = kId}, Accepted("p")},
+     [](const WorkflowWorld& world) {
+       return !world.workflows.find(kId)->cancel_requested;
+     }},
+    {"the removal of a cancel leaves an accepted workflow in the table",
+     {Accepted("p"), CancelRecord{.id = kId}, CancelRemovalRecord{.id = kId}},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->cancel_requested;
+     }},
     {"the highest claim names the holder",
      {HolderRecord{.epoch = Epoch(2), .holder = EntryId("b")},
       HolderRecord{.epoch = Epoch(1), .holder = EntryId("a")}},
