--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -172,6 +172,8 @@
            CallAnswer{.state = cancelled ? WorkflowState::kCancelled
                                          : workflow.shown},
            now, outbox);
+  } else if (!MayCancel(pending.workspace, workflow.terms.workspace)) {
+    Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, now, outbox);
   } else if (cancelled || IsTerminal(workflow.shown)) {
     Answer(pending, CallAnswer{}, now, outbox);
   } else {
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -188,7 +188,10 @@
     // the journal.
     world.scheduling = Scheduling{};
     world.workflows = {};
+    world.early_cancels.clear();
     ReloadStream(world, FollowedStream::kJournal, now);
+    // Until then no workflow is known to be absent.
+    world.streams[FollowedStream::kJournal].fresh_as_of = kDistantPast;
   }
 }
 
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -48,7 +48,7 @@
 bool TakeEarlyCancel(WorkflowWorld& world, const AcceptedRecord& record) {
   const auto cancel = world.early_cancels.find(record.id);
   if (cancel == world.early_cancels.end() ||
-      cancel->second.workspace != record.terms.workspace) {
+      !MayCancel(cancel->second.workspace, record.terms.workspace)) {
     return false;
   }
   world.early_cancels.erase(cancel);
@@ -90,6 +90,21 @@
   }
 }
 
+void ApplyCancel(WorkflowWorld& world,
+                 const CancelRecord& record,
+                 TimePoint now) {
+  Workflow* workflow = world.workflows.find(record.id);
+  if (workflow == nullptr) {
+    world.early_cancels.try_emplace(
+        record.id, EarlyCancel{.workspace = record.workspace, .read = now});
+  } else if (MayCancel(record.workspace, workflow->terms.workspace)) {
+    workflow->cancel_requested = true;
+    if (world.holding.state == HoldingState::kHolding) {
+      QueueAdvance(world, record.id, *workflow);
+    }
+  }
+}
+
 void ApplyState(WorkflowWorld& world,
                 const StateRecord& record,
                 TimePoint now) {
@@ -352,16 +367,7 @@
                  std::get_if<UnresponsiveWorkersRecord>(&record)) {
     ApplyUnresponsiveRecord(world.holding, *unresponsive, time.now);
   } else if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
-    if (Workflow* workflow = world.workflows.find(cancel->id)) {
-      workflow->cancel_requested = true;
-      if (world.holding.state == HoldingState::kHolding) {
-        QueueAdvance(world, cancel->id, *workflow);
-      }
-    } else {
-      world.early_cancels.try_emplace(
-          cancel->id,
-          EarlyCancel{.workspace = cancel->workspace, .read = time.now});
-    }
+    ApplyCancel(world, *cancel, time.now);
   } else if (const auto* removal = std::get_if<CancelRemovalRecord>(&record)) {
     world.early_cancels.erase(removal->id);
   } else if (const auto* eviction = std::get_if<EvictionRecord>(&record)) {
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -236,6 +236,12 @@
   // of earlier builds.
   Workspace workspace;
 };
+// Whether a caller with a key of `caller` may cancel a workflow of `owner`.
+// Calls on open routes have no workspace.
+[[nodiscard]] inline bool MayCancel(const Workspace& caller,
+                                    const Workspace& owner) {
+  return caller.empty() || owner.empty() || caller == owner;
+}
 // Removes a cancel that no acceptance has followed.
 struct CancelRemovalRecord {
   WorkflowId id;
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chicorystep/systems/workflow_calls.h"
+#include "chicorystep/systems/workflow_holder.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
@@ -135,6 +136,14 @@
      MakeCall(CallKind::kCount, "/bulk/"),
      {},
      CallResult::kOk},
+    {"a cancel by another workspace",
+     MakeCall(CallKind::kCancel, "/bulk/" + kKnown.value),
+     [](WorkflowWorld& world, WorkflowCall& call) {
+       world.workflows.find(kKnown)->terms.workspace = Workspace("team");
+       world.config->keys[ApiKey("other")] = Workspace("other");
+       call.key = ApiKey("other");
+     },
+     CallResult::kNoWorkflow},
     {"while the store does not answer",
      MakeCall(CallKind::kSubmit, "/bulk/" + kOther.value),
      [](WorkflowWorld& world, WorkflowCall&) {
@@ -353,6 +362,31 @@
   }
 }
 
+// The kinds of call that wait for a read of the journal.
+const std::vector<CallKind> kWaitingKinds = {CallKind::kGet, CallKind::kCancel};
+
+// Guards against a false answer that there is no workflow, when the entry loses
+// the holder role and clears its tables in the tick that has read the journal.
+BOOST_AUTO_TEST_CASE(calls_wait_for_the_journal_after_the_role_is_lost) {
+  for (const CallKind kind : kWaitingKinds) {
+    BOOST_TEST_CONTEXT(EnumName(kind)) {
+      WorkflowWorld world = MakeWorld();
+      world.holding.state = HoldingState::kHolding;
+      WorkflowOutbox outbox;
+      HandleCalls(world, {.calls = {MakeCall(kind, "/bulk/" + kOther.value)}},
+                  kNow, outbox);
+      const TimePoint later = kNow.now + milliseconds(1);
+      world.streams[FollowedStream::kJournal].fresh_as_of = later;
+      StopHolding(world, "fenced", later);
+      EndCalls(world, {}, WorkflowTime{.now = later, .wall = kNow.wall},
+               outbox);
+      BOOST_TEST(outbox.answers.empty());
+      BOOST_TEST(world.callers.queued.empty());
+      BOOST_TEST(world.awaiting_read.size() == 1U);
+    }
+  }
+}
+
 // A path and the prefix of the route that it must match; empty for none.
 struct RouteCase {
   std::string name;
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -18,6 +18,7 @@
 AcceptedRecord Accepted(const std::string& payload) {
   AcceptedRecord record{.id = kId};
   record.spec.payload = payload;
+  record.terms.workspace = Workspace("team");
   record.spec.steps = {MakeStep(2, 1)};
   return record;
 }
@@ -69,6 +70,16 @@
      [](const WorkflowWorld& world) {
        return !world.workflows.find(kId)->cancel_requested;
      }},
+    {"a cancel by another workspace does not apply",
+     {Accepted("p"), CancelRecord{.id = kId, .workspace = Workspace("other")}},
+     [](const WorkflowWorld& world) {
+       return !world.workflows.find(kId)->cancel_requested;
+     }},
+    {"a cancel by the same workspace applies",
+     {Accepted("p"), CancelRecord{.id = kId, .workspace = Workspace("team")}},
+     [](const WorkflowWorld& world) {
+       return world.workflows.find(kId)->cancel_requested;
+     }},
     {"a removed cancel does not apply to a later acceptance",
      {CancelRecord{.id = kId}, CancelRemovalRecord{.id = kId}, Accepted("p")},
      [](const WorkflowWorld& world) {
