Count answers by call, and show the age of both streams

chicorystep_calls_total was labelled by result alone, so unknown submissions could not be told from unknown cancels, and no metric showed that an entry had stopped reading its configuration, which declines every caller with a key.

The counter has the label `call`; chicorystep_config_age_seconds and chicorystep_journal_age_seconds give the age of the newest complete read, +Inf before the first.

--- /dev/null
+++ b/tests/platform_metrics_test.cc
@@ -0,0 +1,114 @@
+#define BOOST_TEST_MODULE platform_metrics
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "platform/inspection.h"
+
+namespace chicorystep::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kNow{std::chrono::seconds(100)};
+
+// Whether the metrics contain the line.
+bool HasLine(const Metrics& metrics, const std::string& line) {
+  return ("\n" + RenderMetrics(metrics)).find("\n" + line + "\n") !=
+         std::string::npos;
+}
+
+// Answers to calls, and the lines that count them.
+struct CallsCase {
+  std::string name;
+  struct Answer {
+    CallKind kind;
+    CallResult result;
+  };
+  std::vector<Answer> answers;
+  std::vector<std::string> lines;
+};
+
+const std::vector<CallsCase> kCallsCases = {
+    {"unknown outcomes of two kinds of call",
+     {{CallKind::kSubmit, CallResult::kUnknown},
+      {CallKind::kCancel, CallResult::kUnknown},
+      {CallKind::kSubmit, CallResult::kUnknown}},
+     {R"(chicorystep_calls_total{call="submit",result="unknown"} 2)",
+      R"(chicorystep_calls_total{call="cancel",result="unknown"} 1)"}},
+    {"refusals of two kinds of query",
+     {{CallKind::kGet, CallResult::kRefused},
+      {CallKind::kCount, CallResult::kRefused}},
+     {R"(chicorystep_calls_total{call="get",result="refused"} 1)",
+      R"(chicorystep_calls_total{call="count",result="refused"} 1)"}},
+    {"two results of one kind of call",
+     {{CallKind::kSubmit, CallResult::kOk},
+      {CallKind::kSubmit, CallResult::kUnauthorised}},
+     {R"(chicorystep_calls_total{call="submit",result="ok"} 1)",
+      R"(chicorystep_calls_total{call="submit",result="unauthorised"} 1)"}},
+};
+
+BOOST_AUTO_TEST_CASE(answers_are_counted_by_call_and_result) {
+  for (const CallsCase& sample : kCallsCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Metrics metrics;
+      RegisterMetrics(metrics);
+      for (const CallsCase::Answer& answer : sample.answers) {
+        CountCall(metrics, answer.kind, answer.result);
+      }
+      for (const std::string& line : sample.lines) {
+        BOOST_TEST(HasLine(metrics, line), line);
+      }
+    }
+  }
+}
+
+// The streams that have been read, and the gauges of their ages.
+struct AgeCase {
+  std::string name;
+  std::map<FollowedStream, StreamPosition> streams;
+  std::vector<std::string> lines;
+};
+
+const std::vector<AgeCase> kAgeCases = {
+    {"no stream has been read",
+     {},
+     {"chicorystep_config_age_seconds +Inf",
+      "chicorystep_journal_age_seconds +Inf"}},
+    {"a read has succeeded, but not reached the end",
+     {{FollowedStream::kConfig, {.last_success = kNow}},
+      {FollowedStream::kJournal, {.last_success = kNow}}},
+     {"chicorystep_config_age_seconds +Inf",
+      "chicorystep_journal_age_seconds +Inf"}},
+    {"the journal is older than the configuration",
+     {{FollowedStream::kConfig, {.fresh_as_of = kNow - milliseconds(250)}},
+      {FollowedStream::kJournal, {.fresh_as_of = kNow - milliseconds(7500)}}},
+     {"chicorystep_config_age_seconds 0.25",
+      "chicorystep_journal_age_seconds 7.5"}},
+    {"a read that succeeded later has not reached the end",
+     {{FollowedStream::kConfig,
+       {.fresh_as_of = kNow - milliseconds(4000), .last_success = kNow}},
+      {FollowedStream::kJournal, {.fresh_as_of = kNow}}},
+     {"chicorystep_config_age_seconds 4", "chicorystep_journal_age_seconds 0"}},
+};
+
+BOOST_AUTO_TEST_CASE(gauges_show_the_age_of_complete_reads) {
+  for (const AgeCase& sample : kAgeCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Metrics metrics;
+      RegisterMetrics(metrics);
+      WorkflowWorld world;
+      world.streams = sample.streams;
+      SetGauges(metrics, world, true, kNow);
+      for (const std::string& line : sample.lines) {
+        BOOST_TEST(HasLine(metrics, line), line);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep::platform
