Judge the last start after a cancel in the soak, and wait for its bound

Runs go on until 2 s past the bound, the last start counts, every second given-up workflow is cancelled, and its cancel is repeated until it is acknowledged.

--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -495,7 +495,10 @@
     if (reply.status == 401 ||
         workflow->attempts.size() >= workflow->max_attempts) {
       workflow->given_up = true;
-      if (workflow->cancel_wanted && reply.status != 401) {
+      // The others may still run.
+      workflow->cancel_wanted =
+          reply.status != 401 && workflow->attempts.size() % 2 == 1;
+      if (workflow->cancel_wanted) {
         this->CancelGivenUp(workflow);
       }
       return;
@@ -516,7 +519,9 @@
                [this, workflow](const platform::HttpReply& reply) {
                  if (reply.status == 200 || reply.status == 410) {
                    workflow->cancelled = BootTimeNow();
-                 } else if (reply.status != 401 && !this->faults_ended) {
+                 } else if (reply.status == 401) {
+                   workflow->cancel_wanted = false;
+                 } else {
                    this->platform.After(milliseconds(300), [this, workflow] {
                      this->CancelGivenUp(workflow);
                    });
@@ -604,7 +609,11 @@
   // key can no longer query their workflows.
   [[nodiscard]] bool IsSettled(const SoakWorkflow& workflow) const {
     if (workflow.accepted == kNever) {
-      return workflow.given_up;
+      // Later starts would break the bound.
+      return workflow.given_up &&
+             (!workflow.cancel_wanted ||
+              (workflow.cancelled != kNever &&
+               BootTimeNow() > workflow.cancelled + kCancelBound + seconds(2)));
     }
     return IsTerminal(workflow) ||
            (workflow.key == "key-b" && this->revoked_at != kNever);
@@ -632,7 +641,8 @@
     for (const auto& workflow : this->workflows) {
       const auto first = started.find(workflow->id);
       if (first != started.end() && workflow->cancelled != kNever &&
-          first->second > workflow->cancelled + kCancelBound) {
+          this->platform.fleet.last_started.at(workflow->id) >
+              workflow->cancelled + kCancelBound) {
         this->violations.push_back(
             workflow->id.value + " started after its cancel was acknowledged");
       }
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -72,8 +72,9 @@
   std::map<TaskKey, std::set<RunNumber>> failed_runs;
   std::vector<std::string> violations;
   std::vector<TimePoint> start_times;
-  // When the first task of each workflow started.
+  // When the first and the newest task of each workflow started.
   std::map<WorkflowId, TimePoint> started;
+  std::map<WorkflowId, TimePoint> last_started;
 
   // Adds workers with 8 accelerators, 32 cores and 128 GiB each, 8 per rack.
   void AddWorkers(int count,
@@ -134,6 +135,7 @@
       ++this->starts;
       this->start_times.push_back(this->now);
       this->started.try_emplace(order.task.workflow, this->now);
+      this->last_started[order.task.workflow] = this->now;
       if (!HasFreeCapacity(worker, Capacity{})) {
         this->violations.push_back(worker.listing.id.value +
                                    " runs tasks that exceed its capacity");
