Show why a ready task has no run, and for how long

Change: the holder looks once a second at the ready tasks without a run. The gauge chicorystep_oldest_ready_seconds has the age of the oldest by what it waits for; workflow_stands_still names each workflow of which nothing runs, at most 20 a second and again only when the reason changes or the time has doubled. A task of which the worker has not reported for 2.5 s, or not to this holder, counts as without a run. The reason why a worker is rejected is one function, which placement, log and dump share. No decision changes.

--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -6,6 +6,7 @@
 #include "chicorystep/systems/task_orders.h"
 #include "chicorystep/systems/task_placement.h"
 #include "chicorystep/systems/task_reports.h"
+#include "chicorystep/systems/task_status.h"
 #include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_append_latency.h"
 #include "chicorystep/systems/workflow_calls.h"
@@ -61,6 +62,7 @@
   WriteHolderRecords(world, time, outbox);
   AppendCalls(world, time.now, outbox);
   SendOrders(world, time.now, outbox);
+  ObserveWaits(world, time);
   FollowStreams(world, time.now, outbox);
   return outbox;
 }
--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "chicorystep/systems/task_candidates.h"
 #include "chicorystep/systems/task_status.h"
 
 namespace chicorystep {
@@ -30,7 +31,9 @@
   return json;
 }
 
-PlainJson DumpWorker(const TaskWorker& worker, TimePoint now) {
+PlainJson DumpWorker(const WorkflowWorld& world,
+                     const TaskWorker& worker,
+                     TimePoint now) {
   return {{"id", worker.listing.id.value},
           {"zone", worker.listing.zone.value},
           {"rack", worker.rack.value},
@@ -41,13 +44,16 @@
           {"noted_silent", worker.recorded_unresponsive},
           {"excluded_for_ms",
            std::max<std::int64_t>(0, AgeMillis(now, worker.excluded_until))},
+          {"rejected_for",
+           std::string(EnumName(FindRejection(world, worker, now)))},
           {"free_accelerators", worker.free.accelerators.value},
           {"tasks", worker.tasks.size()}};
 }
 
 PlainJson DumpWorkflow(const WorkflowWorld& world,
                        const WorkflowId& id,
-                       const Workflow& workflow) {
+                       const Workflow& workflow,
+                       TimePoint now) {
   std::array<std::size_t, kEnumNames<TaskState>.size()> counts{};
   for (const StepRun& run : workflow.runs) {
     for (const Task& task : run.tasks) {
@@ -60,17 +66,17 @@
       tasks[std::string(EnumName(static_cast<TaskState>(i)))] = counts[i];
     }
   }
-  return {
-      {"id", id.value},
-      {"route", workflow.terms.route.value},
-      {"workspace", workflow.terms.workspace.value},
-      {"priority", workflow.terms.priority},
-      {"shown", std::string(EnumName(workflow.shown))},
-      {"cancel_requested", workflow.cancel_requested},
-      {"accepted_unix_ms", workflow.accepted.value},
-      {"accepted_by", workflow.accepted_by.value},
-      {"tasks", std::move(tasks)},
-      {"waits_for", std::string(EnumName(FindWaitReason(world, workflow)))}};
+  return {{"id", id.value},
+          {"route", workflow.terms.route.value},
+          {"workspace", workflow.terms.workspace.value},
+          {"priority", workflow.terms.priority},
+          {"shown", std::string(EnumName(workflow.shown))},
+          {"cancel_requested", workflow.cancel_requested},
+          {"accepted_unix_ms", workflow.accepted.value},
+          {"accepted_by", workflow.accepted_by.value},
+          {"tasks", std::move(tasks)},
+          {"waits_for",
+           std::string(EnumName(FindWaitReason(world, id, workflow, now)))}};
 }
 
 }  // namespace
@@ -96,13 +102,13 @@
        i < world.workflows.size() && json["open"].size() < kMaxRows; ++i) {
     if (!IsTerminal(world.workflows.rows[i].shown)) {
       json["open"].push_back(DumpWorkflow(world, world.workflows.keys[i],
-                                          world.workflows.rows[i]));
+                                          world.workflows.rows[i], now));
     }
   }
   json["workers"] = PlainJson::array();
   for (const TaskWorker& worker : world.scheduling.workers.rows) {
     if (json["workers"].size() < kMaxRows) {
-      json["workers"].push_back(DumpWorker(worker, now));
+      json["workers"].push_back(DumpWorker(world, worker, now));
     }
   }
   // Text that is not UTF-8 is replaced rather than rejected.
--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -29,15 +29,6 @@
          service->second.enforces_capacity;
 }
 
-bool IsUsable(const WorkflowWorld& world,
-              const TaskWorker& worker,
-              TimePoint now) {
-  return worker.fenced && worker.listed && !worker.listing_outdated &&
-         !worker.listing.draining && worker.unanswered_holds == 0 &&
-         now < worker.answer_deadline && now >= worker.excluded_until &&
-         (worker.orphaned_runs == 0 || EnforcesCapacity(world, worker));
-}
-
 // Number of tasks of the unit's step run on each worker that it occupies.
 std::map<WorkerId, std::uint32_t> CountTasksByWorker(
     const PlacementUnit& unit) {
@@ -186,6 +177,35 @@
 
 }  // namespace
 
+WorkerRejection FindRejection(const WorkflowWorld& world,
+                              const TaskWorker& worker,
+                              TimePoint now) {
+  if (!worker.listed) {
+    return WorkerRejection::kUnlisted;
+  }
+  if (worker.listing.draining) {
+    return WorkerRejection::kDraining;
+  }
+  if (!worker.fenced) {
+    return WorkerRejection::kUnread;
+  }
+  if (worker.listing_outdated) {
+    return WorkerRejection::kListingOutdated;
+  }
+  if (worker.unanswered_holds > 0) {
+    return WorkerRejection::kUnanswered;
+  }
+  if (now >= worker.answer_deadline) {
+    return WorkerRejection::kAnswerOverdue;
+  }
+  if (now < worker.excluded_until) {
+    return WorkerRejection::kExcluded;
+  }
+  return worker.orphaned_runs == 0 || EnforcesCapacity(world, worker)
+             ? WorkerRejection::kNone
+             : WorkerRejection::kOrphanedRuns;
+}
+
 FitRequirements MakeRequirements(const PlacementUnit& unit,
                                  bool one_rack,
                                  AvailableCapacity available) {
@@ -262,10 +282,12 @@
                          .time = time,
                          .preemptions_left = kMaxPreemptionsPerPass};
   for (TaskWorker& worker : world.scheduling.workers.rows) {
-    CandidateWorker candidate{.worker = &worker,
-                              .free_now = worker.free,
-                              .free_after_stops = worker.free,
-                              .usable = IsUsable(world, worker, time.now)};
+    CandidateWorker candidate{
+        .worker = &worker,
+        .free_now = worker.free,
+        .free_after_stops = worker.free,
+        .usable =
+            FindRejection(world, worker, time.now) == WorkerRejection::kNone};
     pass.racks[worker.rack].push_back(pass.candidates.size());
     pass.candidates.push_back(candidate);
   }
--- a/chicorystep/systems/task_candidates.h
+++ b/chicorystep/systems/task_candidates.h
@@ -132,6 +132,11 @@
 [[nodiscard]] std::uint32_t CountTasksOnWorker(const PlacementUnit& unit,
                                                const WorkerId& worker);
 
+// Why no task may be placed on the worker now; kNone if one may.
+[[nodiscard]] WorkerRejection FindRejection(const WorkflowWorld& world,
+                                            const TaskWorker& worker,
+                                            TimePoint now);
+
 // Whether the worker belongs to the workflow's service and has the label that
 // the step requires.
 [[nodiscard]] bool MeetsRequirements(const WorkerListing& listing,
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -189,6 +189,7 @@
       ref.task->since = now;
       ref.task->order_pending = false;
     }
+    ref.task->last_running = now;
     if (UpdateSpeed(world, ref, report, now)) {
       measured.push_back(report.task);
     }
@@ -291,6 +292,7 @@
            {"answer_ms", WholeMillis(start.answered - start.sent)}});
       ref.task->state = TaskState::kRunning;
       ref.task->since = now;
+      ref.task->last_running = now;
       ref.task->order_pending = false;
       worker->next_hold = now;
       return;
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -427,6 +427,10 @@
   // when a tick has sent as many orders as one tick may.
   std::size_t next_worker = 0;
   bool orders_deferred = false;
+  // How long the oldest ready task without a run has waited, by what it waits
+  // for, as observed last.
+  std::map<WaitReason, Duration> oldest_waits;
+  TimePoint next_wait_observation{};
 };
 
 // A cancel of a workflow that is not in the table. It applies when an
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -15,6 +15,7 @@
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/jobs.h"
+#include "chicorystep/tables/task_waits.h"
 
 namespace chicorystep {
 
@@ -139,6 +140,9 @@
   std::string checkpoint;
   // When this process set `state`; not recorded.
   TimePoint since{};
+  // When this process last knew that a run of the task was in progress; not
+  // recorded.
+  TimePoint last_running = kDistantPast;
   // Whether the order for the current state is queued or in flight.
   bool order_pending = false;
   // A start order for the newest run got no answer, so it may have been carried
@@ -161,6 +165,9 @@
   // Since when this process has considered its tasks ready to run; not
   // recorded.
   TimePoint ready_since = kNever;
+  // What the newest log line about its tasks without a run said; not recorded.
+  WaitReason logged_wait = WaitReason::kNothing;
+  Duration logged_waited{};
 };
 
 // The terms that a workflow takes from its route. They are recorded with its
--- a/tests/platform_metrics_test.cc
+++ b/tests/platform_metrics_test.cc
@@ -110,5 +110,39 @@
   }
 }
 
+// What the holder has observed, and the lines that show it.
+struct WaitsCase {
+  std::string name;
+  std::map<WaitReason, Duration> oldest;
+  std::vector<std::string> lines;
+};
+
+const std::vector<WaitsCase> kWaitsCases = {
+    {"no ready task without a run",
+     {},
+     {R"(chicorystep_oldest_ready_seconds{waits_for="room"} 0)"}},
+    {"tasks that wait for different things",
+     {{WaitReason::kUsableWorker, milliseconds(2500)},
+      {WaitReason::kStopConfirmed, milliseconds(500)}},
+     {R"(chicorystep_oldest_ready_seconds{waits_for="usable_worker"} 2.5)",
+      R"(chicorystep_oldest_ready_seconds{waits_for="stop_confirmed"} 0.5)",
+      R"(chicorystep_oldest_ready_seconds{waits_for="room"} 0)"}},
+};
+
+BOOST_AUTO_TEST_CASE(the_oldest_ready_task_is_shown_by_what_it_waits_for) {
+  for (const WaitsCase& sample : kWaitsCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Metrics metrics;
+      RegisterMetrics(metrics);
+      WorkflowWorld world;
+      world.scheduling.oldest_waits = sample.oldest;
+      SetGauges(metrics, world, true, kNow);
+      for (const std::string& line : sample.lines) {
+        BOOST_TEST(HasLine(metrics, line), line);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
