--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -19,6 +19,7 @@
 #include "chicorystep/standin/emulated_store.h"
 #include "chicorystep/systems/workflow_append_latency.h"
 #include "chicorystep/systems/workflow_calls.h"
+#include "tests/support/standstill.h"
 #include "tests/support/worker_fleet.h"
 
 namespace chicorystep {
@@ -69,6 +70,10 @@
   // not answered as accepted.
   std::set<WorkflowId> expected_to_end;
   std::map<ExchangeId, CallAnswer> answers;
+  // The service of each submitted workflow.
+  std::map<WorkflowId, Service> services;
+  // Checked while it is set.
+  std::optional<StandstillCheck> standstill;
   Rates rates;
   // How long an entry waits for the answer to an order before it gives up.
   Duration order_timeout = milliseconds(1000);
@@ -208,6 +213,7 @@
                     const Submitted& what) {
     this->submitted[id] = what;
     this->expected_to_end.insert(id);
+    this->services[id] = Service(route == "open" ? "open" : "service");
     return this->Call(
         entry, WorkflowCall{.kind = CallKind::kSubmit,
                             .path = fmt::format("/{}/{}", route, id.value),
@@ -255,6 +261,7 @@
       }
       if (this->now >= this->next_step) {
         this->StepWorkers();
+        this->CheckStandstill();
         this->next_step = this->now + kWorkerStep;
       }
       for (const auto& entry : this->entries) {
@@ -284,6 +291,28 @@
     return std::nullopt;
   }
 
+  // Observes every workflow that is accepted, not cancelled and has not ended.
+  void CheckStandstill() {
+    if (!this->standstill) {
+      return;
+    }
+    for (const WorkflowId& id : this->expected_to_end) {
+      const bool open = !this->FindTerminalState(id) &&
+                        std::any_of(this->entries.begin(), this->entries.end(),
+                                    [&](const auto& entry) {
+                                      const Workflow* known =
+                                          entry->world.workflows.find(id);
+                                      return entry->up && known != nullptr &&
+                                             !known->cancel_requested;
+                                    });
+      if (open) {
+        ObserveStandstill(*this->standstill, *this, this->services.at(id), id);
+      } else {
+        this->standstill->standing.erase(id);
+      }
+    }
+  }
+
   [[nodiscard]] bool AllWorkflowsEnded() const {
     return std::all_of(this->expected_to_end.begin(),
                        this->expected_to_end.end(), [&](const WorkflowId& id) {
--- /dev/null
+++ b/tests/workflow_standstill_test.cc
@@ -0,0 +1,184 @@
+#define BOOST_TEST_MODULE workflow_standstill
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "tests/support/emulation.h"
+
+namespace chicorystep {
+namespace {
+
+// The number of the workflow that each case observes.
+constexpr int kObserved = 100;
+
+// A situation in which a workflow is submitted although something is wrong with
+// some workers. Others have room for it.
+struct StandstillCase {
+  std::string name;
+  int workers;
+  bool enforces_capacity = true;
+  // Runs before the workflow is submitted, and after.
+  std::function<void(Emulation&)> before;
+  std::function<void(Emulation&)> after;
+  StepSpec step;
+  Duration work = milliseconds(500);
+};
+
+Emulation::Submitted MakeWork(Duration work, const StepSpec& step) {
+  Emulation::Submitted what{.work = work};
+  what.spec.payload = "p";
+  what.spec.steps = {step};
+  return what;
+}
+
+StepSpec MakeStepInRack(std::uint32_t count,
+                        std::int64_t accelerators,
+                        const std::string& rack,
+                        bool gang = false) {
+  StepSpec step = MakeStep(count, accelerators, gang);
+  step.data_rack = Rack(rack);
+  return step;
+}
+
+// Checks that the workflow of the case ends and never stands still for the
+// bound.
+void RunCase(const StandstillCase& sample) {
+  BOOST_TEST_CONTEXT(sample.name) {
+    Emulation run;
+    run.store.configs.push_back(Emulation::MakeConfig(1));
+    run.AddWorkers(sample.workers,
+                   Service(sample.enforces_capacity ? "service" : "open"),
+                   sample.enforces_capacity);
+    run.AddEntries(2);
+    BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+    run.RunFor(seconds(1));
+    if (sample.before) {
+      sample.before(run);
+    }
+    run.standstill.emplace();
+    const WorkflowId id = Emulation::MakeId(kObserved);
+    run.Submit(0, sample.enforces_capacity ? "normal" : "open", id,
+               MakeWork(sample.work, sample.step));
+    if (sample.after) {
+      sample.after(run);
+    }
+    BOOST_TEST(run.RunFor(seconds(30), [&] {
+      return run.FindTerminalState(id) == WorkflowState::kSucceeded;
+    }));
+    BOOST_TEST_MESSAGE(sample.name << ": stood still for up to "
+                                   << WholeMillis(run.standstill->longest)
+                                   << " ms");
+    for (const std::string& violation : run.standstill->violations) {
+      BOOST_ERROR(violation);
+    }
+    for (const std::string& violation : run.violations) {
+      BOOST_ERROR(violation);
+    }
+  }
+}
+
+// Runs a workflow on the first worker, which meanwhile also gets a run that the
+// tables do not know. Waits until both have ended.
+void EndOrphanedRun(Emulation& run, const std::string& route) {
+  run.Submit(0, route, Emulation::MakeId(1),
+             MakeWork(milliseconds(500), MakeStep(1, 1)));
+  run.RunFor(milliseconds(200));
+  const WorkflowId orphan = Emulation::MakeId(2);
+  run.submitted[orphan] = MakeWork(seconds(60), MakeStep(1, 1));
+  run.workers[0].running[TaskKey{.workflow = orphan}] =
+      EmulatedRun{.run = RunNumber(1),
+                  .need = MakeStep(1, 1).need,
+                  .present_since = run.now,
+                  .work = seconds(60)};
+  run.RunFor(seconds(5), [&] { return run.RunningTasks() == 0; });
+  run.RunFor(seconds(2));
+}
+
+const std::vector<StandstillCase> kOrphanCases = {
+    {.name = "a worker that enforces its capacity",
+     .workers = 1,
+     .before = [](Emulation& run) { EndOrphanedRun(run, "normal"); },
+     .step = MakeStep(1, 1)},
+    {.name = "a worker that does not",
+     .workers = 1,
+     .enforces_capacity = false,
+     .before = [](Emulation& run) { EndOrphanedRun(run, "open"); },
+     .step = MakeStep(1, 1)},
+};
+
+// Guards against a worker that gets no work any more because its last report
+// showed an orphaned run, and because nothing asks an idle worker for another.
+BOOST_AUTO_TEST_CASE(workers_are_used_again_after_an_orphaned_run) {
+  for (const StandstillCase& sample : kOrphanCases) {
+    RunCase(sample);
+  }
+}
+
+void CutSecondRack(Emulation& run) {
+  for (const auto& entry : run.entries) {
+    entry->cut_workers = {WorkerId("w8"), WorkerId("w9")};
+  }
+}
+
+const std::vector<StandstillCase> kSilentCases = {
+    {.name = "one task",
+     .workers = 10,
+     .before = CutSecondRack,
+     .step = MakeStepInRack(1, 8, "r1")},
+    {.name = "independent tasks",
+     .workers = 10,
+     .before = CutSecondRack,
+     .step = MakeStepInRack(2, 8, "r1")},
+    {.name = "a gang",
+     .workers = 10,
+     .before = CutSecondRack,
+     .step = MakeStepInRack(3, 8, "r1", true)},
+};
+
+// Guards against ready work that is placed on one worker after another that
+// does not answer, and waits for a whole lease on each.
+BOOST_AUTO_TEST_CASE(ready_work_passes_idle_workers_that_do_not_answer) {
+  for (const StandstillCase& sample : kSilentCases) {
+    RunCase(sample);
+  }
+}
+
+// Starts a small task in each of the first `racks` racks.
+void OccupyRacks(Emulation& run, int racks) {
+  for (int rack = 0; rack < racks; ++rack) {
+    run.Submit(0, "bulk", Emulation::MakeId(10 + rack),
+               MakeWork(seconds(60),
+                        MakeStepInRack(1, 1, "r" + std::to_string(rack))));
+  }
+  run.RunFor(seconds(1));
+}
+
+StepSpec MakeRackGang(std::uint32_t count, std::int64_t accelerators) {
+  StepSpec step = MakeStep(count, accelerators, true);
+  step.same_rack = true;
+  return step;
+}
+
+const std::vector<StandstillCase> kRackCases = {
+    {.name = "a gang as large as a rack, and a task in each rack",
+     .workers = 32,
+     .before = [](Emulation& run) { OccupyRacks(run, 4); },
+     .step = MakeRackGang(8, 8)},
+    {.name = "a gang as large as a rack, and a rack without a task",
+     .workers = 32,
+     .before = [](Emulation& run) { OccupyRacks(run, 3); },
+     .step = MakeRackGang(8, 8)},
+};
+
+// Guards against a gang that waits for a rack of its own for longer than a
+// workflow may stand still.
+BOOST_AUTO_TEST_CASE(a_gang_does_not_wait_for_one_rack_for_long) {
+  for (const StandstillCase& sample : kRackCases) {
+    RunCase(sample);
+  }
+}
+
+}  // namespace
+}  // namespace chicorystep
