Ask a worker with orphaned runs until it reports none

Callers saw jobs that never started although the only worker with room was idle, at services whose workers do not enforce their capacity.

Cause: a worker that has had an orphaned run gets no task until a report shows none, and an idle worker is asked for no report. The class: a fact about a worker that only an answer changes, while the worker is asked nothing.

Change: holds go on while the last report shows orphaned runs. They may wait for an end, so they cost a call a hold's wait.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -78,9 +78,10 @@
       MayGrantLease(worker)) {
     hold.until = ComputeLeaseExpiry(worker, ChooseLease(world, worker), now);
     worker.leased_until = std::max(worker.leased_until, *hold.until);
-    if (worker.fenced) {
-      hold.wait = ChooseHoldWait(world, worker);
-    }
+  }
+  if (worker.fenced && MayGrantLease(worker) &&
+      (!worker.tasks.empty() || worker.orphaned_runs > 0)) {
+    hold.wait = ChooseHoldWait(world, worker);
   }
   worker.acknowledged_ends = worker.recorded_ends;
   worker.hold_in_flight = true;
@@ -133,12 +134,13 @@
   if (worker.recorded_unresponsive && worker.unanswered_holds == 0) {
     return false;
   }
-  // Holds to a worker that did not answer are repeated until it does, even if
-  // no task is left there: it cannot be used before, and may have ends to
-  // report.
+  // A worker on which nothing can be placed until its next report is asked for
+  // one even if no task is left there. It may also have ends to report.
   return !worker.tasks.empty() ||
          worker.recorded_ends > worker.acknowledged_ends ||
-         ((!worker.fenced || worker.unanswered_holds > 0) && worker.listed);
+         ((!worker.fenced || worker.unanswered_holds > 0 ||
+           worker.orphaned_runs > 0) &&
+          worker.listed);
 }
 
 }  // namespace
