Place nothing on a worker at whose address another process answers

Callers saw jobs that were placed tens of times a second and never ran, until the platform no longer listed the worker.

Cause: an order that reaches another process (421) returns the worker's tasks at once, and the worker stayed usable with all its capacity free, so a task that prefers it was placed there again. The class: a fact that is known from an answer and not kept.

Change: such a worker counts as listed out of date until the platform lists it again, which a live worker brings about with each heartbeat.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -378,6 +378,8 @@
         EndHold(*worker);
       }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
+      // A worker that lives is listed again with each heartbeat.
+      worker->listing_outdated = true;
       ReleaseLostTasks(world, result.worker,
                        "another process answers at its address", time.now);
       continue;
--- a/chicorystep/tables/task_waits.h
+++ b/chicorystep/tables/task_waits.h
@@ -16,7 +16,8 @@
   kDraining,
   // It has not answered this holder yet.
   kUnread,
-  // It has restarted, and the platform has not listed the present incarnation.
+  // It has restarted, or another process answers at its address, and the
+  // platform has not listed it again.
   kListingOutdated,
   // It has not answered the newest hold, or the answer is overdue.
   kUnanswered,
@@ -29,10 +30,14 @@
 };
 template <>
 inline constexpr std::array kEnumNames<WorkerRejection> = {
-    std::string_view("none"),           std::string_view("unlisted"),
-    std::string_view("draining"),       std::string_view("unread"),
-    std::string_view("restarted"),      std::string_view("unanswered"),
-    std::string_view("answer_overdue"), std::string_view("excluded"),
+    std::string_view("none"),
+    std::string_view("unlisted"),
+    std::string_view("draining"),
+    std::string_view("unread"),
+    std::string_view("listing_outdated"),
+    std::string_view("unanswered"),
+    std::string_view("answer_overdue"),
+    std::string_view("excluded"),
     std::string_view("orphaned_runs"),
 };
 
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -172,8 +172,9 @@
   WorkerListing listing;
   // Whether the platform still lists the worker.
   bool listed = true;
-  // The listing is that of an earlier incarnation; the present one may have
-  // another capacity, other labels and another service.
+  // The listing is that of an earlier incarnation, and the present one may have
+  // another capacity, other labels and another service; or another process
+  // answers at the listed address. Until the platform lists the worker again.
   bool listing_outdated = false;
   Rack rack;
   // Capacity that no placed task occupies. Negative only if the worker does not
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -61,6 +61,10 @@
   std::multimap<TimePoint, std::function<void()>> events;
   EmulatedStore store;
   bool store_up = true;
+  // Workers that reject all orders as unhealthy, and workers at whose address
+  // another process answers.
+  std::set<WorkerId> unhealthy_workers;
+  std::set<WorkerId> displaced_workers;
   // Whether the store serves the stream of progress, while it is up.
   bool progress_up = true;
   // Whether the store answers every append with 503, while it serves reads.
@@ -494,7 +498,13 @@
       }
       return;
     }
-    ended = this->ExecuteOrderOn(*worker, order);
+    if (this->displaced_workers.contains(order.worker)) {
+      ended.outcome = OrderOutcome::kOtherIncarnation;
+    } else if (this->unhealthy_workers.contains(order.worker)) {
+      ended.outcome = OrderOutcome::kUnhealthy;
+    } else {
+      ended = this->ExecuteOrderOn(*worker, order);
+    }
     ended.sent = sent;
     const bool waits = order.kind == OrderKind::kHold &&
                        ended.outcome == OrderOutcome::kDone &&
--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -145,6 +145,31 @@
   }
 }
 
+const std::vector<StandstillCase> kDisplacedCases = {
+    {.name = "one task",
+     .workers = 10,
+     .before =
+         [](Emulation& run) {
+           run.displaced_workers = {WorkerId("w8"), WorkerId("w9")};
+         },
+     .step = MakeStepInRack(1, 8, "r1")},
+    {.name = "a gang",
+     .workers = 10,
+     .before =
+         [](Emulation& run) {
+           run.displaced_workers = {WorkerId("w8"), WorkerId("w9")};
+         },
+     .step = MakeStepInRack(3, 8, "r1", true)},
+};
+
+// Guards against ready work that is placed again and again on a listed worker
+// at whose address another process answers.
+BOOST_AUTO_TEST_CASE(ready_work_passes_workers_that_another_process_replaced) {
+  for (const StandstillCase& sample : kDisplacedCases) {
+    RunCase(sample);
+  }
+}
+
 // Starts a small task in each of the first `racks` racks.
 void OccupyRacks(Emulation& run, int racks) {
   for (int rack = 0; rack < racks; ++rack) {
