Treat a rejected hold as one without a report

Callers saw jobs that stood still for as long as their worker rejected every hold.

Cause: a hold that a worker answers with an error renews no lease there, but counted as answered. So the holder went on granting leases in its own table, never took them for expired, and kept the tasks there. The class: an order that was answered is taken for one that was carried out.

Change: any hold without a report counts as unanswered. The worker gets no further lease and no task, is recorded as unresponsive, and its tasks are placed elsewhere when the last lease that it accepted has expired.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -251,9 +251,7 @@
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
   EndHold(*worker);
   if (hold.outcome != OrderOutcome::kDone) {
-    if (hold.outcome == OrderOutcome::kUnknown) {
-      ++worker->unanswered_holds;
-    }
+    ++worker->unanswered_holds;
     worker->next_hold =
         now + std::min(kMaxHoldRetryDelay,
                        kMinHoldRetryDelay *
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -202,7 +202,8 @@
   TimePoint next_hold{};
   // The answer to the hold in flight is expected before this time.
   TimePoint answer_deadline = kNever;
-  // Consecutive holds without an answer.
+  // Consecutive holds without a report: the worker did not answer, or rejected
+  // them. Either way they may not have renewed its leases.
   std::uint32_t unanswered_holds = 0;
   // The journal may list the worker as unresponsive. It is given no lease then,
   // because the next holder would not wait for that lease to expire.
--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -205,5 +205,59 @@
   }
 }
 
+// A worker that is lost while it runs a workflow's only task. The task may run
+// on until its lease has expired.
+struct LostWorkerCase {
+  std::string name;
+  std::function<void(Emulation&, EmulatedWorker&)> lose;
+};
+
+EmulatedWorker& FindBusyWorker(Emulation& run) {
+  return *std::find_if(
+      run.workers.begin(), run.workers.end(),
+      [](const EmulatedWorker& worker) { return !worker.running.empty(); });
+}
+
+const std::vector<LostWorkerCase> kLostWorkerCases = {
+    {"it crashes",
+     [](Emulation&, EmulatedWorker& worker) { worker.up = false; }},
+    {"it rejects all orders, and its leases expire",
+     [](Emulation& run, EmulatedWorker& worker) {
+       run.unhealthy_workers.insert(worker.listing.id);
+     }},
+};
+
+// Guards against tasks that wait for longer than one lease, and the fault that
+// comes with it, when their worker is lost.
+BOOST_AUTO_TEST_CASE(tasks_of_a_lost_worker_run_elsewhere_after_one_lease) {
+  for (const LostWorkerCase& sample : kLostWorkerCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(8);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      run.RunFor(seconds(20));
+      const WorkflowId id = Emulation::MakeId(kObserved);
+      run.Submit(0, "normal", id, MakeWork(seconds(4), MakeStep(1, 8)));
+      run.RunFor(seconds(2));
+      BOOST_REQUIRE_EQUAL(run.starts, 1U);
+      const TimePoint lost = run.now;
+      sample.lose(run, FindBusyWorker(run));
+      BOOST_TEST(run.RunFor(seconds(30), [&] { return run.starts == 2; }));
+      BOOST_TEST_MESSAGE(sample.name << ": started again after "
+                                     << WholeMillis(run.now - lost) << " ms");
+      // The fault lasts up to 2 s, and the takeover 1 s more.
+      BOOST_TEST(WholeMillis(run.now - lost) <
+                 WholeMillis(WorkflowSelf{}.lease + seconds(4)));
+      BOOST_TEST(
+          run.RunFor(seconds(30), [&] { return run.AllWorkflowsEnded(); }));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
