Let a new holder know when its predecessors sent their last order

Callers saw jobs with nothing running for 17 s after the holder role had changed hands, when the worker of their last run was lost around that time.

The class: a wait for the worst case although the fact is known elsewhere.

Change: a process that loses the role records that it has ended its orders; one that starts does so for an earlier process at its address that held the role last or before. The wait is then one lease from that record. A claim tells its readers for how long earlier holders may still order, so a process that has just started knows it too. The bound now counts from when the claim was read back rather than from when it began, as a claim that takes seconds to write leaves the previous holder its confirmation for so long. Records of earlier builds keep the full wait.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -25,6 +25,7 @@
 // The key consists of this prefix and 0 for even epochs or 1 for odd ones, so
 // that a new holder's record does not replace the previous holder's.
 constexpr std::string_view kUnresponsivePrefix = "silent-";
+constexpr std::string_view kOrdersEndedPrefix = "ended-";
 
 // Accepted workflows have fewer tasks. A record with more was not written by an
 // entry, and must not take up the memory of those that read it.
@@ -323,19 +324,37 @@
 }
 
 KeyedValue Encode(const HolderRecord& record) {
-  const PlainJson json = {{"e", record.epoch.value},
-                          {"h", record.holder.value},
-                          {"i", record.incarnation.value},
-                          {"r", record.released}};
+  PlainJson json = {{"e", record.epoch.value},
+                    {"h", record.holder.value},
+                    {"i", record.incarnation.value},
+                    {"r", record.released},
+                    {"a", record.address.value},
+                    {"b", record.previous.id.value},
+                    {"ba", record.previous.address.value}};
+  if (record.earlier_orders) {
+    json["o"] = record.earlier_orders->count();
+  }
   return KeyedValue{std::string(kHolderKey), json.dump()};
 }
 
 HolderRecord DecodeHolder(const PlainJson& json) {
-  return HolderRecord{
+  HolderRecord record{
       .epoch = Epoch(json.at("e").get<std::uint64_t>()),
       .holder = EntryId(json.at("h").get<std::string>()),
       .incarnation = Incarnation(json.at("i").get<std::uint64_t>()),
-      .released = json.at("r").get<bool>()};
+      .released = json.at("r").get<bool>(),
+      .address = Address(json.value("a", "")),
+      .previous = {.id = EntryId(json.value("b", "")),
+                   .address = Address(json.value("ba", ""))}};
+  if (const auto earlier = json.find("o"); earlier != json.end()) {
+    record.earlier_orders = Duration(earlier->get<std::int64_t>());
+  }
+  return record;
+}
+
+KeyedValue Encode(const OrdersEndedRecord& record) {
+  return KeyedValue{fmt::format("{}{}", kOrdersEndedPrefix, record.entry.value),
+                    PlainJson({{"e", record.epoch.value}}).dump()};
 }
 
 KeyedValue Encode(const UnresponsiveWorkersRecord& record) {
@@ -378,6 +397,9 @@
   if (const auto* holder = std::get_if<HolderRecord>(&record)) {
     return {Encode(*holder)};
   }
+  if (const auto* ended = std::get_if<OrdersEndedRecord>(&record)) {
+    return {Encode(*ended)};
+  }
   if (const auto* unresponsive =
           std::get_if<UnresponsiveWorkersRecord>(&record)) {
     return {Encode(*unresponsive)};
@@ -422,6 +444,11 @@
     if (key == kHolderKey) {
       return std::optional<JournalRecord>(DecodeHolder(json));
     }
+    if (key.starts_with(kOrdersEndedPrefix)) {
+      return std::optional<JournalRecord>(OrdersEndedRecord{
+          .entry = EntryId(std::string(key.substr(kOrdersEndedPrefix.size()))),
+          .epoch = Epoch(json.at("e").get<std::uint64_t>())});
+    }
     if (key.starts_with(kUnresponsivePrefix)) {
       return std::optional<JournalRecord>(DecodeUnresponsiveWorkers(json));
     }
--- a/chicorystep/systems/task_unresponsive_workers.cc
+++ b/chicorystep/systems/task_unresponsive_workers.cc
@@ -4,7 +4,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflow_previous_holders.h"
 
 namespace chicorystep {
 namespace {
@@ -94,8 +94,8 @@
 
 void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker) {
   const Holding& holding = world.holding;
-  worker.inherited_lease_expiry = holding.claimed + kConfirmationBound +
-                                  ScaleForSlowClocks(world.self.lease);
+  worker.inherited_lease_expiry =
+      PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
   const std::uint64_t previous_epoch = holding.own_epoch.value - 1;
   const UnresponsiveWorkers& recorded =
       holding.unresponsive[previous_epoch % 2];
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflow_calls.cc
@@ -334,6 +334,9 @@
     pending.unconfirmed = true;
     append.records.push_back(*pending.record);
   }
+  if (lane.writing_orders_ended) {
+    append.records.emplace_back(*lane.writing_orders_ended);
+  }
   RecordSend(lane.latency, now);
   outbox.appends.push_back(std::move(append));
 }
@@ -399,6 +402,9 @@
   }
   world.callers.writing.clear();
   world.callers.unanswered_since = kNever;
+  if (world.callers.orders_ended == world.callers.writing_orders_ended) {
+    world.callers.orders_ended.reset();
+  }
 }
 
 // Requeues calls whose record may have been written. Those whose record is
@@ -522,7 +528,8 @@
     ResendAppend(lane, now, outbox);
     return;
   }
-  if (lane.in_flight || lane.queued.empty() || now < lane.next_send) {
+  if (lane.in_flight || (lane.queued.empty() && !lane.orders_ended) ||
+      now < lane.next_send) {
     return;
   }
   AppendJournal append{.lane = AppendLane::kCallers,
@@ -537,6 +544,10 @@
   lane.writing.assign(std::make_move_iterator(lane.queued.begin()),
                       std::make_move_iterator(rest));
   lane.queued.erase(lane.queued.begin(), rest);
+  lane.writing_orders_ended = lane.orders_ended;
+  if (lane.writing_orders_ended) {
+    append.records.emplace_back(*lane.writing_orders_ended);
+  }
   lane.in_flight = true;
   lane.latency.unanswered_sends = 0;
   RecordSend(lane.latency, now);
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflow_previous_holders.h"
 #include "chicorystep/systems/workflow_streams.h"
 #include "chicorystep/systems/workflow_tables.h"
 #include "chicorystep/systems/workflow_writes.h"
@@ -73,7 +74,10 @@
   BeginAppend(holding, holding.journal,
               {HolderRecord{.epoch = holding.own_epoch,
                             .holder = world.self.id,
-                            .incarnation = world.self.incarnation}},
+                            .incarnation = world.self.incarnation,
+                            .address = world.self.address,
+                            .previous = {.id = holding.holder,
+                                         .address = holding.holder_address}}},
               time.now);
   world.streams[FollowedStream::kJournal].next_read = time.now;
   Log(LogLevel::kInfo, "claim_begins",
@@ -184,6 +188,7 @@
   holding.may_order = false;
   holding.last_seen = now;
   if (held) {
+    QueueOrdersEnded(world);
     // Decisions that were not written are void, so the state is reloaded from
     // the journal.
     world.scheduling = Scheduling{};
--- /dev/null
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -0,0 +1,111 @@
+#include "chicorystep/systems/workflow_previous_holders.h"
+
+#include <algorithm>
+
+#include "chicorystep/core/logging.h"
+#include "chicorystep/systems/task_worker_clock.h"
+#include "chicorystep/systems/workflow_holder.h"
+
+namespace chicorystep {
+namespace {
+
+// When the orders of the holders before the record's claim end at the latest.
+TimePoint EarlierOrdersEnd(const HolderRecord& record, TimePoint now) {
+  return now + record.earlier_orders.value_or(kConfirmationBound);
+}
+
+}  // namespace
+
+void RecordSupersededHolder(Holding& holding,
+                            const HolderRecord& claim,
+                            TimePoint now) {
+  std::erase_if(holding.previous,
+                [&](const auto& row) { return row.second.orders_end < now; });
+  const bool follows_known =
+      !holding.epoch.empty() && claim.epoch.value == holding.epoch.value + 1;
+  if (!follows_known && claim.epoch > Epoch(1)) {
+    holding.unknown_orders_end = EarlierOrdersEnd(claim, now);
+  }
+  if (!holding.epoch.empty()) {
+    holding.previous[holding.epoch] = PreviousHolder{
+        .id = holding.holder,
+        .orders_end = holding.released ? now : now + kConfirmationBound};
+  }
+}
+
+void ShortenUnknownOrders(Holding& holding,
+                          const HolderRecord& record,
+                          TimePoint now) {
+  holding.unknown_orders_end =
+      std::min(holding.unknown_orders_end, EarlierOrdersEnd(record, now));
+}
+
+Duration TimeUntilPreviousOrdersEnd(const Holding& holding, TimePoint now) {
+  return std::max(Duration(), PreviousOrdersEnd(holding) - now);
+}
+
+TimePoint PreviousOrdersEnd(const Holding& holding) {
+  TimePoint end = holding.unknown_orders_end;
+  for (const auto& [epoch, previous] : holding.previous) {
+    const auto ended = holding.orders_ended.find(previous.id);
+    const bool known =
+        ended != holding.orders_ended.end() && ended->second.epoch >= epoch;
+    end =
+        std::max(end, known ? std::min(previous.orders_end, ended->second.read)
+                            : previous.orders_end);
+  }
+  return end;
+}
+
+void ApplyOrdersEnded(WorkflowWorld& world,
+                      const OrdersEndedRecord& record,
+                      TimePoint now) {
+  Holding& holding = world.holding;
+  OrdersEnded& ended = holding.orders_ended[record.entry];
+  if (record.epoch <= ended.epoch) {
+    return;
+  }
+  ended = OrdersEnded{.epoch = record.epoch, .read = now};
+  if (holding.state != HoldingState::kHolding) {
+    return;
+  }
+  const TimePoint expiry =
+      PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
+  std::size_t waiting = 0;
+  for (TaskWorker& worker : world.scheduling.workers.rows) {
+    if (!worker.fenced && !worker.restarted) {
+      worker.inherited_lease_expiry =
+          std::min(worker.inherited_lease_expiry, expiry);
+      waiting += worker.tasks.empty() ? 0 : 1;
+    }
+  }
+  Log(LogLevel::kInfo, "previous_orders_ended",
+      {{"entry", record.entry.value},
+       {"epoch", record.epoch.value},
+       {"workers_waiting", waiting},
+       {"leases_expire_ms", WholeMillis(expiry - now)}});
+}
+
+void QueueOrdersEnded(WorkflowWorld& world) {
+  world.callers.orders_ended = OrdersEndedRecord{
+      .entry = world.self.id, .epoch = world.holding.own_epoch};
+}
+
+void QueueOrdersEndedOfEarlierProcess(WorkflowWorld& world) {
+  const Holding& holding = world.holding;
+  const EntryAddress self{.id = world.self.id, .address = world.self.address};
+  if (self.address.empty() || holding.epoch.empty()) {
+    return;
+  }
+  const EntryAddress newest{.id = holding.holder,
+                            .address = holding.holder_address};
+  if (newest == self && holding.holder_incarnation != world.self.incarnation) {
+    world.callers.orders_ended =
+        OrdersEndedRecord{.entry = self.id, .epoch = holding.epoch};
+  } else if (newest != self && holding.holder_before == self) {
+    world.callers.orders_ended = OrdersEndedRecord{
+        .entry = self.id, .epoch = Epoch(holding.epoch.value - 1)};
+  }
+}
+
+}  // namespace chicorystep
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflow_streams.cc
@@ -6,6 +6,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflow_previous_holders.h"
 #include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
@@ -204,15 +205,19 @@
   if (record.epoch > holding.epoch) {
     Log(LogLevel::kInfo, "holder_seen",
         {{"epoch", record.epoch.value}, {"holder", record.holder.value}});
+    RecordSupersededHolder(holding, record, now);
     holding.epoch = record.epoch;
     holding.holder = record.holder;
     holding.holder_incarnation = record.incarnation;
     holding.released = record.released;
+    holding.holder_address = record.address;
+    holding.holder_before = record.previous;
     holding.last_seen = now;
   } else if (record.epoch == holding.epoch &&
              record.incarnation == holding.holder_incarnation) {
     holding.released = holding.released || record.released;
     holding.last_seen = now;
+    ShortenUnknownOrders(holding, record, now);
   }
 }
 
@@ -363,6 +368,8 @@
     ApplyState(world, *state, time.now);
   } else if (const auto* holder = std::get_if<HolderRecord>(&record)) {
     ApplyHolder(world, *holder, time.now);
+  } else if (const auto* ended = std::get_if<OrdersEndedRecord>(&record)) {
+    ApplyOrdersEnded(world, *ended, time.now);
   } else if (const auto* unresponsive =
                  std::get_if<UnresponsiveWorkersRecord>(&record)) {
     ApplyUnresponsiveRecord(world.holding, *unresponsive, time.now);
@@ -400,6 +407,7 @@
     if (!read.ok) {
       continue;
     }
+    const bool loaded = !position.next;
     position.next = read.next;
     if (read.config) {
       ApplyConfig(world, *read.config);
@@ -411,6 +419,9 @@
     for (const auto& [offset, record] : read.journal) {
       ApplyJournalRecord(world, record, time);
     }
+    if (loaded && read.stream == FollowedStream::kJournal) {
+      QueueOrdersEndedOfEarlierProcess(world);
+    }
   }
 }
 
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflow_writes.cc
@@ -11,6 +11,7 @@
 #include "chicorystep/systems/task_unresponsive_workers.h"
 #include "chicorystep/systems/workflow_append_latency.h"
 #include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflow_previous_holders.h"
 #include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
@@ -143,11 +144,17 @@
   return lane == AppendLane::kProgress ? holding.progress : holding.journal;
 }
 
-HolderRecord OwnClaim(const WorkflowWorld& world, bool released) {
-  return HolderRecord{.epoch = world.holding.own_epoch,
-                      .holder = world.self.id,
-                      .incarnation = world.self.incarnation,
-                      .released = released};
+HolderRecord OwnClaim(const WorkflowWorld& world,
+                      bool released,
+                      TimePoint now) {
+  return HolderRecord{
+      .epoch = world.holding.own_epoch,
+      .holder = world.self.id,
+      .incarnation = world.self.incarnation,
+      .released = released,
+      .address = world.self.address,
+      .previous = world.holding.holder_before,
+      .earlier_orders = TimeUntilPreviousOrdersEnd(world.holding, now)};
 }
 
 void EndWritten(WorkflowWorld& world,
@@ -178,7 +185,8 @@
     // from here on. The first append to the progress stream fences the previous
     // holder there.
     holding.progress.sequence = FirstSequence(world.self);
-    BeginAppend(holding, holding.progress, {OwnClaim(world, false)}, time.now);
+    BeginAppend(holding, holding.progress, {OwnClaim(world, false, time.now)},
+                time.now);
   }
   if (IsRelease(written)) {
     StopHolding(world, "released", time.now);
@@ -254,7 +262,7 @@
     records.push_back(RecordUnresponsiveWorkers(world, time.now));
   }
   if (records.empty() || release) {
-    records.push_back(OwnClaim(world, release));
+    records.push_back(OwnClaim(world, release, time.now));
   }
   BeginAppend(holding, holding.journal, std::move(records), time.now);
 }
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -25,6 +25,8 @@
   EntryId id;
   Incarnation incarnation;
   Zone zone;
+  // Where this process serves callers.
+  Address address;
   // Duration of a task's lease; at most `longest_lease`.
   Duration lease = std::chrono::milliseconds(5000);
   // The longest lease that a worker grants, whatever an order requests.
@@ -281,6 +283,9 @@
   bool in_flight = false;
   std::vector<PendingCall> writing;
   std::vector<PendingCall> queued;
+  // A record of this process itself, and the one in the append in flight.
+  std::optional<OrdersEndedRecord> orders_ended;
+  std::optional<OrdersEndedRecord> writing_orders_ended;
   TimePoint next_send{};
   AppendLatency latency;
   // Since when appends have got no answer; kNever while they are answered.
@@ -307,6 +312,18 @@
   std::map<WorkerId, TimePoint> expiry;
 };
 
+// A holder that another has superseded, and when it sent its last order at the
+// latest.
+struct PreviousHolder {
+  EntryId id;
+  TimePoint orders_end{};
+};
+// The newest record of an entry that it sends no orders under earlier claims.
+struct OrdersEnded {
+  Epoch epoch;
+  TimePoint read{};
+};
+
 // One of the holder's two lanes of appends, with at most one append in flight.
 struct HolderLane {
   AppendLane lane = AppendLane::kHolder;
@@ -331,8 +348,16 @@
   EntryId holder;
   Incarnation holder_incarnation;
   bool released = false;
+  Address holder_address;
+  // The holder whom the newest claim superseded.
+  EntryAddress holder_before;
   // When a record of the newest claim's epoch was last read.
   TimePoint last_seen = kDistantPast;
+  // Superseded holders that may still send orders, by epoch, and when those end
+  // their orders of whose claims this process has not read.
+  std::map<Epoch, PreviousHolder> previous;
+  std::map<EntryId, OrdersEnded> orders_ended;
+  TimePoint unknown_orders_end = kDistantPast;
   // As last recorded by the holders of even and of odd epochs. A new holder's
   // records therefore never overwrite those of the previous holder.
   std::array<UnresponsiveWorkers, 2> unresponsive;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -291,6 +291,14 @@
   return static_cast<std::uint32_t>(std::max<std::size_t>(
       1, (rows + kRowsPerProgressPart - 1) / kRowsPerProgressPart));
 }
+// An entry at the address where it serves callers, which is empty in records of
+// earlier builds. No two processes of an entry serve one address at once.
+struct EntryAddress {
+  EntryId id;
+  Address address;
+
+  friend bool operator==(const EntryAddress&, const EntryAddress&) = default;
+};
 // A claim to the holder role, repeated as the holder's heartbeat.
 struct HolderRecord {
   Epoch epoch;
@@ -298,6 +306,21 @@
   Incarnation incarnation;
   // The holder gives up its role.
   bool released = false;
+  Address address;
+  // The holder whom this one superseded.
+  EntryAddress previous;
+  // How long earlier holders may still send orders, counted from the record; if
+  // absent, as long as any holder may after the next claim.
+  std::optional<Duration> earlier_orders;
+};
+// No process of the entry sends orders under its claims up to `epoch` any more,
+// whether they can be confirmed or not.
+struct OrdersEndedRecord {
+  EntryId entry;
+  Epoch epoch;
+
+  friend bool operator==(const OrdersEndedRecord&,
+                         const OrdersEndedRecord&) = default;
 };
 // A worker with tasks that does not answer the holder. It gets no lease until a
 // later record omits it.
@@ -333,6 +356,7 @@
                                    ProgressRecord,
                                    ProgressRemovalRecord,
                                    HolderRecord,
+                                   OrdersEndedRecord,
                                    UnresponsiveWorkersRecord,
                                    EvictionRecord>;
 
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -129,6 +129,7 @@
     entry.world.self.id = EntryId(fmt::format("entry-{}", index));
     entry.world.self.incarnation = Incarnation(
         1000 + 100 * static_cast<std::uint64_t>(index) + ++entry.incarnation);
+    entry.world.self.address = Address(fmt::format("10.1.0.{}:80", index));
     entry.up = true;
     entry.due = entry.busy_until = this->now;
   }
--- a/tests/task_worker_silence_test.cc
+++ b/tests/task_worker_silence_test.cc
@@ -1,12 +1,15 @@
 #define BOOST_TEST_MODULE task_worker_silence
 #include "chicorystep/systems/task_unresponsive_workers.h"
 
+#include <fmt/format.h>
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
 #include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflow_streams.h"
 
 namespace chicorystep {
 namespace {
@@ -60,7 +63,14 @@
     BOOST_TEST_CONTEXT(sample.name) {
       WorkflowWorld world;
       world.holding.own_epoch = Epoch(7);
-      world.holding.claimed = kNow;
+      for (const std::uint64_t epoch : {6U, 7U}) {
+        ApplyJournalRecord(
+            world,
+            HolderRecord{.epoch = Epoch(epoch),
+                         .holder = EntryId(fmt::format("entry-{}", epoch)),
+                         .earlier_orders = Duration()},
+            WorkflowTime{.now = kNow});
+      }
       for (const UnresponsiveWorkersRecord& record : sample.records) {
         // Encode and decode it as the journal does.
         const std::vector<KeyedValue> encoded = EncodeJournalRecord(record);
--- a/tests/workflow_record_test.cc
+++ b/tests/workflow_record_test.cc
@@ -68,6 +68,22 @@
      Cancel(Workspace())},
     {"the removal of a cancel", Writer::kThisBuild, "c-1f", std::nullopt,
      CancelRemovalRecord{.id = WorkflowId("1f")}},
+    {"a claim names the holder before it", Writer::kThisBuild, "holder",
+     R"({"a":"a1","b":"e0","ba":"a0","e":7,"h":"e1","i":9,"o":5,"r":false})",
+     HolderRecord{.epoch = Epoch(7),
+                  .holder = EntryId("e1"),
+                  .incarnation = Incarnation(9),
+                  .address = Address("a1"),
+                  .previous = {EntryId("e0"), Address("a0")},
+                  .earlier_orders = Duration(5)}},
+    {"a claim without addresses and earlier holders", Writer::kOtherBuild,
+     "holder", R"({"e":7,"h":"e1","i":9,"r":false})",
+     HolderRecord{.epoch = Epoch(7),
+                  .holder = EntryId("e1"),
+                  .incarnation = Incarnation(9)}},
+    {"an entry has ended its orders", Writer::kThisBuild, "ended-e1",
+     R"({"e":7})",
+     OrdersEndedRecord{.entry = EntryId("e1"), .epoch = Epoch(7)}},
 };
 
 BOOST_AUTO_TEST_CASE(records_are_decoded_as_their_writer_meant_them) {
--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -218,6 +218,12 @@
       [](const EmulatedWorker& worker) { return !worker.running.empty(); });
 }
 
+// Claims the holder role for another entry while the present holder is alive.
+void FreezeHolder(Emulation& run, Duration time) {
+  run.entries[static_cast<std::size_t>(run.Holder())]->frozen_until =
+      run.now + time;
+}
+
 const std::vector<LostWorkerCase> kLostWorkerCases = {
     {"it crashes",
      [](Emulation&, EmulatedWorker& worker) { worker.up = false; }},
@@ -225,6 +231,24 @@
      [](Emulation& run, EmulatedWorker& worker) {
        run.unhealthy_workers.insert(worker.listing.id);
      }},
+    {"it crashes, and the holder is frozen and loses its role",
+     [](Emulation& run, EmulatedWorker& worker) {
+       FreezeHolder(run, seconds(2));
+       worker.up = false;
+     }},
+    {"the holder is frozen and loses its role, and the worker crashes",
+     [](Emulation& run, EmulatedWorker& worker) {
+       FreezeHolder(run, seconds(2));
+       run.ScheduleAfter(milliseconds(1200), [&] { worker.up = false; });
+     }},
+    {"it crashes, and the holder is killed and restarted",
+     [](Emulation& run, EmulatedWorker& worker) {
+       const int holder = run.Holder();
+       run.KillEntry(holder);
+       worker.up = false;
+       run.ScheduleAfter(seconds(1),
+                         [&run, holder] { run.StartEntry(holder); });
+     }},
 };
 
 // Guards against tasks that wait for longer than one lease, and the fault that
