Don't let a gang stand still for one rack while there is room

Callers saw gangs that run slower across racks stand still for 10 s, with the service less than half in use and room for them several times over.

Cause: a gang waited for a rack of its own for up to 10 s whatever the load, and each placement that came to nothing began the wait anew. On the sites in force 60 to 80 percent of the gangs ask for one rack, and one small task in each rack keeps out a gang as large as a rack. The class: a wait for an event (an empty rack) that nothing brings about.

Change: while less than 60 percent of the service is in use the wait is 2 s, and it counts since the gang last ran or became ready. Above, the 10 s stay, as a spread gang occupies the capacity of others for several times as long.

--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -9,16 +9,50 @@
 namespace chicorystep {
 namespace {
 
-// How long a gang that runs slower across racks waits for a single rack.
-constexpr Duration kSameRackTimeout = std::chrono::seconds(10);
+// How long a gang that runs slower across racks waits for a single rack while
+// the service is busy, so that it does not occupy the capacity of others for
+// several times as long.
+constexpr Duration kBusySameRackTimeout = std::chrono::seconds(10);
+// The same while there is room. A workflow must not stand still for 3 s then.
+constexpr Duration kSameRackTimeout = std::chrono::seconds(2);
+// A service is busy while more than this share of it is in use, in percent. It
+// is above the half below which a workflow must not stand still, since
+// placements that have not started count as in use here.
+constexpr std::int64_t kBusyPercent = 60;
 // A preemption examines every running task of lower priority on every worker,
 // so a pass plans only so many. Urgent units beyond that wait for the next
 // pass.
 constexpr std::size_t kMaxPreemptionsPerPass = 8;
 
+// Since when no task of the unit has run although it is ready, whatever was
+// placed and did not start.
 TimePoint WaitingSince(const PlacementUnit& unit) {
   return std::max(unit.run->ready_since,
-                  unit.run->tasks[unit.tasks.front().value].since);
+                  unit.run->tasks[unit.tasks.front().value].last_running);
+}
+
+// Whether much of the service's accelerators, or of its processors if it has
+// none, is in use.
+bool IsBusy(TaskPlacementPass& pass, const Service& service) {
+  const auto [row, added] = pass.busy_services.try_emplace(service, false);
+  if (added) {
+    Capacity total;
+    Capacity free;
+    for (const CandidateWorker& candidate : pass.candidates) {
+      const TaskWorker& worker = *candidate.worker;
+      if (worker.listed && worker.listing.service == service) {
+        total = total + worker.listing.capacity;
+        free = free + worker.free;
+      }
+    }
+    const bool accelerated = total.accelerators > Accelerators{0};
+    const std::int64_t all =
+        accelerated ? total.accelerators.value : total.processors.value;
+    const std::int64_t used =
+        all - (accelerated ? free.accelerators.value : free.processors.value);
+    row->second = used * 100 > all * kBusyPercent;
+  }
+  return row->second;
 }
 
 // Whether the worker rejects starts that exceed its capacity. If it does not,
@@ -335,8 +369,13 @@
 
 bool NeedsOneRack(TaskPlacementPass& pass, const PlacementUnit& unit) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  if (!spec.gang || !spec.same_rack || unit.tasks.size() <= 1 ||
-      pass.time.now - WaitingSince(unit) >= kSameRackTimeout) {
+  if (!spec.gang || !spec.same_rack || unit.tasks.size() <= 1) {
+    return false;
+  }
+  if (const Duration waited = pass.time.now - WaitingSince(unit);
+      waited >= kBusySameRackTimeout ||
+      (waited >= kSameRackTimeout &&
+       !IsBusy(pass, unit.workflow->terms.service))) {
     return false;
   }
   const FitRequirements requirements =
--- a/chicorystep/systems/task_candidates.h
+++ b/chicorystep/systems/task_candidates.h
@@ -107,6 +107,8 @@
   // again until a preemption adds capacity.
   std::vector<KnownMisfit> misfits;
   std::vector<RackFit> rack_fits;
+  // Services of which much is in use, as of the begin of the pass.
+  std::map<Service, bool> busy_services;
   // Number of preemptions that the pass may still plan.
   std::size_t preemptions_left = 0;
 };
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -221,19 +221,25 @@
   struct WaitCase {
     std::string name;
     Duration waited;
+    // Workers in each of two racks, of which work of the same priority has
+    // taken all but one.
+    int per_rack;
     std::size_t placed;
   };
   const std::vector<WaitCase> cases = {
-      {"just arrived", Duration(), 0},
-      {"has waited past the time-out", seconds(11), 2},
+      {"just arrived, half of the service is in use", Duration(), 2, 0},
+      {"has waited for 2 s, half of the service is in use", seconds(2), 2, 2},
+      {"just arrived, two thirds are in use", Duration(), 3, 0},
+      {"has waited for 9 s, two thirds are in use", seconds(9), 3, 0},
+      {"has waited past the time-out", seconds(11), 3, 2},
   };
   for (const WaitCase& sample : cases) {
     BOOST_TEST_CONTEXT(sample.name) {
-      WorkflowWorld world = MakeWorld(2, 2);
-      // One worker of each rack is taken by work of the same priority.
-      for (const int index : {0, 2}) {
-        world.scheduling.workers.rows[static_cast<std::size_t>(index)]
-            .free.accelerators = Accelerators(0);
+      WorkflowWorld world = MakeWorld(2, sample.per_rack);
+      for (std::size_t i = 0; i < world.scheduling.workers.size(); ++i) {
+        if (i % static_cast<std::size_t>(sample.per_rack) > 0) {
+          world.scheduling.workers.rows[i].free.accelerators = Accelerators(0);
+        }
       }
       StepSpec step = MakeStep(2, 8, true);
       step.same_rack = true;
