Find out that an idle worker does not answer before work waits for it twice

Callers saw jobs that stood still for 12 s with eight of ten workers idle and answering.

Cause: an idle worker is asked nothing, so one that is cut off looks sound. A start there waited for a whole lease, each repeat of it prolonged the lease, and the next run went to the next such worker. The class is that of orphaned runs: a fact about a worker that only an answer changes, while the worker is asked nothing. The worker's clock is another such fact: leases are counted from its newest reading, 2% slow, so after 250 s without one the first start on a worker was rejected as too late.

Change: idle workers are asked for a report every 10 to 14 s, and at once when a worker of their service does not answer a start, at most every 5 s. A start on a worker without a reported run carries a lease of 2.5 s, which its repeats keep; holds renew it once the run is reported. A worker that is recorded as unresponsive, to which no start may be sent, is rejected in placement. A start that was never sent is taken back at once when its gang is stopped, and a hold after a stop does not wait for an end that may not come.

--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/task_candidates.cc
@@ -226,7 +226,8 @@
   if (worker.listing_outdated) {
     return WorkerRejection::kListingOutdated;
   }
-  if (worker.unanswered_holds > 0) {
+  // A worker that is recorded as unresponsive is sent no start.
+  if (worker.unanswered_holds > 0 || worker.recorded_unresponsive) {
     return WorkerRejection::kUnanswered;
   }
   if (now >= worker.answer_deadline) {
--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -7,6 +7,7 @@
 
 #include "chicorystep/systems/task_unresponsive_workers.h"
 #include "chicorystep/systems/task_worker_clock.h"
+#include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
@@ -25,6 +26,16 @@
 // progress until the lease expires, and tasks may stand still for 3 s. The
 // lease still covers one lost answer and most takeovers of the holder role.
 constexpr Duration kDrainingLease = milliseconds(2500);
+// Lease of a start on a worker that has no run to report, and may have been
+// lost while it was idle. The task is placed elsewhere when the lease is over,
+// and must not stand still for 3 s. It exceeds the time for which the start is
+// repeated.
+constexpr Duration kFirstLease = milliseconds(2500);
+// An idle worker is asked for a report this often, to read its clock, from
+// which its next leases are counted, and to find out whether it still answers.
+// The holds to idle workers are spread over a part of the period.
+constexpr Duration kIdleHoldPeriod = std::chrono::seconds(10);
+constexpr std::size_t kIdleHoldSpreadMillis = 4000;
 // With urgent tasks on the worker, holds wait only as long as the interval at
 // which workers measure processor use, so that slow workers are detected early.
 // Also used for draining workers.
@@ -62,6 +73,38 @@
                                  : world.self.lease;
 }
 
+// What the tasks on a worker need of its next hold.
+struct HoldNeeds {
+  // The worker has reported a run, whose lease must be renewed. Without one,
+  // its tasks may all wait for starts that never arrived.
+  bool renewal = false;
+  // A task has been stopped since the last hold was sent. If its run never
+  // began there is no end to wait for.
+  bool report = false;
+};
+
+HoldNeeds FindHoldNeeds(WorkflowWorld& world, const TaskWorker& worker) {
+  HoldNeeds needs;
+  for (const auto& [key, run] : worker.tasks) {
+    const TaskRef ref = FindTask(world, key);
+    if (!ref) {
+      continue;
+    }
+    const Task& task = *ref.task;
+    needs.renewal = needs.renewal || task.last_running != kDistantPast;
+    needs.report =
+        needs.report || (task.state == TaskState::kStopping &&
+                         !task.order_pending && task.since >= worker.hold_sent);
+  }
+  return needs;
+}
+
+Duration ChooseStartLease(WorkflowWorld& world, const TaskWorker& worker) {
+  return FindHoldNeeds(world, worker).renewal
+             ? world.self.lease
+             : std::min(world.self.lease, kFirstLease);
+}
+
 void SendHold(WorkflowWorld& world,
               TaskWorker& worker,
               TimePoint now,
@@ -74,17 +117,21 @@
       .acknowledged = worker.recorded_ends};
   // The leases of a worker that does not answer are not renewed: they must
   // expire before its tasks can start elsewhere.
-  if (!worker.tasks.empty() && worker.clock_read != kDistantPast &&
+  const HoldNeeds needs = FindHoldNeeds(world, worker);
+  if (needs.renewal && worker.clock_read != kDistantPast &&
       MayGrantLease(worker)) {
     hold.until = ComputeLeaseExpiry(worker, ChooseLease(world, worker), now);
     worker.leased_until = std::max(worker.leased_until, *hold.until);
   }
-  if (worker.fenced && MayGrantLease(worker) &&
+  if (worker.fenced && MayGrantLease(worker) && !needs.report &&
       (!worker.tasks.empty() || worker.orphaned_runs > 0)) {
-    hold.wait = ChooseHoldWait(world, worker);
+    const Duration wait = ChooseHoldWait(world, worker);
+    // The leases of starts are renewed once their runs are reported.
+    hold.wait = needs.renewal ? wait : std::min(wait, kUrgentHoldWait);
   }
   worker.acknowledged_ends = worker.recorded_ends;
   worker.hold_in_flight = true;
+  worker.hold_sent = now;
   worker.answer_deadline = now + hold.wait + kHoldAnswerTimeout;
   outbox.orders.push_back(std::move(hold));
 }
@@ -114,7 +161,14 @@
     order.address = worker.listing.address;
     order.fence = MakeFence(world.holding.own_epoch, worker.fence_raises);
     if (order.kind == OrderKind::kStart) {
-      order.until = ComputeLeaseExpiry(worker, world.self.lease, now);
+      order.until =
+          ComputeLeaseExpiry(worker, ChooseStartLease(world, worker), now);
+      if (const TaskRef ref = FindTask(world, order.task)) {
+        if (!ref.task->start_until) {
+          ref.task->start_until = order.until;
+        }
+        order.until = ref.task->start_until;
+      }
       worker.leased_until = std::max(worker.leased_until, *order.until);
     }
     worker.orders_in_flight.insert(order.task);
@@ -143,6 +197,28 @@
           worker.listed);
 }
 
+// When the next hold to the worker is due; kNever while one is in flight or the
+// worker must not be asked.
+TimePoint HoldDue(const Scheduling& scheduling, std::size_t row) {
+  const TaskWorker& worker = scheduling.workers.rows[row];
+  if (worker.hold_in_flight) {
+    return kNever;
+  }
+  if (NeedsHold(worker)) {
+    return worker.next_hold;
+  }
+  if (!worker.listed || worker.listing.address.empty() ||
+      worker.recorded_unresponsive) {
+    return kNever;
+  }
+  if (worker.listing.service == scheduling.sweep.service &&
+      worker.hold_sent < scheduling.sweep.began) {
+    return scheduling.sweep.began;
+  }
+  return worker.hold_sent + kIdleHoldPeriod +
+         milliseconds(row * 37 % kIdleHoldSpreadMillis);
+}
+
 }  // namespace
 
 void SendOrders(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox) {
@@ -160,8 +236,7 @@
       if (worker.tasks.empty() == with_tasks) {
         continue;
       }
-      const bool hold_due = !worker.hold_in_flight && now >= worker.next_hold &&
-                            NeedsHold(worker);
+      const bool hold_due = now >= HoldDue(scheduling, row);
       if (outbox.orders.size() >= kMaxOrdersPerTick &&
           (hold_due || !worker.orders.empty())) {
         scheduling.next_worker = row;
@@ -183,10 +258,8 @@
     return now;
   }
   TimePoint due = kNever;
-  for (const TaskWorker& worker : world.scheduling.workers.rows) {
-    if (!worker.hold_in_flight && NeedsHold(worker)) {
-      due = std::min(due, worker.next_hold);
-    }
+  for (std::size_t row = 0; row < world.scheduling.workers.size(); ++row) {
+    due = std::min(due, HoldDue(world.scheduling, row));
   }
   return due;
 }
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -30,6 +30,8 @@
 // An unanswered start is repeated for this long. On the platform the other
 // members of a gang wait 3 s for it.
 constexpr Duration kStartRetryTimeout = milliseconds(1800);
+// Each sweep of idle workers costs a call to all of them.
+constexpr Duration kSweepSpacing = std::chrono::seconds(5);
 
 // Applies the end of a run. Ignored unless the tables place that run on this
 // worker.
@@ -270,6 +272,18 @@
       worker->applied_ends > worker->recorded_ends ? now + kRecordWait : now;
 }
 
+// Asks the other workers of the service for a report, after one has not
+// answered a start: what cut it off may have cut off others, and the next
+// placement should avoid them.
+void SweepIdleWorkers(WorkflowWorld& world,
+                      const TaskWorker& silent,
+                      TimePoint now) {
+  IdleSweep& sweep = world.scheduling.sweep;
+  if (now - sweep.began >= kSweepSpacing) {
+    sweep = IdleSweep{.service = silent.listing.service, .began = now};
+  }
+}
+
 void ApplyStart(WorkflowWorld& world, const OrderResult& start, TimePoint now) {
   const TaskRef ref = FindTask(world, start.task);
   if (!ref || ref.task->run != start.run ||
@@ -296,6 +310,7 @@
       return;
     case OrderOutcome::kUnknown:
       ref.task->start_unconfirmed = true;
+      SweepIdleWorkers(world, *worker, now);
       if (now - ref.task->since < kStartRetryTimeout) {
         worker->orders.push_front(
             WorkerOrder{.kind = OrderKind::kStart,
--- a/chicorystep/systems/workflow_tables.cc
+++ b/chicorystep/systems/workflow_tables.cc
@@ -81,14 +81,24 @@
   if (task.state != TaskState::kStarting && task.state != TaskState::kRunning) {
     return;
   }
+  TaskWorker* worker = world.scheduling.workers.find(task.worker);
+  // A start order that is still queued is dropped.
+  const std::size_t dropped =
+      worker == nullptr
+          ? 0
+          : std::erase_if(worker->orders, [&](const WorkerOrder& order) {
+              return order.task == key && order.run == task.run;
+            });
+  if (dropped > 0 && task.state == TaskState::kStarting &&
+      !task.start_unconfirmed) {
+    // It has never been sent.
+    ReturnToWaiting(world, key, ref, now);
+    return;
+  }
   task.state = TaskState::kStopping;
   task.since = now;
   task.order_pending = true;
-  if (TaskWorker* worker = world.scheduling.workers.find(task.worker)) {
-    // A start order that is still queued is dropped.
-    std::erase_if(worker->orders, [&](const WorkerOrder& order) {
-      return order.task == key && order.run == task.run;
-    });
+  if (worker != nullptr) {
     worker->orders.push_back(WorkerOrder{.kind = OrderKind::kStop,
                                          .worker = task.worker,
                                          .task = key,
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -200,6 +200,8 @@
   // Orders that have not been sent yet.
   std::deque<WorkerOrder> orders;
   TimePoint next_hold{};
+  // When the newest hold was sent.
+  TimePoint hold_sent = kDistantPast;
   // The answer to the hold in flight is expected before this time.
   TimePoint answer_deadline = kNever;
   // Consecutive holds without a report: the worker did not answer, or rejected
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -406,6 +406,13 @@
   ChangeNumber change;
 };
 
+// A request for a report to every worker of a service that has not been asked
+// since.
+struct IdleSweep {
+  Service service;
+  TimePoint began = kDistantPast;
+};
+
 // Tables that only the holder maintains.
 struct Scheduling {
   Table<WorkerId, TaskWorker> workers;
@@ -452,6 +459,8 @@
   // when a tick has sent as many orders as one tick may.
   std::size_t next_worker = 0;
   bool orders_deferred = false;
+  // The newest sweep, made because some worker has not answered a start.
+  IdleSweep sweep;
   // How long the oldest ready task without a run has waited, by what it waits
   // for, as observed last.
   std::map<WaitReason, Duration> oldest_waits;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -148,6 +148,9 @@
   // A start order for the newest run got no answer, so it may have been carried
   // out.
   bool start_unconfirmed = false;
+  // The lease expiry in the start order of the newest run. Repeats carry the
+  // same one, so that they do not prolong the wait for it.
+  std::optional<WorkerClock> start_until;
   // Speed of the run relative to a healthy worker, judged by the processors
   // that it uses, with the time of the newest report and the work done until
   // then.
--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -53,7 +53,8 @@
                    sample.enforces_capacity);
     run.AddEntries(2);
     BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
-    run.RunFor(seconds(1));
+    // Leases that the workers had before have expired.
+    run.RunFor(seconds(8));
     if (sample.before) {
       sample.before(run);
     }
