--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -138,6 +138,68 @@
      .step = MakeStepInRack(3, 8, "r1", true)},
 };
 
+// Waits until the observed task runs in the second rack. Then its worker
+// restarts, and no entry reaches the other worker of that rack.
+void RestartWorkerAndCutNext(Emulation& run) {
+  run.RunFor(milliseconds(500));
+  EmulatedWorker& busy = *std::find_if(
+      run.workers.begin(), run.workers.end(),
+      [](const EmulatedWorker& worker) { return !worker.running.empty(); });
+  const WorkerId other(busy.listing.id == WorkerId("w8") ? "w9" : "w8");
+  for (const auto& entry : run.entries) {
+    entry->cut_workers = {other};
+  }
+  Restart(busy, run.now);
+}
+
+const std::vector<StandstillCase> kSilentAgainCases = {
+    {.name = "a task that has run before",
+     .workers = 10,
+     .after = RestartWorkerAndCutNext,
+     .step = MakeStepInRack(1, 8, "r1"),
+     .work = seconds(1)},
+};
+
+// Guards against a whole lease for the second run of a task on an idle worker
+// that does not answer.
+BOOST_AUTO_TEST_CASE(work_that_ran_before_passes_idle_workers_too) {
+  for (const StandstillCase& sample : kSilentAgainCases) {
+    RunCase(sample);
+  }
+}
+
+// Submits as many workflows as there are workers, each as large as a worker,
+// whose runs all fail by their own fault.
+void FailRuns(Emulation& run, int rounds) {
+  for (int i = 0; i < rounds * 4; ++i) {
+    Emulation::Submitted what = MakeWork(milliseconds(100), MakeStep(1, 8));
+    what.failing_runs = 3;
+    run.Submit(0, "normal", Emulation::MakeId(10 + i), what);
+    if (i % 4 == 3) {
+      run.RunFor(i + 1 == rounds * 4 ? milliseconds(400) : milliseconds(3500));
+    }
+  }
+}
+
+const std::vector<StandstillCase> kFailingCases = {
+    {.name = "one failed workflow for each worker",
+     .workers = 4,
+     .before = [](Emulation& run) { FailRuns(run, 1); },
+     .step = MakeStep(1, 8)},
+    {.name = "two failed workflows for each worker",
+     .workers = 4,
+     .before = [](Emulation& run) { FailRuns(run, 2); },
+     .step = MakeStep(1, 8)},
+};
+
+// Guards against ready work that waits while every worker is excluded for the
+// failures of other work.
+BOOST_AUTO_TEST_CASE(ready_work_runs_though_other_work_fails_everywhere) {
+  for (const StandstillCase& sample : kFailingCases) {
+    RunCase(sample);
+  }
+}
+
 // Guards against ready work that is placed on one worker after another that
 // does not answer, and waits for a whole lease on each.
 BOOST_AUTO_TEST_CASE(ready_work_passes_idle_workers_that_do_not_answer) {
@@ -284,5 +346,126 @@
   }
 }
 
+// A task of 20 s on one of 8 workers, two seconds after its start.
+void StartLongTask(Emulation& run) {
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(8);
+  run.AddEntries(3);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  run.RunFor(seconds(20));
+  run.Submit(0, "normal", Emulation::MakeId(kObserved),
+             MakeWork(seconds(20), MakeStep(1, 8)));
+}
+
+// What happens to the task's worker and to the holder. Afterwards no other
+// entry reaches the worker.
+struct UnreachableRunCase {
+  std::string name;
+  std::function<void(Emulation&)> happen;
+};
+
+// The holder is stopped. Its release is written but the answer is lost, and it
+// does not reach the store any more. It is killed when its time is up.
+void LoseAnswerToRelease(Emulation& run) {
+  run.RunFor(seconds(2));
+  const int holder = run.Holder();
+  Emulation::Entry& stopped = *run.entries[static_cast<std::size_t>(holder)];
+  const WorkerId worker = FindBusyWorker(run).listing.id;
+  run.rates.lost_appends = 1000;
+  stopped.inbox.stop = true;
+  stopped.due = run.now;
+  BOOST_REQUIRE(run.RunFor(seconds(1), [&] {
+    return std::any_of(
+        run.entries.begin(), run.entries.end(), [&](const auto& entry) {
+          return entry.get() != &stopped && entry->world.holding.released;
+        });
+  }));
+  run.rates.lost_appends = 0;
+  stopped.store_reachable = false;
+  for (const auto& entry : run.entries) {
+    if (entry.get() != &stopped) {
+      entry->cut_workers = {worker};
+    }
+  }
+  run.ScheduleAfter(stopped.world.self.stop_timeout,
+                    [&run, holder] { run.KillEntry(holder); });
+}
+
+// The start is carried out late, by the worker's next incarnation. The holder
+// is killed at once and restarted.
+void StartLateOnNextIncarnation(Emulation& run) {
+  const int holder = run.Holder();
+  run.rates.late_orders = 1000;
+  const auto placed = [&]() -> const Task* {
+    const Workflow* workflow =
+        run.entries[static_cast<std::size_t>(holder)]->world.workflows.find(
+            Emulation::MakeId(kObserved));
+    return workflow == nullptr || workflow->runs.empty() ||
+                   workflow->runs[0].tasks[0].state != TaskState::kStarting
+               ? nullptr
+               : &workflow->runs[0].tasks[0];
+  };
+  BOOST_REQUIRE(run.RunFor(seconds(2), [&] { return placed() != nullptr; }));
+  EmulatedWorker& worker = *run.FindWorker(placed()->worker);
+  run.RunFor(milliseconds(50));
+  run.KillEntry(holder);
+  run.rates.late_orders = 0;
+  for (const auto& entry : run.entries) {
+    entry->cut_workers = {worker.listing.id};
+  }
+  Restart(worker, run.now);
+  List(run.store, worker.listing);
+  run.ScheduleAfter(seconds(1), [&run, holder] { run.StartEntry(holder); });
+}
+
+const std::vector<UnreachableRunCase> kUnreachableRunCases = {
+    {"the answer to the release of a stopping holder is lost",
+     LoseAnswerToRelease},
+    {"a start is carried out late by the worker's next incarnation",
+     StartLateOnNextIncarnation},
+};
+
+// Guards against a second run of a task while a worker that the new holder does
+// not reach may still run it.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_out_of_reach_do_not_run_twice) {
+  for (const UnreachableRunCase& sample : kUnreachableRunCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      StartLongTask(run);
+      const TimePoint began = run.now;
+      sample.happen(run);
+      run.RunFor(seconds(40), [&] { return run.AllWorkflowsEnded(); });
+      for (const TimePoint start : run.start_times) {
+        BOOST_TEST_MESSAGE(sample.name << ": started after "
+                                       << WholeMillis(start - began) << " ms");
+      }
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
+// Guards against a run that loses its lease because the answer to one hold is
+// lost.
+BOOST_AUTO_TEST_CASE(a_run_outlasts_the_loss_of_one_answer) {
+  Emulation run;
+  // As long as the product waits for a hold that may wait for 500 ms.
+  run.order_timeout = milliseconds(2100);
+  StartLongTask(run);
+  BOOST_REQUIRE(run.RunFor(seconds(1), [&] { return run.starts == 1; }));
+  const WorkerId worker = FindBusyWorker(run).listing.id;
+  run.RunFor(milliseconds(400));
+  for (const auto& entry : run.entries) {
+    entry->cut_workers = {worker};
+  }
+  run.RunFor(milliseconds(200));
+  for (const auto& entry : run.entries) {
+    entry->cut_workers.clear();
+  }
+  run.RunFor(seconds(10));
+  BOOST_TEST(run.starts == 1U);
+}
+
 }  // namespace
 }  // namespace chicorystep
