Show that a holder ticks every millisecond while it may not order

Test only; a_holder_without_the_store_waits_between_ticks fails on: 10000 ticks in 10 s of an outage of the store, without any task.

Cause: NextOrderDue returns the time of an overdue hold, or of deferred orders, although SendOrders sends nothing without `may_order`.

--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "chicorystep/systems/workflow_holder.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
@@ -479,5 +480,23 @@
   BOOST_TEST(run.starts == 1U);
 }
 
+// Guards against a holder that ticks all the time while it may not order,
+// because some hold is overdue.
+BOOST_AUTO_TEST_CASE(a_holder_without_the_store_waits_between_ticks) {
+  Emulation run;
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(8);
+  run.AddEntries(1);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  run.RunFor(seconds(20));
+  run.store_up = false;
+  run.RunFor(kConfirmationBound + seconds(20));
+  const std::size_t before = run.holder_ticks.size();
+  run.RunFor(seconds(10));
+  const std::size_t ticks = run.holder_ticks.size() - before;
+  BOOST_TEST_MESSAGE(ticks << " ticks in 10 s");
+  BOOST_TEST(ticks < 1000U);
+}
+
 }  // namespace
 }  // namespace chicorystep
