Leave checkpoints out of the progress that do not fit it

Cause: a worker's checkpoint was taken over whatever its length. One of 300 kB makes a record of progress that the store never accepts; its append is repeated for ever, and without it no task of any workflow is started: one odd message, and all jobs stand still. The size of a part assumes 128 bytes.

--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -148,6 +148,9 @@
   // A start order for the newest run got no answer, so it may have been carried
   // out.
   bool start_unconfirmed = false;
+  // The worker has reported the newest run to this process, or confirmed its
+  // start; not recorded.
+  bool reported = false;
   // The lease expiry in the start order of the newest run. Repeats carry the
   // same one, so that they do not prolong the wait for it.
   std::optional<WorkerClock> start_until;
@@ -278,8 +281,12 @@
   std::uint32_t part = 0;
 };
 
+// The longest checkpoint that is kept. Those of the platform have 16 bytes.
+inline constexpr std::size_t kMaxCheckpointLength = 128;
+
 // Tasks and step runs in one part of a workflow's progress. A task takes up to
-// 230 bytes with a checkpoint of 128, and the platform's records hold 256 KB.
+// 230 bytes with the longest checkpoint, and the platform's records hold 256
+// KB.
 inline constexpr std::size_t kRowsPerProgressPart = 1000;
 
 // The number of parts in which the progress of `runs` is stored. It depends on
@@ -300,7 +307,7 @@
   EntryId id;
   Address address;
 
-  friend bool operator==(const EntryAddress&, const EntryAddress&) = default;
+  friend auto operator<=>(const EntryAddress&, const EntryAddress&) = default;
 };
 // A claim to the holder role, repeated as the holder's heartbeat.
 struct HolderRecord {
@@ -316,10 +323,10 @@
   // absent, as long as any holder may after the next claim.
   std::optional<Duration> earlier_orders;
 };
-// No process of the entry sends orders under its claims up to `epoch` any more,
-// whether they can be confirmed or not.
+// No process of the entry at this address sends orders under its claims up to
+// `epoch` any more.
 struct OrdersEndedRecord {
-  EntryId entry;
+  EntryAddress entry;
   Epoch epoch;
 
   friend bool operator==(const OrdersEndedRecord&,
--- a/tests/platform_odd_entries_test.cc
+++ b/tests/platform_odd_entries_test.cc
@@ -224,6 +224,44 @@
   }
 }
 
+// The length of a checkpoint that a worker reports, and whether it is kept.
+struct CheckpointCase {
+  std::string name;
+  std::size_t length;
+  bool kept;
+};
+
+const std::vector<CheckpointCase> kCheckpointCases = {
+    {"none", 0, true},
+    {"of the usual length", 16, true},
+    {"the longest", 128, true},
+    {"longer", 129, false},
+    {"larger than a record of the store", 300'000, false},
+};
+
+// Guards against progress that no longer fits a record of the store: its append
+// would be repeated for ever, and nothing would be started meanwhile.
+BOOST_AUTO_TEST_CASE(long_checkpoints_are_not_taken_into_the_progress) {
+  for (const CheckpointCase& sample : kCheckpointCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const std::string checkpoint(sample.length, 'x');
+      OrderResult ended{.kind = OrderKind::kHold};
+      DecodeOrderAnswer(
+          200,
+          fmt::format(R"({{"Running":[["1f.0.0.1",1,"{0}",9]],)"
+                      R"("Finished":[[1,"1f.0.0.2",1,"stopped","{0}"]]}})",
+                      checkpoint),
+          ended);
+      BOOST_TEST((ended.outcome == OrderOutcome::kDone));
+      BOOST_REQUIRE_EQUAL(ended.running.size(), 1U);
+      BOOST_REQUIRE_EQUAL(ended.ended.size(), 1U);
+      const std::string expected = sample.kept ? checkpoint : "";
+      BOOST_TEST((ended.running[0].checkpoint == expected));
+      BOOST_TEST((ended.ended[0].checkpoint == expected));
+    }
+  }
+}
+
 // A record of the journal or of the progress stream that no entry writes.
 struct OddRecord {
   std::string name;
