Count the orders of released, renamed and restarted predecessors

Cause and change: - A holder whose release was written, but not confirmed to it, orders on until it exits; a read release no longer counts as the end of its orders. The record of its end does. - A start to an earlier incarnation bears an expiry on that one's clock, so a worker that has restarted since the placement keeps the full wait, with the longest lease. - A record of ended orders names the address, as two machines may bear one name. - A claim that was read back and given up counts as a predecessor; its end is recorded.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -353,8 +353,10 @@
 }
 
 KeyedValue Encode(const OrdersEndedRecord& record) {
-  return KeyedValue{fmt::format("{}{}", kOrdersEndedPrefix, record.entry.value),
-                    PlainJson({{"e", record.epoch.value}}).dump()};
+  return KeyedValue{
+      fmt::format("{}{}", kOrdersEndedPrefix, record.entry.id.value),
+      PlainJson({{"a", record.entry.address.value}, {"e", record.epoch.value}})
+          .dump()};
 }
 
 KeyedValue Encode(const UnresponsiveWorkersRecord& record) {
@@ -446,7 +448,9 @@
     }
     if (key.starts_with(kOrdersEndedPrefix)) {
       return std::optional<JournalRecord>(OrdersEndedRecord{
-          .entry = EntryId(std::string(key.substr(kOrdersEndedPrefix.size()))),
+          .entry = {.id = EntryId(
+                        std::string(key.substr(kOrdersEndedPrefix.size()))),
+                    .address = Address(json.at("a").get<std::string>())},
           .epoch = Epoch(json.at("e").get<std::uint64_t>())});
     }
     if (key.starts_with(kUnresponsivePrefix)) {
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -11,6 +11,7 @@
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_unresponsive_workers.h"
 #include "chicorystep/systems/task_worker_clock.h"
+#include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_tables.h"
 
 namespace chicorystep {
@@ -123,6 +124,13 @@
     if (ref && !ref.task->incarnation.empty() && !listing.incarnation.empty() &&
         ref.task->incarnation != listing.incarnation) {
       StopInCurrentIncarnation(world, key, ref, listing.incarnation, now);
+      // A start to the earlier incarnation carries a lease expiry on its clock,
+      // and may still be carried out by the present one.
+      TaskWorker* worker = world.scheduling.workers.find(listing.id);
+      worker->restarted = true;
+      worker->inherited_lease_expiry =
+          world.holding.claimed + kConfirmationBound +
+          ScaleForSlowClocks(world.self.longest_lease);
     }
   }
 }
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -187,8 +187,12 @@
   holding.progress_left_over.clear();
   holding.may_order = false;
   holding.last_seen = now;
-  if (held) {
+  if (held || holding.epoch >= holding.own_epoch) {
+    // Others have read the claim, and the next holder counts this process among
+    // its predecessors.
     QueueOrdersEnded(world);
+  }
+  if (held) {
     // Decisions that were not written are void, so the state is reloaded from
     // the journal.
     world.scheduling = Scheduling{};
--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -27,9 +27,11 @@
     holding.unknown_orders_end = EarlierOrdersEnd(claim, now);
   }
   if (!holding.epoch.empty()) {
+    // A holder that has released the role orders on until the store confirms
+    // the release to it.
     holding.previous[holding.epoch] = PreviousHolder{
-        .id = holding.holder,
-        .orders_end = holding.released ? now : now + kConfirmationBound};
+        .entry = {.id = holding.holder, .address = holding.holder_address},
+        .orders_end = now + kConfirmationBound};
   }
 }
 
@@ -47,7 +49,7 @@
 TimePoint PreviousOrdersEnd(const Holding& holding) {
   TimePoint end = holding.unknown_orders_end;
   for (const auto& [epoch, previous] : holding.previous) {
-    const auto ended = holding.orders_ended.find(previous.id);
+    const auto ended = holding.orders_ended.find(previous.entry);
     const bool known =
         ended != holding.orders_ended.end() && ended->second.epoch >= epoch;
     end =
@@ -80,7 +82,7 @@
     }
   }
   Log(LogLevel::kInfo, "previous_orders_ended",
-      {{"entry", record.entry.value},
+      {{"entry", record.entry.id.value},
        {"epoch", record.epoch.value},
        {"workers_waiting", waiting},
        {"leases_expire_ms", WholeMillis(expiry - now)}});
@@ -88,7 +90,8 @@
 
 void QueueOrdersEnded(WorkflowWorld& world) {
   world.callers.orders_ended = OrdersEndedRecord{
-      .entry = world.self.id, .epoch = world.holding.own_epoch};
+      .entry = {.id = world.self.id, .address = world.self.address},
+      .epoch = world.holding.own_epoch};
 }
 
 void QueueOrdersEndedOfEarlierProcess(WorkflowWorld& world) {
@@ -101,10 +104,10 @@
                             .address = holding.holder_address};
   if (newest == self && holding.holder_incarnation != world.self.incarnation) {
     world.callers.orders_ended =
-        OrdersEndedRecord{.entry = self.id, .epoch = holding.epoch};
+        OrdersEndedRecord{.entry = self, .epoch = holding.epoch};
   } else if (newest != self && holding.holder_before == self) {
     world.callers.orders_ended = OrdersEndedRecord{
-        .entry = self.id, .epoch = Epoch(holding.epoch.value - 1)};
+        .entry = self, .epoch = Epoch(holding.epoch.value - 1)};
   }
 }
 
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -315,10 +315,11 @@
 // A holder that another has superseded, and when it sent its last order at the
 // latest.
 struct PreviousHolder {
-  EntryId id;
+  EntryAddress entry;
   TimePoint orders_end{};
 };
-// The newest record of an entry that it sends no orders under earlier claims.
+// The newest record of an entry that it sends no orders under its claims up to
+// `epoch`.
 struct OrdersEnded {
   Epoch epoch;
   TimePoint read{};
@@ -353,10 +354,11 @@
   EntryAddress holder_before;
   // When a record of the newest claim's epoch was last read.
   TimePoint last_seen = kDistantPast;
-  // Superseded holders that may still send orders, by epoch, and when those end
-  // their orders of whose claims this process has not read.
+  // Superseded holders that may still send orders, by epoch.
   std::map<Epoch, PreviousHolder> previous;
-  std::map<EntryId, OrdersEnded> orders_ended;
+  std::map<EntryAddress, OrdersEnded> orders_ended;
+  // When holders whose claims this process has not read have sent their last
+  // order.
   TimePoint unknown_orders_end = kDistantPast;
   // As last recorded by the holders of even and of odd epochs. A new holder's
   // records therefore never overwrite those of the previous holder.
--- a/tests/workflow_previous_holders_test.cc
+++ b/tests/workflow_previous_holders_test.cc
@@ -24,11 +24,20 @@
   return HolderRecord{.epoch = Epoch(epoch),
                       .holder = EntryId(holder),
                       .incarnation = Incarnation(epoch),
+                      .address = kAddress,
                       .earlier_orders = earlier};
 }
 
-OrdersEndedRecord Ended(const std::string& entry, std::uint64_t epoch) {
-  return OrdersEndedRecord{.entry = EntryId(entry), .epoch = Epoch(epoch)};
+OrdersEndedRecord Ended(const std::string& entry,
+                        std::uint64_t epoch,
+                        const Address& address = kAddress) {
+  return OrdersEndedRecord{.entry = {EntryId(entry), address},
+                           .epoch = Epoch(epoch)};
+}
+
+HolderRecord Release(HolderRecord claim) {
+  claim.released = true;
+  return claim;
 }
 
 // Records of the journal in the order in which a process reads them, one each
@@ -54,6 +63,12 @@
      {Claim(1, "a"), Claim(2, "b"), Claim(3, "a"), Ended("a", 1),
       Claim(4, "c")},
      seconds(4) + kConfirmationBound},
+    {"a process of its name at another address has ended its orders",
+     {Claim(1, "a"), Claim(2, "b"), Ended("a", 1, Address("x"))},
+     seconds(1) + kConfirmationBound},
+    {"it has released the role, and may not know that the store has it",
+     {Claim(1, "a"), Release(Claim(1, "a")), Claim(2, "b")},
+     seconds(2) + kConfirmationBound},
     {"one of two earlier holders has ended its orders",
      {Claim(1, "a"), Claim(2, "b"), Claim(3, "c"), Ended("b", 2)},
      seconds(1) + kConfirmationBound},
@@ -127,7 +142,7 @@
       const auto& queued = world.callers.orders_ended;
       BOOST_TEST(queued.has_value() == sample.ended.has_value());
       if (queued && sample.ended) {
-        BOOST_TEST((queued->entry == kSelf));
+        BOOST_TEST((queued->entry == EntryAddress{kSelf, kAddress}));
         BOOST_TEST((queued->epoch == *sample.ended));
       }
     }
--- a/tests/workflow_record_test.cc
+++ b/tests/workflow_record_test.cc
@@ -82,8 +82,9 @@
                   .holder = EntryId("e1"),
                   .incarnation = Incarnation(9)}},
     {"an entry has ended its orders", Writer::kThisBuild, "ended-e1",
-     R"({"e":7})",
-     OrdersEndedRecord{.entry = EntryId("e1"), .epoch = Epoch(7)}},
+     R"({"a":"a1","e":7})",
+     OrdersEndedRecord{.entry = {EntryId("e1"), Address("a1")},
+                       .epoch = Epoch(7)}},
 };
 
 BOOST_AUTO_TEST_CASE(records_are_decoded_as_their_writer_meant_them) {
