Keep the first lease of a start through one lost answer

Cause: the first hold of a start waited for an end, so one lost answer cost 2.1 s and the lease with it. A task that had run before got a whole lease on an idle worker, as the time of its last run was taken for that of this one. A holder that may not order ticked every millisecond once any hold was due, also for idle workers.

Change: the first hold does not wait and is repeated after 0.2 s; a task knows whether its newest run has been reported; no order is due while none may be sent. The first lease is 2.4 s, and idle workers are asked every 8 to 12 s.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -29,12 +29,13 @@
 // Lease of a start on a worker that has no run to report, and may have been
 // lost while it was idle. The task is placed elsewhere when the lease is over,
 // and must not stand still for 3 s. It exceeds the time for which the start is
+// repeated, and that in which a hold without an answer is given up and
 // repeated.
-constexpr Duration kFirstLease = milliseconds(2500);
+constexpr Duration kFirstLease = milliseconds(2400);
 // An idle worker is asked for a report this often, to read its clock, from
 // which its next leases are counted, and to find out whether it still answers.
 // The holds to idle workers are spread over a part of the period.
-constexpr Duration kIdleHoldPeriod = std::chrono::seconds(10);
+constexpr Duration kIdleHoldPeriod = std::chrono::seconds(8);
 constexpr std::size_t kIdleHoldSpreadMillis = 4000;
 // With urgent tasks on the worker, holds wait only as long as the interval at
 // which workers measure processor use, so that slow workers are detected early.
@@ -91,7 +92,7 @@
       continue;
     }
     const Task& task = *ref.task;
-    needs.renewal = needs.renewal || task.last_running != kDistantPast;
+    needs.renewal = needs.renewal || task.reported;
     needs.report =
         needs.report || (task.state == TaskState::kStopping &&
                          !task.order_pending && task.since >= worker.hold_sent);
@@ -123,11 +124,11 @@
     hold.until = ComputeLeaseExpiry(worker, ChooseLease(world, worker), now);
     worker.leased_until = std::max(worker.leased_until, *hold.until);
   }
+  // Runs that have started are reported, and their leases renewed, without a
+  // wait: a lost answer must not cost the first lease.
   if (worker.fenced && MayGrantLease(worker) && !needs.report &&
-      (!worker.tasks.empty() || worker.orphaned_runs > 0)) {
-    const Duration wait = ChooseHoldWait(world, worker);
-    // The leases of starts are renewed once their runs are reported.
-    hold.wait = needs.renewal ? wait : std::min(wait, kUrgentHoldWait);
+      (needs.renewal || worker.orphaned_runs > 0)) {
+    hold.wait = ChooseHoldWait(world, worker);
   }
   worker.acknowledged_ends = worker.recorded_ends;
   worker.hold_in_flight = true;
@@ -254,6 +255,9 @@
 }
 
 TimePoint NextOrderDue(const WorkflowWorld& world, TimePoint now) {
+  if (!world.holding.may_order) {
+    return kNever;
+  }
   if (world.scheduling.orders_deferred) {
     return now;
   }
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -60,6 +60,7 @@
     task.since = pass.time.now;
     task.order_pending = false;
     task.start_unconfirmed = false;
+    task.reported = false;
     task.start_until.reset();
     const TaskKey key{unit.id, unit.run->occurrence, unit.run->step,
                       unit.tasks[i]};
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -27,6 +27,8 @@
 // yet, so that the worker does not report them again. Several times as long as
 // a write takes.
 constexpr Duration kRecordWait = milliseconds(400);
+// Delay of the next hold while no run is reported, such as until starts arrive.
+constexpr Duration kUnreportedWait = milliseconds(200);
 // An unanswered start is repeated for this long. On the platform the other
 // members of a gang wait 3 s for it.
 constexpr Duration kStartRetryTimeout = milliseconds(1800);
@@ -192,6 +194,7 @@
       ref.task->order_pending = false;
     }
     ref.task->last_running = now;
+    ref.task->reported = true;
     if (UpdateSpeed(world, ref, report, now)) {
       measured.push_back(report.task);
     }
@@ -268,8 +271,13 @@
   ApplyEnds(world, hold, now);
   ReconcileRuns(world, hold, now);
   worker = world.scheduling.workers.find(hold.worker);
-  worker->next_hold =
-      worker->applied_ends > worker->recorded_ends ? now + kRecordWait : now;
+  if (worker->applied_ends > worker->recorded_ends) {
+    worker->next_hold = now + kRecordWait;
+  } else {
+    // A hold that waits for no end is not repeated at once. A confirmed start
+    // brings the next one forward.
+    worker->next_hold = hold.running.empty() ? now + kUnreportedWait : now;
+  }
 }
 
 // Asks the other workers of the service for a report, after one has not
@@ -305,6 +313,7 @@
       ref.task->state = TaskState::kRunning;
       ref.task->since = now;
       ref.task->last_running = now;
+      ref.task->reported = true;
       ref.task->order_pending = false;
       worker->next_hold = now;
       return;
