Exclude at most a third of the workers for failed runs

Callers saw ready work stand still for 6 s and longer, because two workflows that fail everywhere had excluded every worker.

Cause: each workflow's first failed run excludes a worker for 3 s, doubled up to 8 s, and nothing limited how many. Exclusion for slowness had the limit.

Change: the same limit holds for failed runs.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -128,7 +128,9 @@
       // several workers is itself at fault.
       if (first_failure) {
         ++worker->consecutive_failures;
-        ExcludeFaultyWorker(*worker, "a run failed on it", now);
+        if (MayExcludeAnother(world, now)) {
+          ExcludeFaultyWorker(*worker, "a run failed on it", now);
+        }
       }
     } else if (end.end == RunEnd::kDone) {
       worker->consecutive_failures = 0;
