Keep a predecessor for as long as its last leases

Cause: a superseded holder was dropped once its right to order had ended, while leases from its last orders lasted on. If the holder after it had recorded the end of its own orders long before, the next one took these leases for expired, and a task could run twice.

Change: it is kept for the longest lease more.

Measured: workflow_previous_holders_test, row "the holder before the last one orders on for longer", failed before.

--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -19,8 +19,10 @@
 void RecordSupersededHolder(Holding& holding,
                             const HolderRecord& claim,
                             TimePoint now) {
-  std::erase_if(holding.previous,
-                [&](const auto& row) { return row.second.orders_end < now; });
+  // The leases of the last orders are over by then, too.
+  std::erase_if(holding.previous, [&](const auto& row) {
+    return row.second.orders_end + kConfirmationBound < now;
+  });
   const bool follows_known =
       !holding.epoch.empty() && claim.epoch.value == holding.epoch.value + 1;
   if (!follows_known && claim.epoch > Epoch(1)) {
--- a/tests/workflow_previous_holders_test.cc
+++ b/tests/workflow_previous_holders_test.cc
@@ -84,6 +84,11 @@
     {"a claim was not read",
      {Claim(1, "a"), Claim(3, "c")},
      seconds(1) + kConfirmationBound},
+    {"the holder before the last one orders on for longer",
+     {Claim(1, "a"), Claim(2, "b"), Ended("b", 2), Claim(2, "b"), Claim(2, "b"),
+      Claim(2, "b"), Claim(2, "b"), Claim(2, "b"), Claim(2, "b"), Claim(2, "b"),
+      Claim(2, "b"), Claim(2, "b"), Claim(2, "b"), Claim(3, "c")},
+     seconds(1) + kConfirmationBound},
     {"the first holder", {Claim(1, "a")}, kDistantPast - kBegin},
 };
 
