Let a cancel wait for the acceptance of its job

A cancel that reached the holder of a cell while it appended the acceptance of the job was refused as not_run with unknown_job, because the job is known only once its record is read back; the job then ran.

The cell has a table of the jobs under acceptance. A cancel of one of them, by the same workspace, waits there: it is handled in the tick that reads the acceptance back, and refused as unknown with log_unavailable, like the submission, when no append of the job is left and none was confirmed.

--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells.cc
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/job_record.h"
@@ -123,6 +125,25 @@
   }
 }
 
+// Notes that one append of an acceptance has ended. Returns the cancellations
+// that waited for it, once the job is known or no append of it is left.
+std::vector<JobOperation> EndAcceptance(Cell& cell,
+                                        const PendingAnswer& pending) {
+  const auto accepting = cell.under_acceptance.find(pending.job);
+  if (!pending.accepts || accepting == cell.under_acceptance.end()) {
+    return {};
+  }
+  JobUnderAcceptance& row = accepting->second;
+  std::vector<JobOperation> cancels;
+  if (--row.appends == 0 || cell.jobs.find(pending.job) != nullptr) {
+    cancels = std::exchange(row.cancels, {});
+  }
+  if (row.appends == 0) {
+    cell.under_acceptance.erase(accepting);
+  }
+  return cancels;
+}
+
 // Answers the caller that waits for the record `id` with the state of the job.
 void AnswerPending(Cell& cell, const RecordId& id, Outbox& outbox) {
   const auto pending = cell.pending_answers.find(id);
@@ -140,9 +161,24 @@
                                 "the job ended long ago", Duration{}},
                         JobStatus{}});
   }
+  std::vector<JobOperation> cancels = EndAcceptance(cell, pending->second);
+  std::move(cancels.begin(), cancels.end(),
+            std::back_inserter(cell.due_cancels));
   cell.pending_answers.erase(pending);
 }
 
+// Refuses an operation whose record, or that of the acceptance for which it
+// waited, may be in the stream or not.
+void RefuseUnconfirmed(ExchangeId exchange, Outbox& outbox) {
+  outbox.ended_job_operations.push_back(EndJobOperation{
+      exchange,
+      Refusal{Execution::kUnknown, Reason::kLogUnavailable,
+              "the log did not confirm the record; the same call may be "
+              "repeated",
+              Duration{}},
+      JobStatus{}});
+}
+
 void ApplyClaim(const World& world,
                 Cell& cell,
                 const LogRecord& record,
@@ -397,13 +433,11 @@
       }
       if (const auto pending = cell.pending_answers.find(ended.id);
           pending != cell.pending_answers.end()) {
-        outbox.ended_job_operations.push_back(EndJobOperation{
-            pending->second.exchange,
-            Refusal{Execution::kUnknown, Reason::kLogUnavailable,
-                    "the log did not confirm the record; the same call may be "
-                    "repeated",
-                    Duration{}},
-            JobStatus{}});
+        impl::RefuseUnconfirmed(pending->second.exchange, outbox);
+        for (const JobOperation& cancel :
+             impl::EndAcceptance(cell, pending->second)) {
+          impl::RefuseUnconfirmed(cancel.exchange, outbox);
+        }
         cell.pending_answers.erase(pending);
       }
     }
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/job_operations.cc
@@ -149,7 +149,24 @@
       CellRecord{.kind = CellRecordKind::kJobAccepted, .job = operation.spec},
       outbox);
   cell.pending_answers.emplace(
-      record, PendingAnswer{operation.exchange, operation.spec.id});
+      record, PendingAnswer{operation.exchange, operation.spec.id, true});
+  JobUnderAcceptance& accepting = cell.under_acceptance[operation.spec.id];
+  accepting.workspace = operation.spec.workspace;
+  ++accepting.appends;
+}
+
+// Keeps the cancellation of a job that is unknown until its acceptance is read
+// back, as it would be refused although the job runs afterwards. Returns
+// whether there is such an acceptance.
+bool WaitForAcceptance(Cell& cell, const JobOperation& operation) {
+  const auto accepting = cell.under_acceptance.find(operation.spec.id);
+  if (operation.kind != JobOperationKind::kCancel ||
+      accepting == cell.under_acceptance.end() ||
+      accepting->second.workspace != operation.spec.workspace) {
+    return false;
+  }
+  accepting->second.cancels.push_back(operation);
+  return true;
 }
 
 // Answers at once when the job has ended, otherwise when the cancellation is
@@ -205,6 +222,9 @@
     return;
   }
   const Job* job = cell->second.jobs.find(operation.spec.id);
+  if (job == nullptr && WaitForAcceptance(cell->second, operation)) {
+    return;
+  }
   if (job == nullptr || job->spec.workspace != operation.spec.workspace) {
     Refuse(outbox, operation, Execution::kNotRun, Reason::kUnknownJob,
            operation.spec.id.value);
@@ -235,6 +255,11 @@
                          const Inbox& inbox,
                          TimePoint now,
                          Outbox& outbox) {
+  for (auto& [name, cell] : world.jobs.cells) {
+    for (JobOperation& cancel : std::exchange(cell.due_cancels, {})) {
+      impl::HandleJobOperation(world, std::move(cancel), now, outbox);
+    }
+  }
   for (const JobOperation& operation : inbox.job_operations) {
     impl::HandleJobOperation(world, operation, now, outbox);
   }
--- a/chicorystep/tables/jobs.h
+++ b/chicorystep/tables/jobs.h
@@ -218,10 +218,40 @@
   std::vector<WorkerId> workers;
 };
 
+// An operation on a job, requested by a caller or a peer.
+enum class JobOperationKind : std::uint8_t { kSubmit, kGet, kCancel };
+template <>
+inline constexpr std::array kEnumNames<JobOperationKind> = {
+    std::string_view("submit"),
+    std::string_view("get"),
+    std::string_view("cancel"),
+};
+
+struct JobOperation {
+  ExchangeId exchange;
+  JobOperationKind kind = JobOperationKind::kGet;
+  // For kGet and kCancel only the id and the workspace are used.
+  JobSpec spec;
+  // Whether a peer forwarded the operation; it is not forwarded again.
+  bool forwarded = false;
+};
+
 // A caller that waits until a record of the cell's stream is read back.
 struct PendingAnswer {
   ExchangeId exchange;
   JobId job;
+  // Whether the record accepts the job.
+  bool accepts = false;
+};
+
+// A job of which this process appends acceptances. It is known once one of them
+// is read back.
+struct JobUnderAcceptance {
+  Workspace workspace;
+  // Acceptances whose append has not ended.
+  std::size_t appends = 0;
+  // Cancellations that wait until the job is known.
+  std::vector<JobOperation> cancels;
 };
 
 // A record that is appended again until it is read back.
@@ -307,6 +337,10 @@
   // When each job that has not ended is next written to the stream again.
   std::deque<JobRewrite> rewrites;
   std::unordered_map<RecordId, PendingAnswer> pending_answers;
+  std::unordered_map<JobId, JobUnderAcceptance> under_acceptance;
+  // Cancellations that waited for an acceptance which has been read back; they
+  // are handled in the same tick.
+  std::vector<JobOperation> due_cancels;
   std::map<RecordId, UnconfirmedRecord> unconfirmed;
   // The packing of all guaranteed shapes.
   std::vector<GuaranteeSlot> slots;
@@ -329,24 +363,6 @@
   std::map<CellName, Cell> cells;
 };
 
-// An operation on a job, requested by a caller or a peer.
-enum class JobOperationKind : std::uint8_t { kSubmit, kGet, kCancel };
-template <>
-inline constexpr std::array kEnumNames<JobOperationKind> = {
-    std::string_view("submit"),
-    std::string_view("get"),
-    std::string_view("cancel"),
-};
-
-struct JobOperation {
-  ExchangeId exchange;
-  JobOperationKind kind = JobOperationKind::kGet;
-  // For kGet and kCancel only the id and the workspace are used.
-  JobSpec spec;
-  // Whether a peer forwarded the operation; it is not forwarded again.
-  bool forwarded = false;
-};
-
 // The answer to a job operation.
 struct JobStatus {
   JobId id;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -258,5 +259,110 @@
   }
 }
 
+// A cancellation of a job while its submissions are being appended.
+struct CancelDuringAcceptanceCase {
+  std::string name;
+  // For each submission of the job, whether the log takes its record.
+  std::vector<bool> appended;
+  Duration cancelled_after;
+  std::string cancelled_by;
+  // Empty when the job must end as cancelled.
+  std::optional<Reason> refused_for;
+};
+
+std::ostream& operator<<(std::ostream& stream,
+                         const CancelDuringAcceptanceCase& value) {
+  return stream << value.name;
+}
+
+const std::vector<CancelDuringAcceptanceCase> kCancelDuringAcceptanceCases = {
+    {"in the same tick", {true}, Duration{}, "a", std::nullopt},
+    {"before the record is read", {true}, kLogDelay / 2, "a", std::nullopt},
+    {"of two submissions, the first is lost",
+     {false, true},
+     kLogDelay / 2,
+     "a",
+     std::nullopt},
+    {"of two submissions, the second is lost",
+     {true, false},
+     kLogDelay / 2,
+     "a",
+     std::nullopt},
+    {"the log does not confirm the acceptance",
+     {false},
+     kLogDelay / 2,
+     "a",
+     Reason::kLogUnavailable},
+    {"by another workspace", {true}, kLogDelay / 2, "b", Reason::kUnknownJob},
+    {"by another workspace, and the log does not confirm the acceptance",
+     {false},
+     kLogDelay / 2,
+     "b",
+     Reason::kUnknownJob},
+};
+
+BOOST_AUTO_TEST_CASE(a_cancel_waits_for_the_acceptance_of_its_job) {
+  const ExchangeId cancel_exchange(1);
+  for (const CancelDuringAcceptanceCase& sample :
+       kCancelDuringAcceptanceCases) {
+    BOOST_TEST_CONTEXT(sample) {
+      CellSimulation sim = MakeCell();
+      sim.appends.clear();
+      const JobId id = SubmitJob(sim, "a", "normal-repeatable", MakeShape(1, 8),
+                                 minutes(30));
+      const JobOperation submission = sim.inbox.job_operations.back();
+      sim.inbox.job_operations.insert(sim.inbox.job_operations.end(),
+                                      sample.appended.size() - 1, submission);
+      const JobOperation cancel{
+          .exchange = cancel_exchange,
+          .kind = JobOperationKind::kCancel,
+          .spec =
+              JobSpec{.id = id, .workspace = Workspace(sample.cancelled_by)}};
+      if (sample.cancelled_after == Duration{}) {
+        sim.inbox.job_operations.push_back(cancel);
+      }
+      StepSimulation(sim, sim.now);
+      BOOST_REQUIRE(sim.appends.size() == sample.appended.size());
+      const TimePoint append_end = sim.appends.begin()->first;
+      std::vector<AppendEnded> lost;
+      auto append = sim.appends.begin();
+      for (const bool appended : sample.appended) {
+        if (appended) {
+          ++append;
+        } else {
+          lost.push_back(
+              AppendEnded{append->second.stream, append->second.id, false});
+          append = sim.appends.erase(append);
+        }
+      }
+      if (sample.cancelled_after != Duration{}) {
+        RunSimulation(sim, sim.now + sample.cancelled_after);
+        sim.inbox.job_operations.push_back(cancel);
+      }
+      RunSimulation(sim, append_end - std::chrono::microseconds(1));
+      sim.inbox.appends_ended = lost;
+      RunSimulation(sim, sim.now + seconds(2));
+      std::vector<EndJobOperation> answers;
+      for (const EndJobOperation& end : sim.ended_operations) {
+        if (end.exchange == cancel_exchange) {
+          answers.push_back(end);
+        }
+      }
+      BOOST_REQUIRE(answers.size() == 1);
+      const std::optional<Refusal>& refusal = answers[0].refusal;
+      BOOST_TEST(refusal.has_value() == sample.refused_for.has_value());
+      if (refusal && sample.refused_for) {
+        BOOST_TEST(EnumName(refusal->reason) == EnumName(*sample.refused_for));
+        const bool may_be_accepted =
+            sample.refused_for == Reason::kLogUnavailable;
+        BOOST_TEST((refusal->execution == Execution::kUnknown) ==
+                   may_be_accepted);
+      }
+      BOOST_TEST((sim.jobs[id].end_state == JobState::kCancelled) ==
+                 !sample.refused_for.has_value());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::testing
--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -81,6 +81,7 @@
   std::unordered_map<JobId, SimulatedJob> jobs;
   std::vector<GuaranteedStart> guaranteed_starts;
   Inbox inbox;
+  std::vector<EndJobOperation> ended_operations;
   // The processor time of each tick.
   std::vector<std::chrono::nanoseconds> tick_costs;
   std::uint64_t messages = 0;
@@ -232,6 +233,7 @@
     Deliver(sim, message);
   }
   for (const EndJobOperation& end : outbox.ended_job_operations) {
+    sim.ended_operations.push_back(end);
     if (end.refusal) {
       for (auto& [id, job] : sim.jobs) {
         if (ExchangeId(std::hash<JobId>{}(id)) == end.exchange) {
