Survey the workers once for each size of waiting tasks

Cause: the observation of waits visited every worker for each waiting step once a second, which at 1,100 workers and a long queue delays the holder's tick.

--- a/chicorystep/systems/task_status.cc
+++ b/chicorystep/systems/task_status.cc
@@ -37,21 +37,39 @@
   std::array<std::size_t, kEnumNames<WorkerRejection>.size()> rejected{};
 };
 
-// The number of tasks of size `need` that fit in `free`, counted up to `most`.
-std::size_t CountFits(Capacity free, const Capacity& need, std::size_t most) {
+// Room of one worker is counted up to this number of tasks.
+constexpr std::size_t kMaxCountedFits = 64;
+
+// The number of tasks of size `need` that fit in `free`, up to a limit.
+std::size_t CountFits(Capacity free, const Capacity& need) {
   std::size_t fits = 0;
-  while (fits < most && Holds(free, need)) {
+  while (fits < kMaxCountedFits && Holds(free, need)) {
     free = free - need;
     ++fits;
   }
   return fits;
 }
 
-WorkerSurvey SurveyWorkers(const WorkflowWorld& world,
-                           const Workflow& workflow,
-                           const StepSpec& step,
-                           TimePoint now) {
-  WorkerSurvey survey;
+// The surveys of one observation. Steps with the same requirements share one,
+// since each visits every worker.
+using WorkerSurveys = std::vector<std::pair<FitRequirements, WorkerSurvey>>;
+
+const WorkerSurvey& SurveyWorkers(WorkerSurveys& surveys,
+                                  const WorkflowWorld& world,
+                                  const Workflow& workflow,
+                                  const StepSpec& step,
+                                  TimePoint now) {
+  const FitRequirements requirements{.service = workflow.terms.service,
+                                     .label = step.required_label,
+                                     .need = step.need};
+  if (const auto known = std::find_if(
+          surveys.begin(), surveys.end(),
+          [&](const auto& row) { return row.first == requirements; });
+      known != surveys.end()) {
+    return known->second;
+  }
+  WorkerSurvey& survey =
+      surveys.emplace_back(requirements, WorkerSurvey{}).second;
   for (const TaskWorker& worker : world.scheduling.workers.rows) {
     if (!worker.listed || worker.listing.draining ||
         !MeetsRequirements(worker.listing, workflow, step)) {
@@ -62,7 +80,7 @@
       continue;
     }
     ++survey.large_enough;
-    const std::size_t fits = CountFits(worker.free, step.need, step.count);
+    const std::size_t fits = CountFits(worker.free, step.need);
     if (fits == 0) {
       continue;
     }
@@ -140,7 +158,8 @@
 // Finds what a step run whose dependencies are met waits for; nothing if all
 // its tasks run or are done. Waiting tasks come before those that are placed,
 // and the reverse in a gang, whose members are placed together.
-std::optional<StepWait> FindStepWait(const WorkflowWorld& world,
+std::optional<StepWait> FindStepWait(WorkerSurveys& surveys,
+                                     const WorkflowWorld& world,
                                      const WorkflowId& id,
                                      const Workflow& workflow,
                                      const StepRun& run,
@@ -177,7 +196,7 @@
     wait.reason = WaitReason::kGangMembers;
     return wait;
   }
-  wait.survey = SurveyWorkers(world, workflow, step, now);
+  wait.survey = SurveyWorkers(surveys, world, workflow, step, now);
   wait.reason = FindPlacementReason(wait.survey, step);
   return wait;
 }
@@ -238,10 +257,12 @@
     return WaitReason::kDueTime;
   }
   WaitReason reason = WaitReason::kNothing;
+  WorkerSurveys surveys;
   for (const StepRun& run : workflow.runs) {
     if (!DependenciesMet(workflow, run)) {
       reason = WaitReason::kEarlierSteps;
-    } else if (const auto wait = FindStepWait(world, id, workflow, run, now)) {
+    } else if (const auto wait =
+                   FindStepWait(surveys, world, id, workflow, run, now)) {
       return wait->reason;
     }
   }
@@ -262,6 +283,7 @@
     StepWait wait;
   };
   std::vector<Standing> standing;
+  WorkerSurveys surveys;
   for (const WorkflowId& id : scheduling.open) {
     Workflow& workflow = *world.workflows.find(id);
     if (workflow.cancel_requested || workflow.attempts_exhausted) {
@@ -272,7 +294,7 @@
       if (run.done == run.tasks.size() || !DependenciesMet(workflow, run)) {
         continue;
       }
-      auto wait = FindStepWait(world, id, workflow, run, time.now);
+      auto wait = FindStepWait(surveys, world, id, workflow, run, time.now);
       if (!wait) {
         continue;
       }
