Find jobs that stand still in the soak

Cause: the soak judged only that work ends within 50 s of the last fault, so a job that stands for less passed; and submissions ended with the faults, so that no new work met what the faults had left behind.

Change: from 5 s after the last fault the soak applies the check of the emulation to each accepted workflow that is open and not cancelled; callers go on submitting, at a third of the rate, until 7 s after it. New faults at the end of the table: workers reject holds, another process answers at the addresses of two workers (which stay listed), runs that no table knows, workers that drain. New load: a service that does not enforce its capacity, gangs of the size of a rack, preferred racks, long tasks in each rack. The bound of 50 s stays, though the longest task is longer (12 s).

--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -21,6 +21,8 @@
   std::size_t fault_kinds;
   std::string only;
   bool late_starts_outlive_workers = false;
+  // False for seeds of an earlier load.
+  bool varied_load = false;
 };
 
 const std::vector<SoakCase> kSoakCases = {
@@ -37,6 +39,8 @@
     {1113, "a rejected repeat of an append that was carried out", 27, ""},
     {1117, "a rejected repeat of a start that was carried out", 27, ""},
     {2009, "same cause as seed 1117, with runs that fail", 27, "some"},
+    {6001, "workers that had a run which no table knew were never used again",
+     31, "no table knows", false, true},
 };
 
 // The command-line argument after `name`, or `fallback` without one.
@@ -60,6 +64,7 @@
       .seed = seed,
       .fault_kinds = sample.fault_kinds,
       .only = sample.only,
+      .varied_load = sample.varied_load,
       .late_starts_outlive_workers = sample.late_starts_outlive_workers};
   options.entries = NumberOption("--processes", options.entries);
   options.workers = NumberOption("--workers", options.workers);
@@ -82,10 +87,11 @@
       // With fewer accepted workflows the checks would prove nothing.
       BOOST_TEST(accepted > 5U);
     }
-    BOOST_TEST_MESSAGE("seed " << seed << ": " << soak.InjectedFaults().size()
-                               << " faults, " << accepted
-                               << " workflows accepted, " << soak.Starts()
-                               << " starts");
+    BOOST_TEST_MESSAGE("seed "
+                       << seed << ": " << soak.InjectedFaults().size()
+                       << " faults, " << accepted << " workflows accepted, "
+                       << soak.Starts() << " starts, stood still for up to "
+                       << WholeMillis(soak.LongestStandstill()) << " ms");
     if (failed) {
       for (const std::string& fault : soak.InjectedFaults()) {
         BOOST_TEST_MESSAGE(fault);
@@ -106,13 +112,14 @@
   if (first > 0) {
     const int seeds = NumberOption("--seeds", 1);
     for (int i = 0; i < seeds; ++i) {
-      RunSeed(SoakCase{.seed = static_cast<unsigned>(first + i),
-                       .why = "selected on the command line",
-                       .fault_kinds = static_cast<std::size_t>(
-                           NumberOption("--fault-kinds", 0)),
-                       .only = TextOption("--only", ""),
-                       .late_starts_outlive_workers =
-                           NumberOption("--late-starts", 0) != 0});
+      RunSeed(SoakCase{
+          .seed = static_cast<unsigned>(first + i),
+          .why = "selected on the command line",
+          .fault_kinds =
+              static_cast<std::size_t>(NumberOption("--fault-kinds", 0)),
+          .only = TextOption("--only", ""),
+          .late_starts_outlive_workers = NumberOption("--late-starts", 0) != 0,
+          .varied_load = NumberOption("--varied-load", 1) != 0});
     }
     return;
   }
--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -23,6 +23,7 @@
 #include "tests/support/platform_standin.h"
 #include "tests/support/process.h"
 #include "tests/support/relay.h"
+#include "tests/support/standstill.h"
 #include "tests/support/submission_attempts.h"
 
 namespace chicorystep::testing {
@@ -43,6 +44,10 @@
   // If not empty, the seed draws only from faults whose name contains this
   // text.
   std::string only;
+  // Whether workflows also use the service "open" and prefer racks, and callers
+  // go on submitting after the faults. False for seeds that keep an earlier
+  // load.
+  bool varied_load = true;
   // Passed on to the stand-in.
   bool late_starts_outlive_workers = false;
 };
@@ -56,8 +61,12 @@
 inline constexpr Duration kCancelBound = seconds(5);
 // Time for all workflows to end after the last fault. It covers a lease, the
 // wait for orders that an unresponsive previous holder may still send, and the
-// longest task; doubled for a loaded machine.
+// longest task, with some seconds for a loaded machine.
 inline constexpr Duration kDrainBound = seconds(50);
+// How long callers go on submitting after the last fault, and from when on no
+// workflow may stand still.
+inline constexpr Duration kLoadAfterFaults = seconds(7);
+inline constexpr Duration kStandstillsCount = seconds(5);
 
 // One entry process and its link to the store.
 struct SoakEntry {
@@ -102,10 +111,12 @@
         random(this->options.seed),
         load_random(this->options.seed),
         repeat_random(this->options.seed),
+        shape_random(this->options.seed),
         platform(this->context, this->options.seed) {
     this->platform.late_starts_outlive_workers =
         this->options.late_starts_outlive_workers;
     this->platform.fleet.AddWorkers(this->options.workers);
+    this->platform.fleet.AddWorkers(kOpenWorkers, Service("open"), false);
     for (int half = 0; half < 2; ++half) {
       this->worker_links.push_back(std::make_unique<Relay>(
           this->context, this->platform.ServeWorkers()));
@@ -113,6 +124,7 @@
     for (std::size_t i = 0; i < this->platform.fleet.workers.size(); ++i) {
       EmulatedWorker& worker = this->platform.fleet.workers[i];
       worker.started = BootTimeNow();
+      worker.listing.labels = {"a", NameRack(i / kWorkersPerRack).value};
       worker.listing.address = this->worker_links[i % 2]->ListenAddress();
       this->platform.List(worker);
     }
@@ -137,12 +149,24 @@
         this->began + seconds(1) + this->options.length;
     this->RunUntil(last_fault, [] { return false; });
     this->faults_ended = true;
+    this->load_ends =
+        BootTimeNow() +
+        (this->options.varied_load ? kLoadAfterFaults : Duration{});
     this->HealAll();
-    if (!this->RunUntil(BootTimeNow() + kDrainBound,
-                        [this] { return this->AllWorkflowsSettled(); })) {
+    this->platform.After(kStandstillsCount,
+                         [this] { this->standstill.emplace(); });
+    if (!this->RunUntil(BootTimeNow() + kDrainBound, [this] {
+          return BootTimeNow() > this->load_ends && this->AllWorkflowsSettled();
+        })) {
       this->ReportUnfinishedWorkflows();
     }
     this->CheckDeclinedWorkflows();
+    // A run without load after the faults may end before the check begins.
+    if (this->standstill) {
+      for (const std::string& violation : this->standstill->violations) {
+        this->violations.push_back(violation);
+      }
+    }
     for (const std::string& violation : this->platform.fleet.violations) {
       this->violations.push_back(violation);
     }
@@ -156,6 +180,10 @@
   [[nodiscard]] std::uint64_t Starts() const {
     return this->platform.fleet.starts;
   }
+  // The longest time that a workflow stood still after the faults.
+  [[nodiscard]] Duration LongestStandstill() const {
+    return this->standstill ? this->standstill->longest : Duration{};
+  }
   [[nodiscard]] std::size_t Accepted() const {
     return static_cast<std::size_t>(std::count_if(
         this->workflows.begin(), this->workflows.end(),
@@ -229,11 +257,11 @@
     }
     nlohmann::json routes = nlohmann::json::array();
     int priority = 0;
-    for (const char* name : {"urgent", "normal", "bulk"}) {
+    for (const char* name : {"urgent", "normal", "bulk", "open"}) {
       routes.push_back({{"Name", name},
                         {"Host", "host"},
                         {"PathPrefix", fmt::format("/{}/", name)},
-                        {"Service", "service"},
+                        {"Service", ServiceOf(name).value},
                         {"Priority", priority++},
                         {"MaxAttempts", 3},
                         {"Stretch", 2},
@@ -242,13 +270,18 @@
     const nlohmann::json config = {
         {"Version", ++this->config_version},
         {"Routes", std::move(routes)},
-        {"Services", {{{"Name", "service"}, {"EnforcesCapacity", true}}}},
+        {"Services",
+         {{{"Name", "service"}, {"EnforcesCapacity", true}},
+          {{"Name", "open"}, {"EnforcesCapacity", false}}}},
         {"Tenants",
          {{{"Name", "team"},
            {"ApiKeys", std::move(keys)},
            {"Guaranteed", {{"Gpu", 16}}}}}}};
     this->platform.Put("keyed.op", "config", config.dump());
   }
+  [[nodiscard]] bool IsDisplaced(const EmulatedWorker& worker) const {
+    return this->platform.displaced_workers.contains(worker.listing.id);
+  }
   void RevokeKey() {
     if (this->revoked_at == kNever) {
       this->revoked_at = BootTimeNow();
@@ -259,16 +292,29 @@
 
   asio::io_context context;
   SoakOptions options;
-  // Faults, load and repeats use separate generators, so that the faults of a
-  // seed do not depend on how fast calls are answered.
+  // Faults, load, repeats and the shapes of workflows use separate generators,
+  // so that the faults of a seed do not depend on how fast calls are answered.
   std::minstd_rand random;
   std::minstd_rand load_random;
   std::minstd_rand repeat_random;
+  std::minstd_rand shape_random;
   PlatformStandin platform;
   std::deque<SoakEntry> entries;
   std::vector<std::unique_ptr<Relay>> worker_links;
 
  private:
+  static constexpr int kOpenWorkers = 2;
+  static constexpr Duration kLongTask = seconds(12);
+  static constexpr std::size_t kWorkersPerRack = 4;
+
+  static Rack NameRack(std::size_t number) {
+    return Rack(fmt::format("r{}", number));
+  }
+
+  static Service ServiceOf(const std::string& route) {
+    return Service(route == "open" ? "open" : "service");
+  }
+
   void AddEntry(int number) {
     SoakEntry& entry = this->entries.emplace_back();
     entry.name = fmt::format("entry-{}", number);
@@ -310,10 +356,28 @@
     for (SoakEntry& entry : this->entries) {
       this->CheckProcess(entry);
     }
+    this->CheckStandstill();
     this->platform.After(milliseconds(10),
                          [this] { this->StepPeriodically(); });
   }
 
+  // Observes every workflow that is accepted, not cancelled and has not ended.
+  void CheckStandstill() {
+    if (!this->standstill) {
+      return;
+    }
+    for (const auto& workflow : this->workflows) {
+      if (workflow->accepted != kNever && !workflow->cancel_wanted &&
+          !this->IsSettled(*workflow) &&
+          !this->platform.fleet.HasExhaustedAttempts(workflow->id)) {
+        ObserveStandstill(*this->standstill, this->platform.fleet,
+                          ServiceOf(workflow->route), workflow->id);
+      } else {
+        this->standstill->standing.erase(workflow->id);
+      }
+    }
+  }
+
   void CheckProcess(SoakEntry& entry) {
     if (!entry.process) {
       return;
@@ -338,11 +402,13 @@
   }
 
   void SubmitNext() {
-    if (this->faults_ended) {
+    if (BootTimeNow() > this->load_ends) {
       return;
     }
     this->SubmitNewWorkflow();
-    this->platform.After(milliseconds(60 + this->load_random() % 180),
+    const milliseconds pause(60 + this->load_random() % 180);
+    // Waiting counts as standing still only in a service less than half in use.
+    this->platform.After(this->faults_ended ? 3 * pause : pause,
                          [this] { this->SubmitNext(); });
   }
 
@@ -363,6 +429,9 @@
     const bool gang = this->load_random() % 3 == 0;
     const unsigned width = 1 + this->load_random() % 12;
     what.spec.steps = {MakeStep(width, 1 + this->load_random() % 4, gang)};
+    if (this->options.varied_load) {
+      this->DrawShape(*workflow, what);
+    }
     if (this->load_random() % 3 == 0) {
       StepSpec second = MakeStep(2, 1);
       second.depends_on = {StepIndex(0)};
@@ -378,6 +447,10 @@
                             {"EstimateMs", WholeMillis(step.estimate)}};
       if (step.gang) {
         row["Gang"] = true;
+        row["SameRack"] = step.same_rack;
+      }
+      if (!step.data_rack.value.empty()) {
+        row["Affinity"] = step.data_rack.value;
       }
       for (const StepIndex needed : step.depends_on) {
         row["DependsOn"].push_back(needed.value);
@@ -390,6 +463,28 @@
     this->Submit(workflow);
   }
 
+  // Moves small versions of some workflows to the service that does not enforce
+  // its capacity, gives some gangs the size of a rack, lets single tasks run
+  // for long in every rack, and makes some steps prefer a rack.
+  void DrawShape(SoakWorkflow& workflow, WorkerFleet::Submitted& what) {
+    StepSpec& step = what.spec.steps[0];
+    if (this->shape_random() % 3 == 0) {
+      workflow.route = "open";
+      step = MakeStep(1 + step.count % 4, 1, step.gang);
+    } else if (step.gang && this->shape_random() % 2 == 0) {
+      step = MakeStep(kWorkersPerRack, 8, true);
+      step.same_rack = true;
+    } else if (this->shape_random() % 4 == 0 && !this->faults_ended) {
+      step = MakeStep(1, 1);
+      step.estimate = what.work = kLongTask;
+      step.data_rack = NameRack(this->shape_random() % 4);
+      return;
+    }
+    if (this->shape_random() % 3 == 0) {
+      step.data_rack = NameRack(this->shape_random() % 5);
+    }
+  }
+
   platform::HttpRequest MakeRequest(const SoakWorkflow& workflow,
                                     std::string method,
                                     const SoakEntry& entry) {
@@ -666,6 +761,9 @@
   TimePoint revoked_at = kNever;
   std::uint64_t config_version = 0;
   bool faults_ended = false;
+  TimePoint load_ends = kNever;
+  // Present once no workflow may stand still any more.
+  std::optional<StandstillCheck> standstill;
 };
 
 }  // namespace chicorystep::testing
--- a/tests/support/platform_soak_faults.h
+++ b/tests/support/platform_soak_faults.h
@@ -17,6 +17,16 @@
   std::function<std::function<void(Soak&)>(Soak&)> inject;
 };
 
+inline void RestartDrainingWorkers(Soak& soak) {
+  for (EmulatedWorker& worker : soak.platform.fleet.workers) {
+    if (std::exchange(worker.listing.draining, false) &&
+        !soak.IsDisplaced(worker)) {
+      Restart(worker, BootTimeNow());
+      soak.platform.List(worker);
+    }
+  }
+}
+
 inline const std::vector<SoakFault>& SoakFaults() {
   static const std::vector<SoakFault> faults = {
       {"an entry is killed and restarted",
@@ -143,7 +153,7 @@
          return [first](Soak& s) {
            auto& all_workers = s.platform.fleet.workers;
            for (std::size_t i = first; i < all_workers.size(); i += 4) {
-             if (!all_workers[i].up) {
+             if (!all_workers[i].up && !s.IsDisplaced(all_workers[i])) {
                Restart(all_workers[i], BootTimeNow());
                s.platform.List(all_workers[i]);
              }
@@ -221,6 +231,57 @@
            }
          };
        }},
+      {"some workers reject holds",
+       [](Soak& soak) {
+         const std::size_t first = soak.random() % 4;
+         auto& workers = soak.platform.fleet.workers;
+         for (std::size_t i = first; i < workers.size(); i += 4) {
+           soak.platform.order_faults.rejects_holds.insert(
+               workers[i].listing.id);
+         }
+         return [](Soak& s) { s.platform.order_faults.rejects_holds.clear(); };
+       }},
+      // They stay listed until the end of the run.
+      {"another process takes the addresses of two workers",
+       [](Soak& soak) {
+         auto& workers = soak.platform.fleet.workers;
+         const std::size_t first = soak.random() % (workers.size() / 2);
+         if (soak.platform.displaced_workers.empty()) {
+           for (const std::size_t i : {first, first + workers.size() / 2}) {
+             workers[i].up = false;
+             soak.platform.displaced_workers.insert(workers[i].listing.id);
+           }
+         }
+         return [](Soak&) {};
+       }},
+      {"the workers of the open service have runs that no table knows",
+       [](Soak& soak) {
+         const WorkflowId orphan("ffffffffffffffff");
+         StepSpec step = MakeStep(1, 0);
+         soak.platform.fleet.submitted[orphan] = {
+             .spec = {.steps = {step}},
+             .work = soak.DrawDuration(milliseconds(1000), milliseconds(9000))};
+         for (EmulatedWorker& worker : soak.platform.fleet.workers) {
+           if (worker.listing.service == Service("open") && worker.up) {
+             worker.running[TaskKey{.workflow = orphan}] = EmulatedRun{
+                 .run = RunNumber(1),
+                 .need = step.need,
+                 .present_since = soak.platform.fleet.now,
+                 .work = soak.platform.fleet.submitted[orphan].work};
+           }
+         }
+         return [](Soak&) {};
+       }},
+      {"workers drain, end and restart",
+       [](Soak& soak) {
+         const std::size_t first = soak.random() % 4;
+         auto& workers = soak.platform.fleet.workers;
+         for (std::size_t i = first; i < workers.size(); i += 4) {
+           workers[i].listing.draining = true;
+           soak.platform.List(workers[i]);
+         }
+         return RestartDrainingWorkers;
+       }},
   };
   return faults;
 }
@@ -271,7 +332,7 @@
       [this] { this->InjectNextFault(); });
 }
 
-// Ends all faults, also those that overlap.
+// Ends all faults, also those that overlap, except displaced workers.
 inline void Soak::HealAll() {
   this->platform.all_store_faults = {};
   this->platform.order_faults = {};
@@ -284,8 +345,12 @@
   for (const auto& link : this->worker_links) {
     link->faults = {};
   }
+  RestartDrainingWorkers(*this);
   for (EmulatedWorker& worker : this->platform.fleet.workers) {
     worker.fails_runs = false;
+    if (this->IsDisplaced(worker)) {
+      continue;
+    }
     if (!worker.up) {
       Restart(worker, BootTimeNow());
     }
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -66,6 +67,8 @@
   // Ends of all orders to all workers, and to single ones.
   AnswerFaults answers;
   std::map<WorkerId, AnswerFaults> answers_of;
+  // Workers that reject every hold with 503.
+  std::set<WorkerId> rejects_holds;
 };
 
 namespace impl {
@@ -182,6 +185,8 @@
   std::vector<StoreFaults> store_faults;
   StoreFaults all_store_faults;
   OrderFaults order_faults;
+  // Workers that are down and at whose address another process answers.
+  std::set<WorkerId> displaced_workers;
   // Whether a start that is executed late is executed even when the worker has
   // restarted meanwhile. The pages leave open whether that can be; late holds
   // always outlive the process.
@@ -440,6 +445,15 @@
 
   void ServeOrder(const ServedRequest& request, Respond respond) {
     const WorkerOrder order = impl::DecodeOrder(request);
+    if (this->displaced_workers.contains(order.worker)) {
+      respond(ServedResponse{.status = 421, .body = "{}"});
+      return;
+    }
+    if (order.kind == OrderKind::kHold &&
+        this->order_faults.rejects_holds.contains(order.worker)) {
+      respond(ServedResponse{.status = 503, .body = "{}"});
+      return;
+    }
     if (order.kind != OrderKind::kHold &&
         this->DrawChance(this->order_faults.late_per_thousand)) {
       // A late order is lost when the worker process that received it has
