Record the end of orders only of claims that were read

Cause: an entry that lost a race for one epoch recorded the end of orders that it could never have sent, as another entry's claim had the same epoch.

Change: the record is written for a claim that this process has read back, or that a higher one has followed.

Measured: workflow_lifecycle_test passes; workflow_standstill_test and workflow_previous_holders_test as before.

--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -187,9 +187,12 @@
   holding.progress_left_over.clear();
   holding.may_order = false;
   holding.last_seen = now;
-  if (held || holding.epoch >= holding.own_epoch) {
-    // Others have read the claim, and the next holder counts this process among
-    // its predecessors.
+  const bool claim_read =
+      holding.epoch > holding.own_epoch ||
+      (holding.epoch == holding.own_epoch &&
+       holding.holder_incarnation == world.self.incarnation);
+  if (held || claim_read) {
+    // The next holder counts this process among its predecessors.
     QueueOrdersEnded(world);
   }
   if (held) {
