Log what a worker's restart does to each run

worker_restarted counted the tasks that the holder takes for lost but named none, so the log of the users' record can't tell which run was given up and on what grounds. Each run on a restarted worker now has a line with what is known of its start, run_started names the incarnation that the holder credits the run to, and worker_restarted says whether the list or an answer showed it.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -310,6 +310,7 @@
            {"run", start.run.value},
            {"worker", start.worker.value},
            {"worker_zone", worker->listing.zone.value},
+           {"incarnation", worker->listing.incarnation.value},
            {"placed_ms", WholeMillis(now - ref.task->since)},
            {"answer_ms", WholeMillis(start.answered - start.sent)}});
       ref.task->state = TaskState::kRunning;
@@ -421,7 +422,8 @@
           // The new incarnation may have carried out the start.
           ref.task->start_unconfirmed = true;
         }
-        ApplyWorkerRestart(world, result.worker, *result.incarnation, time.now);
+        ApplyWorkerRestart(world, result.worker, *result.incarnation, "answer",
+                           time.now);
       }
       if (result.kind == OrderKind::kHold) {
         EndHold(*worker);
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -160,7 +160,7 @@
     if (listed_before || listing.incarnation < worker->listing.incarnation) {
       return;
     }
-    ApplyWorkerRestart(world, listing.id, listing.incarnation, now);
+    ApplyWorkerRestart(world, listing.id, listing.incarnation, "list", now);
     worker = world.scheduling.workers.find(listing.id);
   }
   if (listing.draining && !worker->listing.draining) {
@@ -217,8 +217,10 @@
 void ApplyWorkerRestart(WorkflowWorld& world,
                         const WorkerId& id,
                         WorkerIncarnation incarnation,
+                        std::string_view shown_by,
                         TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(id);
+  const WorkerIncarnation before = worker->listing.incarnation;
   // Until the worker has accepted this holder's fence, starts sent by the
   // previous holder may arrive, too.
   const bool had_accepted_fence = worker->fenced;
@@ -236,8 +238,23 @@
     if (!ref || ref.task->run != run || !HoldsCapacity(ref.task->state)) {
       continue;
     }
-    if (!had_accepted_fence || ref.task->start_unconfirmed ||
-        world.scheduling.workers.find(id)->orders_in_flight.contains(key)) {
+    const bool in_flight =
+        world.scheduling.workers.find(id)->orders_in_flight.contains(key);
+    const bool may_run =
+        !had_accepted_fence || ref.task->start_unconfirmed || in_flight;
+    Log(LogLevel::kInfo, "run_at_restart",
+        {{"workflow", key.workflow.value},
+         {"step", key.step.value},
+         {"task", key.task.value},
+         {"run", run.value},
+         {"worker", id.value},
+         {"state", EnumName(ref.task->state)},
+         {"state_ms", WholeMillis(now - ref.task->since)},
+         {"order_in_flight", in_flight},
+         {"start_unconfirmed", ref.task->start_unconfirmed},
+         {"fence_accepted", had_accepted_fence},
+         {"taken_for", may_run ? "unknown" : "lost"}});
+    if (may_run) {
       StopInCurrentIncarnation(world, key, ref, incarnation, now);
     } else {
       HandleUnreportedEnd(world, key, ref, now);
@@ -248,6 +265,9 @@
   Log(LogLevel::kWarn, "worker_restarted",
       {{"worker", id.value},
        {"worker_zone", worker->listing.zone.value},
+       {"before", before.value},
+       {"incarnation", incarnation.value},
+       {"shown_by", shown_by},
        {"tasks_lost", lost},
        {"tasks_unconfirmed", tasks.size() - lost}});
   worker->recorded_ends = worker->applied_ends = worker->acknowledged_ends =
--- a/chicorystep/systems/task_workers.h
+++ b/chicorystep/systems/task_workers.h
@@ -21,9 +21,11 @@
                       TimePoint now);
 
 // Handles a new incarnation of the worker, which has no runs, leases or fence.
+// `shown_by` says for the log what has shown it.
 void ApplyWorkerRestart(WorkflowWorld& world,
                         const WorkerId& id,
                         WorkerIncarnation incarnation,
+                        std::string_view shown_by,
                         TimePoint now);
 
 // Returns to waiting the tasks of workers whose leases are certain to have
