--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -81,8 +81,7 @@
                     .task = order.task,
                     .run = order.run,
                     .outcome = OrderOutcome::kDone,
-                    .clock = ReadWorkerClock(worker, now),
-                    .incarnation = worker.listing.incarnation};
+                    .clock = ReadWorkerClock(worker, now)};
   if (order.worker != worker.listing.id) {
     ended.outcome = OrderOutcome::kOtherIncarnation;
     return ended;
@@ -101,6 +100,7 @@
       Stop(worker, order, stop_grace, now);
       break;
     case OrderKind::kHold:
+      ended.incarnation = worker.listing.incarnation;
       worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
       std::erase_if(worker.ended, [&](const EndReport& end) {
         return end.number <= worker.acknowledged;
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -62,7 +62,8 @@
                                    const Capacity& need);
 
 // Executes an order and returns the worker's answer. A start order adds `run`.
-// No order extends the lease by more than `longest_lease` from now.
+// No order extends the lease by more than `longest_lease` from now. Only the
+// answer to a hold names the incarnation.
 [[nodiscard]] OrderResult ExecuteOrder(EmulatedWorker& worker,
                                        const WorkerOrder& order,
                                        const EmulatedRun& run,
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -489,12 +489,15 @@
         });
   }
 
+  // `reached` is when the process started that an order waits at, if one has
+  // received it. The order is lost with that process.
   void ProcessOrder(Entry& entry,
                     const WorkerOrder& order,
                     TimePoint sent,
                     bool lost,
                     std::uint64_t incarnation,
-                    TimePoint until) {
+                    TimePoint until,
+                    std::optional<TimePoint> reached = std::nullopt) {
     EmulatedWorker* worker = this->FindWorker(order.worker);
     OrderResult ended{.kind = order.kind,
                       .worker = order.worker,
@@ -502,7 +505,8 @@
                       .task = order.task,
                       .run = order.run,
                       .sent = sent};
-    if (worker == nullptr || !worker->up) {
+    if (worker == nullptr || !worker->up ||
+        (reached && *reached != worker->started)) {
       if (!lost) {
         this->DeliverOrderResult(entry, incarnation, this->AnswerTimeout(order),
                                  ended);
@@ -522,8 +526,10 @@
                        ended.ended.empty() && this->now < until;
     if (waits) {
       this->ScheduleAfter(
-          kWorkerStep, [this, &entry, order, sent, lost, incarnation, until] {
-            this->ProcessOrder(entry, order, sent, lost, incarnation, until);
+          kWorkerStep, [this, &entry, order, sent, lost, incarnation, until,
+                        started = worker->started] {
+            this->ProcessOrder(entry, order, sent, lost, incarnation, until,
+                               started);
           });
     } else if (!lost && entry.cut_workers.contains(order.worker)) {
       // The worker was cut off while it handled the order, so the answer is
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -138,8 +138,10 @@
 }
 
 inline ServedResponse EncodeAnswer(const OrderResult& ended) {
-  PlainJson json = {{"ClockMs", ended.clock->value},
-                    {"born", ended.incarnation->value}};
+  PlainJson json = {{"ClockMs", ended.clock->value}};
+  if (ended.incarnation) {
+    json["born"] = ended.incarnation->value;
+  }
   const auto rejected = [&](const char* reason) {
     json["Reason"] = reason;
     return ServedResponse{.status = 409, .body = json.dump()};
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -396,6 +396,127 @@
   ExpectNoViolation(run);
 }
 
+// What follows the restart of two workers under their old ids, after long tasks
+// have started on them.
+struct RestartCase {
+  std::string name;
+  // How long after the restart the platform lists the workers.
+  Duration list_lag;
+  // When they are cut off from every entry, and for how long; never if zero.
+  Duration cut_after{};
+  Duration cut{};
+  // When the holder is killed; never if zero.
+  Duration kill_after{};
+  Duration longest_lease = seconds(10);
+  // How long the tasks work that start there.
+  Duration work = seconds(9);
+};
+
+const std::vector<RestartCase> kRestartCases = {
+    {"listed soon", milliseconds(500)},
+    {"listed late", milliseconds(2500)},
+    {"listed soon, then cut off", milliseconds(500), seconds(2), seconds(9)},
+    {"listed soon, then cut off, short leases",
+     milliseconds(500),
+     seconds(2),
+     seconds(9),
+     {},
+     seconds(6)},
+    {"cut off before they are listed", milliseconds(500), milliseconds(300),
+     seconds(12)},
+    {"listed soon, the holder killed, then cut off", milliseconds(500),
+     milliseconds(2000), seconds(15), milliseconds(1400)},
+    {"the holder killed, then cut off before they are listed",
+     milliseconds(500), milliseconds(400), seconds(15), milliseconds(300)},
+    {"listed after the tasks have ended",
+     milliseconds(2500),
+     {},
+     {},
+     {},
+     seconds(10),
+     milliseconds(200)},
+};
+
+void CutOffWorkers(Emulation& run, std::size_t count) {
+  for (const auto& entry : run.entries) {
+    for (std::size_t i = 0; i < count; ++i) {
+      entry->cut_workers.insert(run.workers[i].listing.id);
+    }
+  }
+}
+
+void KillHolderFor(Emulation& run, Duration down) {
+  if (const int killed = run.Holder(); killed >= 0) {
+    run.KillEntry(killed);
+    run.ScheduleAfter(down, [&run, killed] { run.StartEntry(killed); });
+  }
+}
+
+// Guards against a start that the next incarnation of a worker has confirmed
+// and that is taken for lost with the earlier one, so that its task runs twice
+// (issue 39).
+BOOST_AUTO_TEST_CASE(starts_confirmed_by_the_next_incarnation_run_once) {
+  constexpr std::size_t kRestarted = 2;
+  for (const RestartCase& sample : kRestartCases) {
+    for (int offset = 0; offset < 1000; offset += 50) {
+      BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
+        Emulation run;
+        run.hold_timeout = milliseconds(1600);
+        run.longest_lease = sample.longest_lease;
+        run.store.configs.push_back(Emulation::MakeConfig(1));
+        run.AddWorkers(4);
+        run.AddEntries(3);
+        BOOST_REQUIRE(
+            run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+        for (const auto& entry : run.entries) {
+          entry->world.self.longest_lease = sample.longest_lease;
+        }
+        // The workers' clocks are far ahead of those after a restart.
+        run.RunFor(seconds(20));
+        Emulation::Submitted present{.work = seconds(12)};
+        present.spec.steps = {MakeStep(4, 4)};
+        present.spec.steps[0].max_per_worker = 1;
+        run.Submit(0, "bulk", Emulation::MakeId(1), present);
+        run.RunFor(milliseconds(2000 + offset));
+        BOOST_REQUIRE_EQUAL(run.RunningTasks(), 4U);
+        CrashWorkers(run, kRestarted);
+        run.RunFor(milliseconds(600));
+        for (std::size_t i = 0; i < kRestarted; ++i) {
+          Restart(run.workers[i], run.now);
+        }
+        run.ScheduleAfter(sample.list_lag, [&] {
+          for (std::size_t i = 0; i < kRestarted; ++i) {
+            List(run.store, run.workers[i].listing);
+          }
+        });
+        if (sample.cut > Duration()) {
+          run.ScheduleAfter(sample.cut_after,
+                            [&] { CutOffWorkers(run, kRestarted); });
+          run.ScheduleAfter(sample.cut_after + sample.cut, [&] {
+            for (const auto& entry : run.entries) {
+              entry->cut_workers.clear();
+            }
+          });
+        }
+        if (sample.kill_after > Duration()) {
+          run.ScheduleAfter(sample.kill_after,
+                            [&] { KillHolderFor(run, milliseconds(500)); });
+        }
+        for (int number = 2; number <= 5; ++number) {
+          Emulation::Submitted what{.work = sample.work};
+          what.spec.steps = {MakeStep(2, 1)};
+          run.Submit(FindFollower(run), "bulk", Emulation::MakeId(number),
+                     what);
+          run.RunFor(milliseconds(50));
+        }
+        BOOST_TEST(
+            run.RunFor(seconds(60), [&] { return run.AllWorkflowsEnded(); }));
+        ExpectNoViolation(run);
+      }
+    }
+  }
+}
+
 // Runs many short tasks while orders are carried out late and half of the
 // workers restart again and again.
 void RunThroughRestarts(Emulation& run, const Emulation::Rates& rates) {
