Let a restarted worker's report decide on the runs that it may have

Cause: the answer to a start does not say which incarnation carried it out. A start sent before the holder knows of a restart is carried out by the new process; the holder credited it to the incarnation in its list, and when the restart was listed 0.3 to 0.5 s later it took the run for lost with the old process and started the task elsewhere.

Change: a run counts as ended with an incarnation only if a report of that incarnation has shown it, and no other send of its start may still be carried out; or if its start was never sent. All others stay where they are until the new incarnation has accepted a raised fence, after which no earlier start can take effect there, and has reported. A run that it reports goes on; before, runs whose start was unconfirmed were stopped. The recorded incarnation stays the one that the start was addressed to, so that a next holder allows for the longest lease. Runs of a previous holder count as unconfirmed, as that one may have repeated their starts. A report sent in the tick in which an order was confirmed is later than it and counts.

The emulation breaks a waiting hold at once if its process is replaced while the machine is up.

--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -61,6 +61,7 @@
     task.order_pending = false;
     task.start_unconfirmed = false;
     task.reported = false;
+    task.reported_by = WorkerIncarnation();
     task.start_until.reset();
     const TaskKey key{unit.id, unit.run->occurrence, unit.run->step,
                       unit.tasks[i]};
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -156,6 +156,8 @@
   std::set<std::pair<TaskKey, RunNumber>> present;
   std::uint32_t orphaned = 0;
   std::vector<TaskKey> measured;
+  const WorkerIncarnation reporter =
+      world.scheduling.workers.find(id)->listing.incarnation;
   for (const RunningReport& report : hold.running) {
     present.emplace(report.task, report.run);
     const TaskRef ref = FindTask(world, report.task);
@@ -197,6 +199,7 @@
     }
     ref.task->last_running = now;
     ref.task->reported = true;
+    ref.task->reported_by = reporter;
     if (UpdateSpeed(world, ref, report, now)) {
       measured.push_back(report.task);
     }
@@ -215,7 +218,7 @@
     const Task& task = *ref.task;
     const bool settled = (task.state == TaskState::kRunning ||
                           task.state == TaskState::kStopping) &&
-                         !task.order_pending && task.since < hold.sent;
+                         !task.order_pending && task.since <= hold.sent;
     if (!settled) {
       continue;
     }
@@ -416,12 +419,6 @@
       // a time on the worker's clock.
       if (*result.incarnation > worker->listing.incarnation ||
           result.sent > worker->incarnation_since) {
-        if (const TaskRef ref = FindTask(world, result.task);
-            result.kind == OrderKind::kStart && ref &&
-            ref.task->run == result.run) {
-          // The new incarnation may have carried out the start.
-          ref.task->start_unconfirmed = true;
-        }
         ApplyWorkerRestart(world, result.worker, *result.incarnation, "answer",
                            time.now);
       }
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -97,33 +97,47 @@
   }
 }
 
-// A start sent to an earlier incarnation of the worker may be carried out by
-// the current one. The stop order prevents that, and the next hold reports
-// whether the run began.
-void StopInCurrentIncarnation(WorkflowWorld& world,
-                              const TaskKey& key,
-                              const TaskRef& ref,
-                              WorkerIncarnation incarnation,
-                              TimePoint now) {
-  ref.task->incarnation = incarnation;
-  if (ref.task->state == TaskState::kStopping) {
-    // The stop order went to the earlier incarnation.
-    ref.task->state = TaskState::kRunning;
+// The present incarnation of the worker may have carried out the start of the
+// task's run, or may still do so until it has accepted this holder's fence. Its
+// first report after that shows whether the run is there.
+void AwaitReportOfRun(WorkflowWorld& world,
+                      const TaskKey& key,
+                      const TaskRef& ref,
+                      TimePoint now) {
+  const bool stopping = ref.task->state == TaskState::kStopping;
+  ref.task->state = TaskState::kRunning;
+  ref.task->since = now;
+  ref.task->order_pending = false;
+  if (stopping) {
+    // The stop order may have gone to the earlier incarnation.
+    StopRun(world, key, ref, now);
+  }
+}
+
+// Whether the run is certain to have ended with `incarnation` of its worker: it
+// was seen there and no order for it may still be carried out, or its start has
+// never been sent.
+bool EndedWithIncarnation(const Task& task,
+                          WorkerIncarnation incarnation,
+                          bool order_in_flight) {
+  if (order_in_flight || task.start_unconfirmed) {
+    return false;
   }
-  StopRun(world, key, ref, now);
+  return task.state == TaskState::kPlaced ||
+         task.state == TaskState::kStarting || task.reported_by == incarnation;
 }
 
-// Runs that were placed on another incarnation of the worker ended with it, but
-// starts sent by the previous holder may still arrive.
-void StopTasksOfOtherIncarnations(WorkflowWorld& world,
-                                  const WorkerListing& listing,
-                                  TimePoint now) {
+// Runs that were placed on another incarnation of the worker may have ended
+// with it, or have been started on this one.
+void AwaitReportsOfOtherIncarnations(WorkflowWorld& world,
+                                     const WorkerListing& listing,
+                                     TimePoint now) {
   const auto tasks = world.scheduling.workers.find(listing.id)->tasks;
   for (const auto& [key, run] : tasks) {
     const TaskRef ref = FindTask(world, key);
     if (ref && !ref.task->incarnation.empty() && !listing.incarnation.empty() &&
         ref.task->incarnation != listing.incarnation) {
-      StopInCurrentIncarnation(world, key, ref, listing.incarnation, now);
+      AwaitReportOfRun(world, key, ref, now);
       // A start to the earlier incarnation carries a lease expiry on its clock,
       // and may still be carried out by the present one.
       TaskWorker* worker = world.scheduling.workers.find(listing.id);
@@ -143,7 +157,7 @@
   if (worker == nullptr) {
     AddWorker(world, listing, placed, now);
     world.scheduling.placement_due = true;
-    StopTasksOfOtherIncarnations(world, listing, now);
+    AwaitReportsOfOtherIncarnations(world, listing, now);
     return;
   }
   const bool listed_before =
@@ -152,7 +166,7 @@
   if (worker->listing.incarnation.empty()) {
     // The worker was added because the recorded progress places tasks on it,
     // and is listed only now.
-    StopTasksOfOtherIncarnations(world, listing, now);
+    AwaitReportsOfOtherIncarnations(world, listing, now);
     worker->next_hold = now;
   } else if (!listing.incarnation.empty() &&
              worker->listing.incarnation != listing.incarnation) {
@@ -221,9 +235,6 @@
                         TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(id);
   const WorkerIncarnation before = worker->listing.incarnation;
-  // Until the worker has accepted this holder's fence, starts sent by the
-  // previous holder may arrive, too.
-  const bool had_accepted_fence = worker->fenced;
   worker->listing.incarnation = incarnation;
   worker->incarnation_since = now;
   worker->listing_outdated = true;
@@ -240,8 +251,7 @@
     }
     const bool in_flight =
         world.scheduling.workers.find(id)->orders_in_flight.contains(key);
-    const bool may_run =
-        !had_accepted_fence || ref.task->start_unconfirmed || in_flight;
+    const bool ended = EndedWithIncarnation(*ref.task, before, in_flight);
     Log(LogLevel::kInfo, "run_at_restart",
         {{"workflow", key.workflow.value},
          {"step", key.step.value},
@@ -252,13 +262,13 @@
          {"state_ms", WholeMillis(now - ref.task->since)},
          {"order_in_flight", in_flight},
          {"start_unconfirmed", ref.task->start_unconfirmed},
-         {"fence_accepted", had_accepted_fence},
-         {"taken_for", may_run ? "unknown" : "lost"}});
-    if (may_run) {
-      StopInCurrentIncarnation(world, key, ref, incarnation, now);
-    } else {
+         {"reported_by", ref.task->reported_by.value},
+         {"taken_for", ended ? "lost" : "unknown"}});
+    if (ended) {
       HandleUnreportedEnd(world, key, ref, now);
       ++lost;
+    } else {
+      AwaitReportOfRun(world, key, ref, now);
     }
   }
   worker = world.scheduling.workers.find(id);
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflow_holder.cc
@@ -125,6 +125,7 @@
           task.state = TaskState::kRunning;
           task.since = time.now;
           task.order_pending = false;
+          task.start_unconfirmed = true;
           ++placed;
         }
       }
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -134,7 +134,8 @@
   // as failed counts once.
   std::uint32_t failures = 0;
   RunNumber failed_run;
-  // Where the newest run was placed.
+  // Where the newest run was placed. Its start may have been carried out by a
+  // later incarnation.
   WorkerId worker;
   WorkerIncarnation incarnation;
   std::string checkpoint;
@@ -146,11 +147,15 @@
   // Whether the order for the current state is queued or in flight.
   bool order_pending = false;
   // A start order for the newest run got no answer, so it may have been carried
-  // out.
+  // out, or may still be. Also set for runs that a previous holder has started.
   bool start_unconfirmed = false;
   // The worker has reported the newest run to this process, or confirmed its
   // start; not recorded.
   bool reported = false;
+  // The incarnation of the worker that has reported the newest run to this
+  // process; empty if none has. The answer to a start does not say which
+  // incarnation carried it out. Not recorded.
+  WorkerIncarnation reported_by;
   // The lease expiry in the start order of the newest run. Repeats carry the
   // same one, so that they do not prolong the wait for it.
   std::optional<WorkerClock> start_until;
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -505,8 +505,16 @@
                       .task = order.task,
                       .run = order.run,
                       .sent = sent};
-    if (worker == nullptr || !worker->up ||
-        (reached && *reached != worker->started)) {
+    if (worker != nullptr && worker->up && reached &&
+        *reached != worker->started) {
+      // The process has been replaced while its machine was up, which resets
+      // the connection.
+      if (!lost) {
+        this->DeliverOrderResult(entry, incarnation, kLatency, ended);
+      }
+      return;
+    }
+    if (worker == nullptr || !worker->up) {
       if (!lost) {
         this->DeliverOrderResult(entry, incarnation, this->AnswerTimeout(order),
                                  ended);
@@ -525,12 +533,12 @@
                        ended.outcome == OrderOutcome::kDone &&
                        ended.ended.empty() && this->now < until;
     if (waits) {
-      this->ScheduleAfter(
-          kWorkerStep, [this, &entry, order, sent, lost, incarnation, until,
-                        started = worker->started] {
-            this->ProcessOrder(entry, order, sent, lost, incarnation, until,
-                               started);
-          });
+      this->ScheduleAfter(kWorkerStep,
+                          [this, &entry, order, sent, lost, incarnation, until,
+                           started = worker->started] {
+                            this->ProcessOrder(entry, order, sent, lost,
+                                               incarnation, until, started);
+                          });
     } else if (!lost && entry.cut_workers.contains(order.worker)) {
       // The worker was cut off while it handled the order, so the answer is
       // lost.
