Ask a worker at once which incarnation answers when its clock went back

What callers saw: LOST in a test, tasks that wait for as long as their worker had been up. A worker restarts, confirms a start and is lost before the platform lists it. The answer's clock is that of the new process; the holder stored it and compared it with lease expiries on the clock of the earlier one. Starts are also sent for longer than need be to a process of which the holder knows nothing, and each may be taken for something that it isn't.

Change: an answer that names no incarnation but reads an earlier time than the known one can (clocks run at most 2% slow) isn't used. Its worker is asked for a report at once, also while an earlier hold is in flight, gets no starts until it has answered, and counts as leased for the longest lease. A restart no longer waits for a hold that was sent to the earlier process. Answers to orders from before a restart don't set the clock.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -139,7 +139,8 @@
 
 // Sends the queued orders of tasks that have no order in flight. A worker that
 // is recorded as unresponsive is sent no start, because a start carries a
-// lease.
+// lease; nor is one of which it is not known which incarnation answers, as its
+// clock is not known either.
 void SendQueued(WorkflowWorld& world,
                 TaskWorker& worker,
                 TimePoint now,
@@ -155,7 +156,8 @@
     }
     if (worker.orders_in_flight.size() >= kMaxOrdersInFlight ||
         worker.orders_in_flight.contains(order.task) ||
-        (order.kind == OrderKind::kStart && worker.recorded_unresponsive)) {
+        (order.kind == OrderKind::kStart &&
+         (worker.recorded_unresponsive || !worker.fenced))) {
       deferred.push_back(std::move(order));
       continue;
     }
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -8,6 +8,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_speed.h"
+#include "chicorystep/systems/task_worker_clock.h"
 #include "chicorystep/systems/task_worker_exclusion.h"
 #include "chicorystep/systems/task_workers.h"
 #include "chicorystep/systems/workflow_holder.h"
@@ -251,6 +252,15 @@
   }
 }
 
+// Whether an answer reads an earlier time on the worker's clock than the
+// incarnation in the table can read, so that a later one has given it.
+bool ReadsRestartedClock(const TaskWorker& worker, const OrderResult& result) {
+  return !result.incarnation && result.clock &&
+         worker.clock_read != kDistantPast &&
+         result.sent >= worker.clock_read &&
+         *result.clock < EarliestWorkerClock(worker, result.sent);
+}
+
 // Notes that the hold in flight has ended.
 void EndHold(TaskWorker& worker) {
   worker.hold_in_flight = false;
@@ -259,7 +269,6 @@
 
 void ApplyHold(WorkflowWorld& world, const OrderResult& hold, TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
-  EndHold(*worker);
   if (hold.outcome != OrderOutcome::kDone) {
     ++worker->unanswered_holds;
     worker->next_hold =
@@ -396,15 +405,14 @@
                                                     worker->fence_raises);
     if (result.kind != OrderKind::kHold) {
       worker->orders_in_flight.erase(result.task);
+    } else if (!outdated) {
+      EndHold(*worker);
     }
     if (result.outcome == OrderOutcome::kFenced && !outdated) {
       StopHolding(world, "a worker has accepted a higher fence", time.now);
       return;
     }
     if (result.outcome == OrderOutcome::kOtherIncarnation) {
-      if (result.kind == OrderKind::kHold) {
-        EndHold(*worker);
-      }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
       // A worker that lives is listed again with each heartbeat.
       worker->listing_outdated = true;
@@ -422,22 +430,19 @@
         ApplyWorkerRestart(world, result.worker, *result.incarnation, "answer",
                            time.now);
       }
-      if (result.kind == OrderKind::kHold) {
-        EndHold(*worker);
-      }
       continue;
     }
-    UpdateClock(world, *worker, result);
     if (outdated) {
       // Other late orders may still change what the worker runs, so only a
-      // report under the current fence counts. The tasks of orders that were in
-      // flight at the restart are being stopped.
-      if (result.kind == OrderKind::kHold) {
-        EndHold(*worker);
-        worker->next_hold = time.now;
-      }
+      // report under the current fence counts. The answer to a start or stop
+      // may be that of the earlier incarnation, whose clock is another.
       continue;
     }
+    if (ReadsRestartedClock(*worker, result)) {
+      AskForIncarnation(world, *worker, time.now);
+    } else {
+      UpdateClock(world, *worker, result);
+    }
     switch (result.kind) {
       case OrderKind::kHold:
         ApplyHold(world, result, time.now);
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -290,11 +290,31 @@
       worker->tasks.empty()
           ? kDistantPast
           : now + ScaleForSlowClocks(world.self.longest_lease);
+  // A hold that is still in flight was sent to the earlier incarnation.
+  worker->hold_in_flight = false;
+  worker->answer_deadline = kNever;
   worker->next_hold = now;
   worker->unanswered_holds = 0;
   worker->orphaned_runs = 0;
 }
 
+void AskForIncarnation(WorkflowWorld& world,
+                       TaskWorker& worker,
+                       TimePoint now) {
+  Log(LogLevel::kInfo, "worker_clock_went_back",
+      {{"worker", worker.listing.id.value},
+       {"worker_zone", worker.listing.zone.value},
+       {"incarnation", worker.listing.incarnation.value}});
+  worker.restarted = true;
+  worker.fenced = false;
+  worker.clock_read = kDistantPast;
+  worker.inherited_lease_expiry =
+      now + ScaleForSlowClocks(world.self.longest_lease);
+  worker.hold_in_flight = false;
+  worker.answer_deadline = kNever;
+  worker.next_hold = now;
+}
+
 void ApplyWorkerListings(WorkflowWorld& world,
                          const WorkflowInbox& inbox,
                          const WorkflowTime& time) {
--- a/chicorystep/systems/task_workers.h
+++ b/chicorystep/systems/task_workers.h
@@ -28,6 +28,11 @@
                         std::string_view shown_by,
                         TimePoint now);
 
+// Asks a worker at once for a report, after an answer that did not say which
+// incarnation gave it but read an earlier time on the worker's clock than this
+// one can. Until then nothing is known of what the worker runs.
+void AskForIncarnation(WorkflowWorld& world, TaskWorker& worker, TimePoint now);
+
 // Returns to waiting the tasks of workers whose leases are certain to have
 // expired, and removes workers that have left.
 void ExpireWorkers(WorkflowWorld& world, const WorkflowTime& time);
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -410,6 +410,8 @@
   Duration longest_lease = seconds(10);
   // How long the tasks work that start there.
   Duration work = seconds(9);
+  // When the workers are lost for good, before they are listed; never if zero.
+  Duration lost_after{};
 };
 
 const std::vector<RestartCase> kRestartCases = {
@@ -435,6 +437,23 @@
      {},
      seconds(10),
      milliseconds(200)},
+    {"the tasks end at once",
+     milliseconds(500),
+     {},
+     {},
+     {},
+     seconds(10),
+     milliseconds(1)},
+    // Leases on the clock of the new process must not be compared with times on
+    // that of the earlier one, which has been up for an hour.
+    {"lost for good before they are listed",
+     milliseconds(500),
+     {},
+     {},
+     {},
+     seconds(10),
+     seconds(9),
+     milliseconds(300)},
 };
 
 void CutOffWorkers(Emulation& run, std::size_t count) {
@@ -471,7 +490,14 @@
         for (const auto& entry : run.entries) {
           entry->world.self.longest_lease = sample.longest_lease;
         }
-        // The workers' clocks are far ahead of those after a restart.
+        for (EmulatedWorker& worker : run.workers) {
+          worker.started -= seconds(3600);
+        }
+        // The workers' clocks are far ahead of those after a restart, and the
+        // ends that they have reported are acknowledged.
+        Emulation::Submitted earlier{.work = milliseconds(100)};
+        earlier.spec.steps = {MakeStep(8, 4)};
+        run.Submit(0, "bulk", Emulation::MakeId(100), earlier);
         run.RunFor(seconds(20));
         Emulation::Submitted present{.work = seconds(12)};
         present.spec.steps = {MakeStep(4, 4)};
@@ -484,11 +510,20 @@
         for (std::size_t i = 0; i < kRestarted; ++i) {
           Restart(run.workers[i], run.now);
         }
-        run.ScheduleAfter(sample.list_lag, [&] {
-          for (std::size_t i = 0; i < kRestarted; ++i) {
-            List(run.store, run.workers[i].listing);
-          }
-        });
+        if (sample.lost_after > Duration()) {
+          run.ScheduleAfter(sample.lost_after, [&] {
+            CrashWorkers(run, kRestarted);
+            for (std::size_t i = 0; i < kRestarted; ++i) {
+              Unlist(run.store, run.workers[i].listing.id);
+            }
+          });
+        } else {
+          run.ScheduleAfter(sample.list_lag, [&] {
+            for (std::size_t i = 0; i < kRestarted; ++i) {
+              List(run.store, run.workers[i].listing);
+            }
+          });
+        }
         if (sample.cut > Duration()) {
           run.ScheduleAfter(sample.cut_after,
                             [&] { CutOffWorkers(run, kRestarted); });
