Send acknowledgements only where a worker needs them

What callers saw, in the emulation: work that had ended as done ran again.

Cause: each hold carried the number of the newest recorded end. A hold that reaches a worker's next incarnation before the holder knows of it acknowledges ends there that the holder has never seen, and its tasks run again. That needs no late call: a hold that was sent again on a new connection, or after one without an answer, is enough.

Change: a hold carries the number only while there are ends to acknowledge, and only if the worker has answered the newest hold. A number whose hold stayed unanswered is sent again once the worker has answered.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -106,6 +106,16 @@
              : std::min(world.self.lease, kFirstLease);
 }
 
+// The ends that a hold acknowledges. An incarnation that the holder does not
+// know yet would take the number for one of its own, so it is sent only where
+// it is needed, and not until the worker has answered the newest hold.
+EndNumber ChooseAcknowledgement(const TaskWorker& worker) {
+  return worker.fenced && worker.unanswered_holds == 0 &&
+                 worker.recorded_ends > worker.acknowledged_ends
+             ? worker.recorded_ends
+             : EndNumber();
+}
+
 void SendHold(WorkflowWorld& world,
               TaskWorker& worker,
               TimePoint now,
@@ -115,7 +125,7 @@
       .worker = worker.listing.id,
       .address = worker.listing.address,
       .fence = MakeFence(world.holding.own_epoch, worker.fence_raises),
-      .acknowledged = worker.recorded_ends};
+      .acknowledged = ChooseAcknowledgement(worker)};
   // The leases of a worker that does not answer are not renewed: they must
   // expire before its tasks can start elsewhere.
   const HoldNeeds needs = FindHoldNeeds(world, worker);
@@ -130,7 +140,8 @@
       (needs.renewal || worker.orphaned_runs > 0)) {
     hold.wait = ChooseHoldWait(world, worker);
   }
-  worker.acknowledged_ends = worker.recorded_ends;
+  worker.acknowledged_ends =
+      std::max(worker.acknowledged_ends, hold.acknowledged);
   worker.hold_in_flight = true;
   worker.hold_sent = now;
   worker.answer_deadline = now + hold.wait + kHoldAnswerTimeout;
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -271,6 +271,8 @@
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
   if (hold.outcome != OrderOutcome::kDone) {
     ++worker->unanswered_holds;
+    // The worker may not have received the acknowledgement in this hold.
+    worker->acknowledged_ends = EndNumber();
     worker->next_hold =
         now + std::min(kMaxHoldRetryDelay,
                        kMinHoldRetryDelay *
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -226,7 +226,7 @@
   // Ends up to this number are recorded in the progress stream.
   EndNumber recorded_ends;
   // Ends up to these numbers have been applied to the tables, and have been
-  // acknowledged to the worker.
+  // acknowledged to the worker in a hold that was not left unanswered.
   EndNumber applied_ends;
   EndNumber acknowledged_ends;
 
