--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -116,6 +116,46 @@
      0},
 };
 
+// How a request ends that its server has not answered in time.
+struct GivenUpCase {
+  std::string name;
+  std::string method;
+};
+
+const std::vector<GivenUpCase> kGivenUpCases = {
+    {"a query", "GET"},
+    {"an order", "POST"},
+};
+
+// Guards against an order that was given up but reaches its worker later, as it
+// does after a cut if its connection is closed in order: the worker may have
+// restarted meanwhile (soak seed 9107).
+BOOST_AUTO_TEST_CASE(requests_that_are_given_up_reset_their_connection) {
+  for (const GivenUpCase& sample : kGivenUpCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      asio::io_context context;
+      asio::ip::tcp::acceptor acceptor(context,
+                                       {asio::ip::address_v4::loopback(), 0});
+      Loopback loopback;
+      const HttpReply reply = loopback.Send(HttpRequest{
+          .address = Address("127.0.0.1:" +
+                             std::to_string(acceptor.local_endpoint().port())),
+          .method = sample.method,
+          .target = "/",
+          .body = "{}",
+          .timeout = milliseconds(100)});
+      BOOST_TEST((reply.outcome == HttpOutcome::kNoAnswer));
+      asio::ip::tcp::socket peer = acceptor.accept();
+      std::error_code error;
+      std::string received(1000, ' ');
+      while (!error) {
+        (void)peer.read_some(asio::buffer(received), error);
+      }
+      BOOST_TEST((error == asio::error::connection_reset), error.message());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(requests_end_with_one_of_three_outcomes) {
   Loopback loopback;
   for (const RequestCase& sample : kRequestCases) {
--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -173,6 +173,7 @@
     return this->violations;
   }
 
+  [[nodiscard]] bool FaultsEnded() const noexcept { return this->faults_ended; }
   [[nodiscard]] const std::vector<std::string>& InjectedFaults()
       const noexcept {
     return this->injected_faults;
--- a/tests/support/platform_soak_faults.h
+++ b/tests/support/platform_soak_faults.h
@@ -27,6 +27,47 @@
   }
 }
 
+// How long a restarted worker takes to be listed again.
+inline constexpr Duration kListLag = milliseconds(500);
+
+// Crashes the workers behind one link, which come back under their ids soon
+// after. They are listed late, and then cut off for some time.
+inline void RestartAndCutOff(Soak& soak, std::size_t link) {
+  constexpr Duration kDown = milliseconds(600);
+  const auto for_each = [link](Soak& s, const auto& action) {
+    auto& workers = s.platform.fleet.workers;
+    for (std::size_t i = link; i < workers.size(); i += 2) {
+      if (!s.IsDisplaced(workers[i])) {
+        action(workers[i]);
+      }
+    }
+  };
+  const auto later = [&soak](Duration delay, auto action) {
+    soak.platform.After(delay, [&soak, action] {
+      if (!soak.FaultsEnded()) {
+        action(soak);
+      }
+    });
+  };
+  for_each(soak, [](EmulatedWorker& worker) { worker.up = false; });
+  later(kDown, [for_each](Soak& s) {
+    for_each(s, [](EmulatedWorker& worker) {
+      if (!worker.up) {
+        Restart(worker, BootTimeNow());
+      }
+    });
+  });
+  later(kDown + kListLag, [for_each](Soak& s) {
+    for_each(s, [&s](EmulatedWorker& worker) { s.platform.List(worker); });
+  });
+  const Duration cut = kDown + seconds(2);
+  later(cut,
+        [link](Soak& s) { s.worker_links[link]->faults.cut_to_server = true; });
+  later(
+      cut + soak.DrawDuration(milliseconds(3000), milliseconds(9000)),
+      [link](Soak& s) { s.worker_links[link]->faults.cut_to_server = false; });
+}
+
 inline const std::vector<SoakFault>& SoakFaults() {
   static const std::vector<SoakFault> faults = {
       {"an entry is killed and restarted",
@@ -282,6 +323,11 @@
          }
          return RestartDrainingWorkers;
        }},
+      {"workers come back under their ids, are listed late and then cut off",
+       [](Soak& soak) {
+         RestartAndCutOff(soak, soak.random() % 2);
+         return [](Soak&) {};
+       }},
   };
   return faults;
 }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -1,12 +1,15 @@
 #ifndef TESTS_SUPPORT_RELAY_H_
 #define TESTS_SUPPORT_RELAY_H_
 
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -48,6 +51,14 @@
     this->client_side.close(ignored);
     this->server_side.close(ignored);
   }
+  // Whether the end that sends in a direction has reset its connection.
+  [[nodiscard]] bool IsResetBySender(bool from_server) {
+    auto& sender = from_server ? this->server_side : this->client_side;
+    char byte = 0;
+    return ::recv(sender.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+               0 &&
+           errno == ECONNRESET;
+  }
   // Closes both connections with a TCP reset.
   void Reset() {
     std::error_code ignored;
@@ -178,6 +189,12 @@
       if (connection->silent) {
         return;
       }
+      // Bytes that are held up are lost with a reset of their sender, but not
+      // with an orderly close.
+      if (connection->IsResetBySender(pump->from_server)) {
+        connection->Close();
+        return;
+      }
       if (pump->from_server ? this->faults.cut_from_server
                             : this->faults.cut_to_server) {
         this->ForwardAfter(connection, pump, size, kCutPollInterval);
