Ask an idle worker for its first report once a start is answered

A worker without tasks was asked for a report when a task was placed there, before the start had been sent, so the report could say nothing; the answer to the start brings the next hold forward anyway. Each costs a call on the holder, whose processor binds there.

Change: the first report is asked for with the answer to the start, or 250 ms after the placement.

--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/task_placement.cc
@@ -26,6 +26,10 @@
 // A pass that has placed this many tasks leaves the rest to the next one, so
 // that a backlog does not delay the records and starts of what is placed.
 constexpr std::size_t kMaxTasksPlacedPerPass = 256;
+// A worker without tasks is asked for its next report when a start is answered,
+// or after this time without an answer: an earlier one could say nothing. A
+// start is usually answered within 100 ms.
+constexpr Duration kFirstReportDelay = milliseconds(250);
 // Only work of this priority may preempt other work.
 constexpr std::uint32_t kUrgentPriority = 0;
 
@@ -65,6 +69,10 @@
     task.start_until.reset();
     const TaskKey key{unit.id, unit.run->occurrence, unit.run->step,
                       unit.tasks[i]};
+    if (candidate.worker->tasks.empty()) {
+      candidate.worker->next_hold = std::max(
+          candidate.worker->next_hold, pass.time.now + kFirstReportDelay);
+    }
     candidate.worker->tasks[key] = task.run;
     AllocateCapacity(pass, candidates[i], spec.need);
     pass.world->scheduling.starts_to_record.push_back(
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -112,10 +112,15 @@
     return found == this->workers.end() ? nullptr : &*found;
   }
 
+  // Holds without a wait that workers have executed.
+  std::uint64_t holds = 0;
+
   // Executes an order that has reached a worker and checks the invariants.
   OrderResult ExecuteOrderOn(EmulatedWorker& worker, const WorkerOrder& order) {
     if (order.kind == OrderKind::kStart) {
       this->CheckStart(worker, order);
+    } else if (order.kind == OrderKind::kHold && order.wait == Duration()) {
+      ++this->holds;
     }
     const std::size_t before = worker.running.size();
     // A worker keeps the highest number that any hold has acknowledged, also of
--- a/tests/workflow_load_test.cc
+++ b/tests/workflow_load_test.cc
@@ -83,5 +83,45 @@
   }
 }
 
+// How many workers run one task after another.
+struct ReportCase {
+  std::string name;
+  int workers;
+};
+
+const std::vector<ReportCase> kReportCases = {
+    {"a few workers", 4},
+    {"a rack of workers", 8},
+};
+
+// Guards against requests for a report that can say nothing, as they are sent
+// before the start is answered: each costs the holder and the worker a call
+// (atlas-dechets-large, issue 37).
+BOOST_AUTO_TEST_CASE(idle_workers_report_once_their_start_is_answered) {
+  constexpr int kRuns = 40;
+  for (const ReportCase& sample : kReportCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(sample.workers);
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      run.RunFor(seconds(1));
+      const std::uint64_t before = run.holds;
+      for (int i = 1; i <= kRuns; ++i) {
+        Emulation::Submitted what{.work = milliseconds(100)};
+        what.spec.steps = {MakeStep(1, 8)};
+        run.Submit(0, "normal", Emulation::MakeId(i), what);
+        run.RunFor(milliseconds(500));
+      }
+      // One to acknowledge the end of each run, as holds that wait for an end
+      // are not counted, a tenth more, and two of each worker while it is idle.
+      const auto idle = 2 * static_cast<std::uint64_t>(sample.workers);
+      BOOST_TEST(run.holds - before <= kRuns + kRuns / 10 + idle);
+      BOOST_TEST_MESSAGE(sample.name << ": " << run.holds - before << " holds");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
