--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -41,6 +41,8 @@
     {2009, "same cause as seed 1117, with runs that fail", 27, "some"},
     {6001, "workers that had a run which no table knew were never used again",
      31, "no table knows", false, true},
+    {9106, "a start that the next incarnation had confirmed was taken for lost",
+     32, "come back", true, true},
 };
 
 // The command-line argument after `name`, or `fallback` without one.
@@ -118,7 +120,7 @@
           .fault_kinds =
               static_cast<std::size_t>(NumberOption("--fault-kinds", 0)),
           .only = TextOption("--only", ""),
-          .late_starts_outlive_workers = NumberOption("--late-starts", 0) != 0,
+          .late_starts_outlive_workers = NumberOption("--late-starts", 1) != 0,
           .varied_load = NumberOption("--varied-load", 1) != 0});
     }
     return;
@@ -132,6 +134,8 @@
 const std::vector<SoakCase> kOpenCases = {
     {3012, "a late start is executed by the worker's next incarnation", 27, "",
      true},
+    {9121, "a cut delivers an acknowledgement to the worker's next incarnation",
+     32, "come back", true, true},
 };
 
 BOOST_AUTO_TEST_CASE(seeds_of_open_faults) {
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -190,8 +190,8 @@
   // Workers that are down and at whose address another process answers.
   std::set<WorkerId> displaced_workers;
   // Whether a start that is executed late is executed even when the worker has
-  // restarted meanwhile. The pages leave open whether that can be; late holds
-  // always outlive the process.
+  // restarted meanwhile, as on the platform. Late holds always outlive the
+  // process.
   bool late_starts_outlive_workers = false;
   std::minstd_rand random;
   // Exchanges that are never answered; kept, so that their connections stay
