--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -413,6 +413,10 @@
   Duration work = seconds(9);
   // When the workers are lost for good, before they are listed; never if zero.
   Duration lost_after{};
+  // From the restart on, orders get no answer for this long: they are carried
+  // out late, or at once.
+  Duration late{};
+  Duration unanswered{};
 };
 
 const std::vector<RestartCase> kRestartCases = {
@@ -460,6 +464,34 @@
      milliseconds(300)},
 };
 
+// Starts that a restarted worker carries out and whose answers are lost.
+const std::vector<RestartCase> kUnansweredStartCases = {
+    {.name = "orders carried out late, cut off before they are reached",
+     .list_lag = milliseconds(500),
+     .cut_after = milliseconds(1400),
+     .cut = seconds(20),
+     .longest_lease = seconds(6),
+     .late = milliseconds(1400)},
+    {.name = "orders carried out late, cut off before they are listed",
+     .list_lag = seconds(20),
+     .cut_after = milliseconds(300),
+     .cut = seconds(20),
+     .longest_lease = seconds(6),
+     .late = milliseconds(300)},
+    {.name = "answers lost, then cut off",
+     .list_lag = milliseconds(500),
+     .cut_after = milliseconds(300),
+     .cut = seconds(20),
+     .longest_lease = seconds(6),
+     .unanswered = milliseconds(300)},
+    {.name = "answers lost, then cut off and not listed",
+     .list_lag = seconds(20),
+     .cut_after = milliseconds(300),
+     .cut = seconds(20),
+     .longest_lease = seconds(6),
+     .unanswered = milliseconds(300)},
+};
+
 void CutOffWorkers(Emulation& run, std::size_t count) {
   for (const auto& entry : run.entries) {
     for (std::size_t i = 0; i < count; ++i) {
@@ -475,88 +507,107 @@
   }
 }
 
-// Guards against a start that the next incarnation of a worker has confirmed
-// and that is taken for lost with the earlier one, so that its task runs twice
-// (issue 39).
-BOOST_AUTO_TEST_CASE(starts_confirmed_by_the_next_incarnation_run_once) {
+// Restarts workers under their old ids as the sample says, `offset` after long
+// tasks have started there, and submits more tasks from then on.
+void PlayRestart(const RestartCase& sample, Duration offset) {
   constexpr std::size_t kRestarted = 2;
-  for (const RestartCase& sample : kRestartCases) {
+  Emulation run;
+  run.hold_timeout = milliseconds(1600);
+  run.longest_lease = sample.longest_lease;
+  run.store.configs.push_back(Emulation::MakeConfig(1));
+  run.AddWorkers(4);
+  run.KeepAcknowledgements();
+  run.AddEntries(3);
+  BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+  for (const auto& entry : run.entries) {
+    entry->world.self.longest_lease = sample.longest_lease;
+  }
+  for (EmulatedWorker& worker : run.workers) {
+    worker.started -= seconds(3600);
+  }
+  // The workers' clocks are far ahead of those after a restart, and the
+  // ends that they have reported are acknowledged.
+  Emulation::Submitted earlier{.work = milliseconds(100)};
+  earlier.spec.steps = {MakeStep(8, 4)};
+  run.Submit(0, "bulk", Emulation::MakeId(100), earlier);
+  run.RunFor(seconds(20));
+  Emulation::Submitted present{.work = seconds(12)};
+  present.spec.steps = {MakeStep(4, 4)};
+  present.spec.steps[0].max_per_worker = 1;
+  run.Submit(0, "bulk", Emulation::MakeId(1), present);
+  run.RunFor(milliseconds(2000) + offset);
+  BOOST_REQUIRE_EQUAL(run.RunningTasks(), 4U);
+  CrashWorkers(run, kRestarted);
+  run.RunFor(milliseconds(600));
+  for (std::size_t i = 0; i < kRestarted; ++i) {
+    Restart(run.workers[i], run.now);
+  }
+  if (sample.lost_after > Duration()) {
+    run.ScheduleAfter(sample.lost_after, [&] {
+      CrashWorkers(run, kRestarted);
+      for (std::size_t i = 0; i < kRestarted; ++i) {
+        Unlist(run.store, run.workers[i].listing.id);
+      }
+    });
+  } else {
+    run.ScheduleAfter(sample.list_lag, [&] {
+      for (std::size_t i = 0; i < kRestarted; ++i) {
+        List(run.store, run.workers[i].listing);
+      }
+    });
+  }
+  if (sample.cut > Duration()) {
+    run.ScheduleAfter(sample.cut_after,
+                      [&] { CutOffWorkers(run, kRestarted); });
+    run.ScheduleAfter(sample.cut_after + sample.cut, [&] {
+      for (const auto& entry : run.entries) {
+        entry->cut_workers.clear();
+      }
+    });
+  }
+  if (sample.late + sample.unanswered > Duration()) {
+    run.rates = sample.late > Duration()
+                    ? Emulation::Rates{.late_orders = 1000, .late_holds = 1000}
+                    : Emulation::Rates{.lost_orders = 1000};
+    run.ScheduleAfter(sample.late + sample.unanswered, [&] { run.rates = {}; });
+  }
+  if (sample.kill_after > Duration()) {
+    run.ScheduleAfter(sample.kill_after,
+                      [&] { KillHolderFor(run, milliseconds(500)); });
+  }
+  for (int number = 2; number <= 5; ++number) {
+    Emulation::Submitted what{.work = sample.work};
+    what.spec.steps = {MakeStep(2, 1)};
+    run.Submit(FindFollower(run), "bulk", Emulation::MakeId(number), what);
+    run.RunFor(milliseconds(50));
+  }
+  BOOST_TEST(run.RunFor(seconds(60), [&] { return run.AllWorkflowsEnded(); }));
+  ExpectNoViolation(run);
+}
+
+void PlayRestarts(const std::vector<RestartCase>& samples) {
+  for (const RestartCase& sample : samples) {
     for (int offset = 0; offset < 1000; offset += 50) {
       BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
-        Emulation run;
-        run.hold_timeout = milliseconds(1600);
-        run.longest_lease = sample.longest_lease;
-        run.store.configs.push_back(Emulation::MakeConfig(1));
-        run.AddWorkers(4);
-        run.KeepAcknowledgements();
-        run.AddEntries(3);
-        BOOST_REQUIRE(
-            run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
-        for (const auto& entry : run.entries) {
-          entry->world.self.longest_lease = sample.longest_lease;
-        }
-        for (EmulatedWorker& worker : run.workers) {
-          worker.started -= seconds(3600);
-        }
-        // The workers' clocks are far ahead of those after a restart, and the
-        // ends that they have reported are acknowledged.
-        Emulation::Submitted earlier{.work = milliseconds(100)};
-        earlier.spec.steps = {MakeStep(8, 4)};
-        run.Submit(0, "bulk", Emulation::MakeId(100), earlier);
-        run.RunFor(seconds(20));
-        Emulation::Submitted present{.work = seconds(12)};
-        present.spec.steps = {MakeStep(4, 4)};
-        present.spec.steps[0].max_per_worker = 1;
-        run.Submit(0, "bulk", Emulation::MakeId(1), present);
-        run.RunFor(milliseconds(2000 + offset));
-        BOOST_REQUIRE_EQUAL(run.RunningTasks(), 4U);
-        CrashWorkers(run, kRestarted);
-        run.RunFor(milliseconds(600));
-        for (std::size_t i = 0; i < kRestarted; ++i) {
-          Restart(run.workers[i], run.now);
-        }
-        if (sample.lost_after > Duration()) {
-          run.ScheduleAfter(sample.lost_after, [&] {
-            CrashWorkers(run, kRestarted);
-            for (std::size_t i = 0; i < kRestarted; ++i) {
-              Unlist(run.store, run.workers[i].listing.id);
-            }
-          });
-        } else {
-          run.ScheduleAfter(sample.list_lag, [&] {
-            for (std::size_t i = 0; i < kRestarted; ++i) {
-              List(run.store, run.workers[i].listing);
-            }
-          });
-        }
-        if (sample.cut > Duration()) {
-          run.ScheduleAfter(sample.cut_after,
-                            [&] { CutOffWorkers(run, kRestarted); });
-          run.ScheduleAfter(sample.cut_after + sample.cut, [&] {
-            for (const auto& entry : run.entries) {
-              entry->cut_workers.clear();
-            }
-          });
-        }
-        if (sample.kill_after > Duration()) {
-          run.ScheduleAfter(sample.kill_after,
-                            [&] { KillHolderFor(run, milliseconds(500)); });
-        }
-        for (int number = 2; number <= 5; ++number) {
-          Emulation::Submitted what{.work = sample.work};
-          what.spec.steps = {MakeStep(2, 1)};
-          run.Submit(FindFollower(run), "bulk", Emulation::MakeId(number),
-                     what);
-          run.RunFor(milliseconds(50));
-        }
-        BOOST_TEST(
-            run.RunFor(seconds(60), [&] { return run.AllWorkflowsEnded(); }));
-        ExpectNoViolation(run);
+        PlayRestart(sample, milliseconds(offset));
       }
     }
   }
 }
 
+// Guards against a start that the next incarnation of a worker has confirmed
+// and that is taken for lost with the earlier one, so that its task runs twice
+// (issue 39).
+BOOST_AUTO_TEST_CASE(starts_confirmed_by_the_next_incarnation_run_once) {
+  PlayRestarts(kRestartCases);
+}
+
+// Guards against a start that the next incarnation of a worker has carried out
+// without an answer, under a longer lease than the holder waits for (issue 42).
+BOOST_AUTO_TEST_CASE(unanswered_starts_on_the_next_incarnation_run_once) {
+  PlayRestarts(kUnansweredStartCases);
+}
+
 // Runs many short tasks while orders are carried out late and half of the
 // workers restart again and again.
 void RunThroughRestarts(Emulation& run,
