Wait for the longest lease of a process that may have got an unanswered start

What callers saw: TWICE. A worker restarts under its old id and gets a start that it carries out; the answer is lost and the worker is cut off. Its task starts elsewhere 2.5 s later and runs on both. Cause: a start bears a lease expiry on the clock of the incarnation that the holder knows. Another one, whose clock began anew, grants its longest lease, and may do so seconds later if it delays orders. The holder counted the lease that it had given, or the longest one from when it learned of the restart. Change: an order without an answer counts for the longest lease, from the latest time at which it may be carried out, if its connection was opened after the newest hold that the known incarnation has answered. On an older connection the peer is that incarnation, and its clock holds. The next report ends the wait. An order for which no connection could be made is no longer taken for one that may have been carried out. Weighed: the same wait for every unanswered start, which lets work stand still for 18 s on each idle worker that is cut off; a hold before each start, a call and a round trip for each.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -280,6 +280,7 @@
     return;
   }
   worker->unanswered_holds = 0;
+  NoteIdentified(*worker, hold);
   if (!worker->fenced) {
     worker->fenced = true;
     world.scheduling.placement_due = true;
@@ -334,8 +335,9 @@
       ref.task->order_pending = false;
       worker->next_hold = now;
       return;
+    case OrderOutcome::kNotSent:
     case OrderOutcome::kUnknown:
-      ref.task->start_unconfirmed = true;
+      ref.task->start_unconfirmed |= start.outcome == OrderOutcome::kUnknown;
       SweepIdleWorkers(world, *worker, now);
       if (now - ref.task->since < kStartRetryTimeout) {
         worker->orders.push_front(
@@ -348,7 +350,11 @@
         return;
       }
       ExcludeWorker(*worker, "no answer to a start within the retry time", now);
-      StopRun(world, start.task, ref, now);
+      if (ref.task->start_unconfirmed) {
+        StopRun(world, start.task, ref, now);
+      } else {
+        HandleUnreportedEnd(world, start.task, ref, now);
+      }
       return;
     default:
       break;
@@ -402,6 +408,7 @@
         EpochOf(result.fence) != world.holding.own_epoch) {
       continue;
     }
+    NoteUnansweredOrder(*worker, result, world.self.longest_lease);
     // The order was sent before the worker was seen to restart.
     const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
                                                     worker->fence_raises);
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -21,15 +21,37 @@
 }
 
 Duration TimeUntilLeasesExpire(const TaskWorker& worker, TimePoint now) {
+  const Duration unidentified =
+      std::max(Duration(), worker.unidentified_lease_expiry - now);
   if (!worker.fenced) {
-    return std::max(Duration(), worker.inherited_lease_expiry - now);
+    return std::max(unidentified, worker.inherited_lease_expiry - now);
   }
   const WorkerClock left =
       worker.leased_until - EarliestWorkerClock(worker, now);
   // Add 1 ms because the division rounds down.
   const std::int64_t millis =
       left.value * 1000 / (1000 - kMaxClockSlownessPermille) + 1;
-  return std::max(Duration(), Duration(std::chrono::milliseconds(millis)));
+  return std::max(unidentified, Duration(std::chrono::milliseconds(millis)));
+}
+
+void NoteUnansweredOrder(TaskWorker& worker,
+                         const OrderResult& order,
+                         Duration longest_lease) {
+  if (order.outcome != OrderOutcome::kUnknown || !order.leases ||
+      order.connected <= worker.identified) {
+    return;
+  }
+  worker.unidentified_order = std::max(worker.unidentified_order, order.sent);
+  worker.unidentified_lease_expiry =
+      std::max(worker.unidentified_lease_expiry,
+               order.sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
+}
+
+void NoteIdentified(TaskWorker& worker, const OrderResult& hold) {
+  worker.identified = std::max(worker.identified, hold.sent);
+  if (worker.identified > worker.unidentified_order) {
+    worker.unidentified_lease_expiry = kDistantPast;
+  }
 }
 
 WorkerIncarnation IncarnationToRecord(const TaskWorker& worker,
--- a/chicorystep/systems/task_worker_clock.h
+++ b/chicorystep/systems/task_worker_clock.h
@@ -10,6 +10,10 @@
 // platform specifies 2%.
 inline constexpr std::int64_t kMaxClockSlownessPermille = 20;
 
+// How long after its sending an unanswered order may still be carried out. The
+// platform's pages speak of seconds, without a bound.
+inline constexpr Duration kMaxOrderDelay = std::chrono::seconds(12);
+
 // Upper bound of how long `time` lasts if our clock and a worker's both run
 // slow at the allowed rate.
 [[nodiscard]] Duration ScaleForSlowClocks(Duration time);
@@ -30,6 +34,16 @@
 [[nodiscard]] Duration TimeUntilLeasesExpire(const TaskWorker& worker,
                                              TimePoint now);
 
+// Notes that the order got no answer, if a later incarnation of the worker may
+// carry it out and grant its longest lease for it.
+void NoteUnansweredOrder(TaskWorker& worker,
+                         const OrderResult& order,
+                         Duration longest_lease);
+
+// Notes that the incarnation in the table has answered the hold, so that it has
+// also received all that was sent before.
+void NoteIdentified(TaskWorker& worker, const OrderResult& hold);
+
 // The incarnation that a placement on the worker is recorded with. A restarted
 // worker may have granted its longest lease to a start that was addressed to
 // the earlier incarnation. Until no lease is longer than `lease`, which this
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -137,6 +137,8 @@
   // The worker is unhealthy and did not carry out the order.
   kUnhealthy,
   kRejected,
+  // No connection could be made: the order is not carried out.
+  kNotSent,
   // No answer: the order may have been carried out, or may still be.
   kUnknown,
 };
@@ -146,7 +148,7 @@
     std::string_view("old_run"),   std::string_view("too_late"),
     std::string_view("no_room"),   std::string_view("other_life"),
     std::string_view("unhealthy"), std::string_view("rejected"),
-    std::string_view("unknown"),
+    std::string_view("not_sent"),  std::string_view("unknown"),
 };
 
 // The result of an order.
@@ -157,6 +159,10 @@
   TaskKey task;
   RunNumber run;
   OrderOutcome outcome = OrderOutcome::kUnknown;
+  // Whether the order bears a lease expiry.
+  bool leases = false;
+  // When the connection was opened that carried the order.
+  TimePoint connected = kDistantPast;
   TimePoint sent{};
   TimePoint answered{};
   // As reported in the answer; absent when there was none.
@@ -223,6 +229,16 @@
   WorkerClock leased_until;
   // By this time every lease of previous holders is certain to have expired.
   TimePoint inherited_lease_expiry = kDistantPast;
+  // When the newest hold was sent that the incarnation in `listing` has
+  // answered. Connections that were open then do not lead to a later one.
+  TimePoint identified = kDistantPast;
+  // When the newest order was sent that bears a lease, got no answer, and may
+  // have reached a later incarnation; and by when every lease that such an
+  // incarnation grants for it is certain to have expired. A lease expiry is a
+  // time on the clock of one incarnation, so another may grant its longest
+  // lease.
+  TimePoint unidentified_order = kDistantPast;
+  TimePoint unidentified_lease_expiry = kDistantPast;
 
   // Ends up to this number are recorded in the progress stream.
   EndNumber recorded_ends;
--- a/tests/platform_orders_test.cc
+++ b/tests/platform_orders_test.cc
@@ -43,7 +43,9 @@
     BOOST_FAIL("no free port");
   }
 
-  OrderOutcome Order(OrderKind kind) {
+  OrderOutcome Order(OrderKind kind) { return this->Send(kind).outcome; }
+
+  OrderResult Send(OrderKind kind) {
     std::optional<OrderResult> got;
     CarryOutOrder(
         this->client,
@@ -51,12 +53,13 @@
                     .worker = WorkerId("w"),
                     .address = this->address,
                     .task = {.workflow = WorkflowId("0123456789abcdef")},
-                    .run = RunNumber(1)},
+                    .run = RunNumber(1),
+                    .until = WorkerClock(1000)},
         [&](const OrderResult& ended) { got = ended; });
     while (!got) {
       this->context.run_one();
     }
-    return got->outcome;
+    return *got;
   }
 };
 
@@ -117,5 +120,48 @@
   }
 }
 
+// How often the worker ends the connection of a second order, and whether the
+// result names the connection of the first.
+struct ConnectionCase {
+  std::string name;
+  OrderKind kind;
+  int unanswered;
+  bool same_connection;
+};
+
+const std::vector<ConnectionCase> kConnectionCases = {
+    {"an answered start", OrderKind::kStart, 0, true},
+    {"a start whose connection ends", OrderKind::kStart, 1, true},
+    {"a hold that is repeated on a new connection", OrderKind::kHold, 1, false},
+    {"a hold whose repeat ends, too", OrderKind::kHold, 2, false},
+};
+
+// Guards against an order that counts as sent to the process at the other end
+// of an older connection (issue 42).
+BOOST_AUTO_TEST_CASE(results_name_the_connection_of_the_order) {
+  for (const ConnectionCase& sample : kConnectionCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      FakeWorker worker;
+      const OrderResult first = worker.Send(OrderKind::kHold);
+      worker.unanswered = sample.unanswered;
+      const OrderResult second = worker.Send(sample.kind);
+      BOOST_TEST((first.connected >= first.sent));
+      BOOST_TEST((first.connected <= first.answered));
+      BOOST_TEST((second.connected == first.connected) ==
+                 sample.same_connection);
+      BOOST_TEST((second.connected <= second.answered));
+      BOOST_TEST(second.leases);
+    }
+  }
+}
+
+// Guards against a wait for leases of an order that no process has received.
+BOOST_AUTO_TEST_CASE(orders_without_a_connection_are_not_sent) {
+  FakeWorker worker;
+  worker.address = Address("127.0.0.1:21399");
+  BOOST_TEST(EnumName(worker.Order(OrderKind::kStart)) ==
+             EnumName(OrderOutcome::kNotSent));
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -79,6 +79,9 @@
   // Checked while it is set.
   std::optional<StandstillCheck> standstill;
   Rates rates;
+  // Whether each order opens a connection of its own, which fails if the worker
+  // is cut off or down. Otherwise all are sent on connections that are open.
+  bool connects_anew = false;
   // How long an entry waits for the answer to an order before it gives up.
   Duration order_timeout = milliseconds(1000);
   // The same for holds, in addition to their own wait; if zero, holds time out
@@ -448,14 +451,12 @@
     const bool cut = entry.cut_workers.contains(order.worker);
     if (lost || cut) {
       // The sender gets no answer and gives up after its time-out.
+      OrderResult ended = this->Unanswered(order, sent);
+      if (cut && this->connects_anew) {
+        ended.outcome = OrderOutcome::kNotSent;
+      }
       this->DeliverOrderResult(entry, entry.incarnation,
-                               this->AnswerTimeout(order),
-                               OrderResult{.kind = order.kind,
-                                           .worker = order.worker,
-                                           .fence = order.fence,
-                                           .task = order.task,
-                                           .run = order.run,
-                                           .sent = sent});
+                               this->AnswerTimeout(order), ended);
     }
     if (!cut) {
       this->ScheduleAfter(delay, [this, &entry, order, sent, lost,
@@ -467,13 +468,16 @@
   }
 
   // The result that the sender records for an order without an answer.
-  static OrderResult Unanswered(const OrderResult& order) {
+  [[nodiscard]] OrderResult Unanswered(const WorkerOrder& order,
+                                       TimePoint sent) const {
     return OrderResult{.kind = order.kind,
                        .worker = order.worker,
                        .fence = order.fence,
                        .task = order.task,
                        .run = order.run,
-                       .sent = order.sent};
+                       .leases = order.until.has_value(),
+                       .connected = this->connects_anew ? sent : kDistantPast,
+                       .sent = sent};
   }
 
   void DeliverOrderResult(Entry& entry,
@@ -499,12 +503,7 @@
                     TimePoint until,
                     std::optional<TimePoint> reached = std::nullopt) {
     EmulatedWorker* worker = this->FindWorker(order.worker);
-    OrderResult ended{.kind = order.kind,
-                      .worker = order.worker,
-                      .fence = order.fence,
-                      .task = order.task,
-                      .run = order.run,
-                      .sent = sent};
+    OrderResult ended = this->Unanswered(order, sent);
     if (worker != nullptr && worker->up && reached &&
         *reached != worker->started) {
       // The process has been replaced while its machine was up, which resets
@@ -515,6 +514,9 @@
       return;
     }
     if (worker == nullptr || !worker->up) {
+      if (this->connects_anew && !reached) {
+        ended.outcome = OrderOutcome::kNotSent;
+      }
       if (!lost) {
         this->DeliverOrderResult(entry, incarnation, this->AnswerTimeout(order),
                                  ended);
@@ -543,7 +545,7 @@
       // The worker was cut off while it handled the order, so the answer is
       // lost.
       this->DeliverOrderResult(entry, incarnation, this->AnswerTimeout(order),
-                               Unanswered(ended));
+                               this->Unanswered(order, sent));
     } else if (!lost) {
       this->DeliverOrderResult(entry, incarnation, kLatency, ended);
     }
--- a/tests/task_worker_silence_test.cc
+++ b/tests/task_worker_silence_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
+#include "chicorystep/systems/task_worker_clock.h"
 #include "chicorystep/systems/workflow_holder.h"
 #include "chicorystep/systems/workflow_streams.h"
 
@@ -92,5 +93,63 @@
   }
 }
 
+// An order that is sent at `kNow` and gets no answer, to a worker that answered
+// a hold one second earlier.
+struct UnansweredOrderCase {
+  std::string name;
+  OrderOutcome outcome;
+  bool leases;
+  // When the connection of the order was opened, from `kNow` on.
+  Duration connected;
+  // When a hold was sent that the worker answers next, from `kNow` on; none if
+  // zero.
+  Duration next_hold;
+  Duration wait;
+};
+
+// The delay of the order, and a lease of 10 s when both clocks run 2% slow.
+constexpr Duration kUnidentifiedWait =
+    kMaxOrderDelay + std::chrono::milliseconds(10'400);
+
+const std::vector<UnansweredOrderCase> kUnansweredOrderCases = {
+    {"on a connection to the incarnation that answered", OrderOutcome::kUnknown,
+     true, seconds(-2), Duration(), Duration()},
+    {"on a newer connection", OrderOutcome::kUnknown, true, Duration(),
+     Duration(), kUnidentifiedWait},
+    {"without a lease", OrderOutcome::kUnknown, false, Duration(), Duration(),
+     Duration()},
+    {"without a connection", OrderOutcome::kNotSent, true, Duration(),
+     Duration(), Duration()},
+    {"rejected", OrderOutcome::kNoCapacity, true, Duration(), Duration(),
+     Duration()},
+    {"then a hold is answered that was sent later", OrderOutcome::kUnknown,
+     true, Duration(), seconds(1), Duration()},
+    {"then a hold is answered that was sent earlier", OrderOutcome::kUnknown,
+     true, Duration(), -std::chrono::milliseconds(500), kUnidentifiedWait},
+};
+
+// Guards against an order without an answer that a later incarnation of the
+// worker carries out under a longer lease than the holder waits for (issue 42).
+BOOST_AUTO_TEST_CASE(unanswered_orders_count_for_unknown_incarnations) {
+  for (const UnansweredOrderCase& sample : kUnansweredOrderCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      TaskWorker worker{.listing = {.id = kWorker}};
+      NoteIdentified(worker, OrderResult{.sent = kNow - seconds(1)});
+      NoteUnansweredOrder(worker,
+                          OrderResult{.kind = OrderKind::kStart,
+                                      .outcome = sample.outcome,
+                                      .leases = sample.leases,
+                                      .connected = kNow + sample.connected,
+                                      .sent = kNow},
+                          seconds(10));
+      if (sample.next_hold != Duration()) {
+        NoteIdentified(worker, OrderResult{.sent = kNow + sample.next_hold});
+      }
+      BOOST_TEST(WholeMillis(TimeUntilLeasesExpire(worker, kNow)) ==
+                 WholeMillis(sample.wait));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -509,9 +509,12 @@
 
 // Restarts workers under their old ids as the sample says, `offset` after long
 // tasks have started there, and submits more tasks from then on.
-void PlayRestart(const RestartCase& sample, Duration offset) {
+void PlayRestart(const RestartCase& sample,
+                 bool connects_anew,
+                 Duration offset) {
   constexpr std::size_t kRestarted = 2;
   Emulation run;
+  run.connects_anew = connects_anew;
   run.hold_timeout = milliseconds(1600);
   run.longest_lease = sample.longest_lease;
   run.store.configs.push_back(Emulation::MakeConfig(1));
@@ -585,11 +588,18 @@
   ExpectNoViolation(run);
 }
 
-void PlayRestarts(const std::vector<RestartCase>& samples) {
+// A process that is back resets connections to the one before it, so a start
+// that it carries out has come over a new one.
+void PlayRestarts(const std::vector<RestartCase>& samples,
+                  const std::vector<bool>& ways_to_connect) {
   for (const RestartCase& sample : samples) {
-    for (int offset = 0; offset < 1000; offset += 50) {
-      BOOST_TEST_CONTEXT(sample.name << ", offset " << offset) {
-        PlayRestart(sample, milliseconds(offset));
+    for (const bool connects_anew : ways_to_connect) {
+      for (int offset = 0; offset < 1000; offset += 50) {
+        BOOST_TEST_CONTEXT(sample.name
+                           << (connects_anew ? ", on new connections" : "")
+                           << ", offset " << offset) {
+          PlayRestart(sample, connects_anew, milliseconds(offset));
+        }
       }
     }
   }
@@ -599,13 +609,13 @@
 // and that is taken for lost with the earlier one, so that its task runs twice
 // (issue 39).
 BOOST_AUTO_TEST_CASE(starts_confirmed_by_the_next_incarnation_run_once) {
-  PlayRestarts(kRestartCases);
+  PlayRestarts(kRestartCases, {false, true});
 }
 
 // Guards against a start that the next incarnation of a worker has carried out
 // without an answer, under a longer lease than the holder waits for (issue 42).
 BOOST_AUTO_TEST_CASE(unanswered_starts_on_the_next_incarnation_run_once) {
-  PlayRestarts(kUnansweredStartCases);
+  PlayRestarts(kUnansweredStartCases, {true});
 }
 
 // Runs many short tasks while orders are carried out late and half of the
