Hand leases of unknown incarnations over to the next holder

What callers saw: TWICE around a takeover. A start without an answer is carried out by a restarted worker, the holder ends, and the worker is cut off; the next holder waits for an ordinary lease only. Cause: only the holder that sent the order knew of the longer lease. Its record of unresponsive workers came after two holds without an answer, and the next holder never waited for longer than an ordinary lease, whatever was recorded. Change: a worker counts as unresponsive while a later incarnation may hold a lease; a recorded time is used as it is.

--- a/chicorystep/systems/task_unresponsive_workers.cc
+++ b/chicorystep/systems/task_unresponsive_workers.cc
@@ -16,10 +16,12 @@
 // after the first.
 constexpr std::uint32_t kMaxUnansweredHolds = 2;
 
-// A worker without an address is not listed and cannot answer.
-bool IsUnresponsive(const TaskWorker& worker) {
+// A worker without an address is not listed and cannot answer. The next holder
+// does not know of an order that a later incarnation may carry out.
+bool IsUnresponsive(const TaskWorker& worker, TimePoint now) {
   return !worker.tasks.empty() &&
          (worker.listing.address.empty() ||
+          worker.unidentified_lease_expiry > now ||
           worker.unanswered_holds >= (worker.fenced ? kMaxUnansweredHolds : 1));
 }
 
@@ -28,10 +30,10 @@
 // interval, about the shortest takeover time, while any worker is unresponsive.
 constexpr Duration kRecordRenewalInterval = std::chrono::seconds(1);
 
-bool IsRecordOutdated(const WorkflowWorld& world) {
+bool IsRecordOutdated(const WorkflowWorld& world, TimePoint now) {
   const auto& rows = world.scheduling.workers.rows;
-  return std::any_of(rows.begin(), rows.end(), [](const TaskWorker& worker) {
-    return IsUnresponsive(worker) != worker.recorded_unresponsive;
+  return std::any_of(rows.begin(), rows.end(), [&](const TaskWorker& worker) {
+    return IsUnresponsive(worker, now) != worker.recorded_unresponsive;
   });
 }
 
@@ -42,18 +44,18 @@
   const bool any_recorded = std::any_of(
       rows.begin(), rows.end(),
       [](const TaskWorker& worker) { return worker.recorded_unresponsive; });
-  return IsRecordOutdated(world) ||
+  return IsRecordOutdated(world, now) ||
          (any_recorded && now - world.scheduling.unresponsive_recorded_at >=
                               kRecordRenewalInterval);
 }
 
 UnresponsiveWorkersRecord RecordUnresponsiveWorkers(WorkflowWorld& world,
                                                     TimePoint now) {
-  const bool changed = IsRecordOutdated(world);
+  const bool changed = IsRecordOutdated(world, now);
   world.scheduling.unresponsive_recorded_at = now;
   UnresponsiveWorkersRecord record{.epoch = world.holding.own_epoch};
   for (TaskWorker& worker : world.scheduling.workers.rows) {
-    if (IsUnresponsive(worker)) {
+    if (IsUnresponsive(worker, now)) {
       worker.recorded_unresponsive = true;
       record.workers.push_back(
           UnresponsiveWorker{.id = worker.listing.id,
@@ -92,22 +94,25 @@
   }
 }
 
-void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker) {
-  const Holding& holding = world.holding;
-  worker.inherited_lease_expiry =
-      PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
+std::optional<TimePoint> FindRecordedLeaseExpiry(const Holding& holding,
+                                                 const WorkerId& id) {
   const std::uint64_t previous_epoch = holding.own_epoch.value - 1;
   const UnresponsiveWorkers& recorded =
       holding.unresponsive[previous_epoch % 2];
   // A record of an earlier epoch does not cover the leases of later holders.
   if (recorded.epoch != Epoch(previous_epoch)) {
-    return;
-  }
-  if (const auto row = recorded.expiry.find(worker.listing.id);
-      row != recorded.expiry.end()) {
-    worker.inherited_lease_expiry =
-        std::min(worker.inherited_lease_expiry, row->second);
+    return std::nullopt;
   }
+  const auto row = recorded.expiry.find(id);
+  return row == recorded.expiry.end() ? std::nullopt
+                                      : std::optional(row->second);
+}
+
+void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker) {
+  worker.inherited_lease_expiry =
+      FindRecordedLeaseExpiry(world.holding, worker.listing.id)
+          .value_or(PreviousOrdersEnd(world.holding) +
+                    ScaleForSlowClocks(world.self.lease));
 }
 
 bool MayGrantLease(const TaskWorker& worker) noexcept {
--- a/chicorystep/systems/task_unresponsive_workers.h
+++ b/chicorystep/systems/task_unresponsive_workers.h
@@ -1,6 +1,8 @@
 #ifndef CHICORYSTEP_SYSTEMS_TASK_UNRESPONSIVE_WORKERS_H_
 #define CHICORYSTEP_SYSTEMS_TASK_UNRESPONSIVE_WORKERS_H_
 
+#include <optional>
+
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/workflow_world.h"
 
@@ -28,6 +30,12 @@
                              const UnresponsiveWorkersRecord& record,
                              TimePoint now);
 
+// By when every lease on the worker has expired, as the previous holder
+// recorded it; nothing if it did not.
+[[nodiscard]] std::optional<TimePoint> FindRecordedLeaseExpiry(
+    const Holding& holding,
+    const WorkerId& id);
+
 // Sets the time by which every lease of previous holders on a newly added
 // worker is certain to have expired.
 void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker);
--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/task_unresponsive_workers.h"
 #include "chicorystep/systems/task_worker_clock.h"
 #include "chicorystep/systems/workflow_holder.h"
 
@@ -77,7 +78,9 @@
       PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
   std::size_t waiting = 0;
   for (TaskWorker& worker : world.scheduling.workers.rows) {
-    if (!worker.fenced && !worker.restarted) {
+    // A recorded expiry may be that of a longer lease.
+    if (!worker.fenced && !worker.restarted &&
+        !FindRecordedLeaseExpiry(holding, worker.listing.id)) {
       worker.inherited_lease_expiry =
           std::min(worker.inherited_lease_expiry, expiry);
       waiting += worker.tasks.empty() ? 0 : 1;
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -490,6 +490,12 @@
      .cut = seconds(20),
      .longest_lease = seconds(6),
      .unanswered = milliseconds(300)},
+    {.name = "answers lost, then cut off and not listed, the holder killed",
+     .list_lag = seconds(20),
+     .cut_after = milliseconds(1400),
+     .cut = seconds(20),
+     .kill_after = milliseconds(1500),
+     .unanswered = milliseconds(1400)},
 };
 
 void CutOffWorkers(Emulation& run, std::size_t count) {
