Ask a worker at once when the connection of its hold ends

What callers saw: late holds and starts that are meant for a worker's earlier process reach the next one, which knows no fence until it is asked. Cause: a hold that waits at a process ends with it, but the worker was asked again only 0.4 s later, like one that does not answer. Change: the first hold whose connection ends before its answer is overdue is repeated at once. The next one waits as before.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -267,16 +267,29 @@
   worker.answer_deadline = kNever;
 }
 
-void ApplyHold(WorkflowWorld& world, const OrderResult& hold, TimePoint now) {
+// Whether the connection of the hold in flight ended before the answer was
+// overdue, as when the worker's process has been replaced.
+bool IsCutShort(const TaskWorker& worker, const OrderResult& hold) {
+  return hold.outcome == OrderOutcome::kUnknown &&
+         hold.answered < worker.answer_deadline;
+}
+
+void ApplyHold(WorkflowWorld& world,
+               const OrderResult& hold,
+               bool cut_short,
+               TimePoint now) {
   TaskWorker* worker = world.scheduling.workers.find(hold.worker);
   if (hold.outcome != OrderOutcome::kDone) {
     ++worker->unanswered_holds;
     // The worker may not have received the acknowledgement in this hold.
     worker->acknowledged_ends = EndNumber();
+    const bool ask_at_once = cut_short && worker->unanswered_holds == 1;
     worker->next_hold =
-        now + std::min(kMaxHoldRetryDelay,
-                       kMinHoldRetryDelay *
-                           (1 << std::min(worker->unanswered_holds, 3U)));
+        ask_at_once
+            ? now
+            : now + std::min(kMaxHoldRetryDelay,
+                             kMinHoldRetryDelay *
+                                 (1 << std::min(worker->unanswered_holds, 3U)));
     return;
   }
   worker->unanswered_holds = 0;
@@ -412,6 +425,8 @@
     // The order was sent before the worker was seen to restart.
     const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
                                                     worker->fence_raises);
+    const bool cut_short =
+        result.kind == OrderKind::kHold && IsCutShort(*worker, result);
     if (result.kind != OrderKind::kHold) {
       worker->orders_in_flight.erase(result.task);
     } else if (!outdated) {
@@ -454,7 +469,7 @@
     }
     switch (result.kind) {
       case OrderKind::kHold:
-        ApplyHold(world, result, time.now);
+        ApplyHold(world, result, cut_short, time.now);
         break;
       case OrderKind::kStart:
         ApplyStart(world, result, time.now);
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -145,6 +145,51 @@
   }
 }
 
+// How a hold ends whose answer was due within a second, after how many others
+// without an answer, and when the worker is asked again.
+struct HoldRetryCase {
+  std::string name;
+  OrderOutcome outcome;
+  Duration ended;
+  std::uint32_t unanswered_before;
+  Duration retry;
+};
+
+const std::vector<HoldRetryCase> kHoldRetryCases = {
+    {"its connection ends", OrderOutcome::kUnknown, milliseconds(300), 0,
+     Duration()},
+    {"its connection ends again", OrderOutcome::kUnknown, milliseconds(300), 1,
+     milliseconds(800)},
+    {"it times out", OrderOutcome::kUnknown, milliseconds(1500), 0,
+     milliseconds(400)},
+    {"no connection can be made", OrderOutcome::kNotSent, milliseconds(300), 0,
+     milliseconds(400)},
+    {"it is rejected", OrderOutcome::kUnhealthy, milliseconds(300), 0,
+     milliseconds(400)},
+};
+
+// Guards against late orders that a restarted worker carries out because it is
+// asked for a report long after the connection to its earlier process ended.
+BOOST_AUTO_TEST_CASE(a_worker_is_asked_at_once_when_its_connection_ends) {
+  for (const HoldRetryCase& sample : kHoldRetryCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      TaskWorker& worker = world.scheduling.workers.rows.front();
+      worker.hold_in_flight = true;
+      worker.answer_deadline = kNow.now + milliseconds(1000);
+      worker.unanswered_holds = sample.unanswered_before;
+      ApplyResult(world,
+                  OrderResult{.kind = OrderKind::kHold,
+                              .outcome = sample.outcome,
+                              .sent = kNow.now,
+                              .answered = kNow.now + sample.ended},
+                  sample.ended);
+      BOOST_TEST(WholeMillis(worker.next_hold - kNow.now - sample.ended) ==
+                 WholeMillis(sample.retry));
+    }
+  }
+}
+
 // What a hold reports after the stop of an unconfirmed start was answered.
 struct UnconfirmedCase {
   std::string name;
