Release runs whose stop was in flight when their worker restarted

What callers saw: tasks wait for a report for up to 10 s after a worker has restarted and was cut off, though their run ended with the earlier process. Cause: any order in flight counted as a start that the next process may carry out. A stop begins nothing, and a run that a report of the earlier process has shown ended with it. Change: only a start in flight makes the run unknown; the log names it so. Measured: only_runs_that_the_next_incarnation_may_have_wait failed in the row "seen running, stop in flight" before.

--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -115,12 +115,12 @@
 }
 
 // Whether the run is certain to have ended with `incarnation` of its worker: it
-// was seen there and no order for it may still be carried out, or its start has
+// was seen there and no start of it may still be carried out, or its start has
 // never been sent.
 bool EndedWithIncarnation(const Task& task,
                           WorkerIncarnation incarnation,
-                          bool order_in_flight) {
-  if (order_in_flight || task.start_unconfirmed) {
+                          bool start_in_flight) {
+  if (start_in_flight || task.start_unconfirmed) {
     return false;
   }
   return task.state == TaskState::kPlaced ||
@@ -251,9 +251,11 @@
     if (!ref || ref.task->run != run || !HoldsCapacity(ref.task->state)) {
       continue;
     }
-    const bool in_flight =
-        world.scheduling.workers.find(id)->orders_in_flight.contains(key);
-    const bool ended = EndedWithIncarnation(*ref.task, before, in_flight);
+    const auto& in_flight = world.scheduling.workers.find(id)->orders_in_flight;
+    const auto order = in_flight.find(key);
+    const bool start_in_flight =
+        order != in_flight.end() && order->second == OrderKind::kStart;
+    const bool ended = EndedWithIncarnation(*ref.task, before, start_in_flight);
     Log(LogLevel::kInfo, "run_at_restart",
         {{"workflow", key.workflow.value},
          {"step", key.step.value},
@@ -262,7 +264,7 @@
          {"worker", id.value},
          {"state", EnumName(ref.task->state)},
          {"state_ms", WholeMillis(now - ref.task->since)},
-         {"order_in_flight", in_flight},
+         {"start_in_flight", start_in_flight},
          {"start_unconfirmed", ref.task->start_unconfirmed},
          {"reported_by", ref.task->reported_by.value},
          {"taken_for", ended ? "lost" : "unknown"}});
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -202,8 +201,8 @@
   // Whether its current incarnation has accepted this holder's current fence.
   bool fenced = false;
   bool hold_in_flight = false;
-  // Tasks with a start or stop order in flight; at most one order per task.
-  std::set<TaskKey> orders_in_flight;
+  // Start and stop orders in flight; at most one per task.
+  std::map<TaskKey, OrderKind> orders_in_flight;
   // Orders that have not been sent yet.
   std::deque<WorkerOrder> orders;
   TimePoint next_hold{};
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -2,10 +2,12 @@
 #include "chicorystep/systems/task_reports.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
+#include "chicorystep/systems/task_workers.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
@@ -145,6 +147,77 @@
   }
 }
 
+// What the tables know of a run when its worker restarts, and the resulting
+// state of its task.
+struct RestartedRunCase {
+  std::string name;
+  TaskState state;
+  bool seen_running;
+  std::optional<OrderKind> in_flight;
+  bool start_unconfirmed;
+  TaskState after;
+};
+
+const std::vector<RestartedRunCase> kRestartedRunCases = {
+    {"placed", TaskState::kPlaced, false, {}, false, TaskState::kWaiting},
+    {"ordered, not sent",
+     TaskState::kStarting,
+     false,
+     {},
+     false,
+     TaskState::kWaiting},
+    {"start in flight", TaskState::kStarting, false, OrderKind::kStart, false,
+     TaskState::kRunning},
+    {"confirmed, not seen running",
+     TaskState::kRunning,
+     false,
+     {},
+     false,
+     TaskState::kRunning},
+    {"seen running", TaskState::kRunning, true, {}, false, TaskState::kWaiting},
+    {"seen running, a repeat of its start unanswered",
+     TaskState::kRunning,
+     true,
+     {},
+     true,
+     TaskState::kRunning},
+    {"seen running, being stopped",
+     TaskState::kStopping,
+     true,
+     {},
+     false,
+     TaskState::kWaiting},
+    {"seen running, stop in flight", TaskState::kStopping, true,
+     OrderKind::kStop, false, TaskState::kWaiting},
+    {"seen running, being stopped, start in flight", TaskState::kStopping, true,
+     OrderKind::kStart, false, TaskState::kStopping},
+    {"confirmed, not seen running, stop in flight", TaskState::kStopping, false,
+     OrderKind::kStop, false, TaskState::kStopping},
+};
+
+// Guards against a run that ended with its worker's earlier process, but waits
+// for a report of the next one because a stop was in flight (issue 42).
+BOOST_AUTO_TEST_CASE(only_runs_that_the_next_incarnation_may_have_wait) {
+  for (const RestartedRunCase& sample : kRestartedRunCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      Task& task = world.workflows.find(kTask.workflow)->runs[0].tasks[0];
+      task.state = sample.state;
+      task.start_unconfirmed = sample.start_unconfirmed;
+      if (sample.seen_running) {
+        task.reported_by = WorkerIncarnation(1);
+      }
+      if (sample.in_flight) {
+        world.scheduling.workers.find(kWorker)->orders_in_flight.emplace(
+            kTask, *sample.in_flight);
+      }
+      ApplyWorkerRestart(world, kWorker, WorkerIncarnation(2), "list",
+                         kNow.now);
+      BOOST_TEST(EnumName(GetTask(world).state) == EnumName(sample.after));
+    }
+  }
+}
+
 // How a hold ends whose answer was due within a second, after how many others
 // without an answer, and when the worker is asked again.
 struct HoldRetryCase {
