Ask workers for a report while an order of theirs has no answer

Cause: an order without an answer that may have reached a later incarnation makes the worker count as unresponsive to the next holder. A worker that is recorded so and has answered its last hold was not asked until the record is gone, but only the answer to a later hold ends that. One lost answer to a start on a new connection, while a hold was in flight, left a healthy worker without holds for 18 s: the leases of all its runs expired.

Change: such a worker is asked, without a lease and without a wait.

Result: runs_outlast_the_loss_of_the_answer_to_another_start failed before (10 checks, 5 of 20 offsets on new connections) and holds.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -198,8 +198,10 @@
     return false;
   }
   // The worker answers again, but its leases cannot be renewed until the
-  // journal no longer lists it as unresponsive.
-  if (worker.recorded_unresponsive && worker.unanswered_holds == 0) {
+  // journal no longer lists it as unresponsive. If it is listed because of an
+  // order without an answer, its next report is needed first.
+  if (worker.recorded_unresponsive && worker.unanswered_holds == 0 &&
+      worker.unidentified_lease_expiry == kDistantPast) {
     return false;
   }
   // A worker on which nothing can be placed until its next report is asked for
