Wait for the orders of previous holders when a worker restarts

Cause: a holder that sees a worker restart waits for the longest lease from then on, also if that is shorter than the wait that it has inherited. A superseded holder that still reaches the worker may order for 11 s after the claim, and renews leases of the present incarnation all the while.

Change: the longest lease counts from when the previous holders' orders have ended, at the earliest. A record that they have ended now shortens this wait as it does that of other workers; until now a restarted worker was left out.

--- a/chicorystep/systems/task_unresponsive_workers.cc
+++ b/chicorystep/systems/task_unresponsive_workers.cc
@@ -108,6 +108,11 @@
                                       : std::optional(row->second);
 }
 
+TimePoint RestartedLeaseExpiry(const WorkflowWorld& world, TimePoint now) {
+  return std::max(now, PreviousOrdersEnd(world.holding)) +
+         ScaleForSlowClocks(world.self.longest_lease);
+}
+
 void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker) {
   worker.inherited_lease_expiry =
       FindRecordedLeaseExpiry(world.holding, worker.listing.id)
--- a/chicorystep/systems/task_unresponsive_workers.h
+++ b/chicorystep/systems/task_unresponsive_workers.h
@@ -36,6 +36,13 @@
     const Holding& holding,
     const WorkerId& id);
 
+// By when every lease on a worker that is seen to restart at `now` has expired.
+// An order to an earlier incarnation bears a lease expiry on that incarnation's
+// clock, so the present one may grant its longest lease. Previous holders may
+// order until their last orders end.
+[[nodiscard]] TimePoint RestartedLeaseExpiry(const WorkflowWorld& world,
+                                             TimePoint now);
+
 // Sets the time by which every lease of previous holders on a newly added
 // worker is certain to have expired.
 void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker);
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -286,12 +286,8 @@
       EndNumber();
   worker->leased_until = WorkerClock();
   worker->clock_read = kDistantPast;
-  // An order to an earlier incarnation carries a lease expiry on that
-  // incarnation's clock, so the current one may grant up to its longest lease.
   worker->inherited_lease_expiry =
-      worker->tasks.empty()
-          ? kDistantPast
-          : now + ScaleForSlowClocks(world.self.longest_lease);
+      worker->tasks.empty() ? kDistantPast : RestartedLeaseExpiry(world, now);
   // A hold that is still in flight was sent to the earlier incarnation.
   worker->hold_in_flight = false;
   worker->answer_deadline = kNever;
@@ -310,8 +306,7 @@
   worker.restarted = true;
   worker.fenced = false;
   worker.clock_read = kDistantPast;
-  worker.inherited_lease_expiry =
-      now + ScaleForSlowClocks(world.self.longest_lease);
+  worker.inherited_lease_expiry = RestartedLeaseExpiry(world, now);
   worker.hold_in_flight = false;
   worker.answer_deadline = kNever;
   worker.next_hold = now;
--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -79,10 +79,11 @@
   std::size_t waiting = 0;
   for (TaskWorker& worker : world.scheduling.workers.rows) {
     // A recorded expiry may be that of a longer lease.
-    if (!worker.fenced && !worker.restarted &&
+    if (!worker.fenced &&
         !FindRecordedLeaseExpiry(holding, worker.listing.id)) {
-      worker.inherited_lease_expiry =
-          std::min(worker.inherited_lease_expiry, expiry);
+      worker.inherited_lease_expiry = std::min(
+          worker.inherited_lease_expiry,
+          worker.restarted ? RestartedLeaseExpiry(world, now) : expiry);
       waiting += worker.tasks.empty() ? 0 : 1;
     }
   }
