Ignore that another process answers an order from before a restart

Cause: if an order is answered by a process with another id, the tasks of its worker count as lost. That held also for an order that was sent before the worker was seen to restart, and whose answer comes later: the tasks of the present incarnation, which may be listed at another address, were placed again while they ran.

Change: such an answer to an outdated order has no effect.

Result: the row "another process answers at the earlier address, after the next incarnation is listed" of overtaken_answers_do_not_count_for_the_next_incarnation failed before (waiting instead of running) and holds.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -437,6 +437,10 @@
       return;
     }
     if (result.outcome == OrderOutcome::kOtherIncarnation) {
+      if (outdated) {
+        // The present incarnation may have another address.
+        continue;
+      }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
       // A worker that lives is listed again with each heartbeat.
       worker->listing_outdated = true;
