Ignore reports from before a worker was asked which incarnation answers

Cause: when an answer shows that a worker's clock has gone back, the worker is asked at once which incarnation answers, and until then its longest lease counts. The hold that was in flight at that time has the same fence. Its report, if the later answer has overtaken it, counted as the answer to that question: the worker was taken for the earlier incarnation again, with that one's clock, and its ordinary lease for the only one. Without an answer, it counted as that of the newer hold.

Change: only the newest hold counts.

Result: overtaken_answers_do_not_count_for_the_next_incarnation failed before (5 checks, one of them for another cause) and holds. The other cases of task_reports_test, workflow_standstill_test, workflow_recovery_test and task_worker_silence_test are as before.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -422,9 +422,12 @@
       continue;
     }
     NoteUnansweredOrder(*worker, result, world.self.longest_lease);
-    // The order was sent before the worker was seen to restart.
-    const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
-                                                    worker->fence_raises);
+    // The order was sent before the worker was seen to restart, or before it
+    // was asked again because it may have restarted.
+    const bool outdated =
+        result.fence !=
+            MakeFence(world.holding.own_epoch, worker->fence_raises) ||
+        (result.kind == OrderKind::kHold && result.sent < worker->hold_sent);
     const bool cut_short =
         result.kind == OrderKind::kHold && IsCutShort(*worker, result);
     if (result.kind != OrderKind::kHold) {
