Compare clocks of answers to starts that were sent before the last reading

Cause: an answer whose clock is earlier than that of the known incarnation shows a restart, but only if its order was sent after the last reading. An order that a busy or frozen holder sends long after it was handed over is answered by the next incarnation with a later reading in between. That answer's clock was taken over, with lease expiries on the earlier incarnation's clock: the tasks of a worker that is lost then wait for as long as that one had been up.

Change: the bound on the earliest reading also holds for times before the last reading, and every answer is compared with it.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -257,7 +257,6 @@
 bool ReadsRestartedClock(const TaskWorker& worker, const OrderResult& result) {
   return !result.incarnation && result.clock &&
          worker.clock_read != kDistantPast &&
-         result.sent >= worker.clock_read &&
          *result.clock < EarliestWorkerClock(worker, result.sent);
 }
 
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -10,8 +10,14 @@
 }
 
 WorkerClock EarliestWorkerClock(const TaskWorker& worker, TimePoint now) {
-  return worker.clock + WorkerClock(WholeMillis(now - worker.clock_read) *
-                                    (1000 - kMaxClockSlownessPermille) / 1000);
+  const std::int64_t elapsed = WholeMillis(now - worker.clock_read);
+  if (now < worker.clock_read) {
+    // A clock that doesn't run slow was the furthest behind. Subtract 1 ms
+    // because both readings are rounded.
+    return worker.clock + WorkerClock(elapsed - 1);
+  }
+  return worker.clock +
+         WorkerClock(elapsed * (1000 - kMaxClockSlownessPermille) / 1000);
 }
 
 WorkerClock ComputeLeaseExpiry(const TaskWorker& worker,
--- a/chicorystep/systems/task_worker_clock.h
+++ b/chicorystep/systems/task_worker_clock.h
@@ -18,7 +18,8 @@
 // slow at the allowed rate.
 [[nodiscard]] Duration ScaleForSlowClocks(Duration time);
 
-// The earliest reading that the worker's clock can have now. Leases are granted
+// The earliest reading that the worker's clock can have at `now`, which may be
+// before its last reading. Leases are granted
 // relative to it so that none outlasts its intended duration: the next holder
 // does not know the individual leases and relies on this bound.
 [[nodiscard]] WorkerClock EarliestWorkerClock(const TaskWorker& worker,
