--- a/chicorystep/core/version.h
+++ b/chicorystep/core/version.h
@@ -7,6 +7,10 @@
 
 inline constexpr std::string_view kVersion = "0.1.0";
 
+// The id of the sources that the program was built from, as `tools/build_id`
+// prints it. Only programs that link chicorystep_version have it.
+[[nodiscard]] std::string_view BuildId();
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_CORE_VERSION_H_
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -245,7 +245,9 @@
     return kExitFailed;
   }
   Log(LogLevel::kInfo, "started",
-      {{"zone", settings.zone.value},
+      {{"version", kVersion},
+       {"build", BuildId()},
+       {"zone", settings.zone.value},
        {"callers", settings.callers_address.value},
        {"peers", settings.peers_address.value},
        {"admin", settings.admin_address.value}});
@@ -280,7 +282,7 @@
       return 0;
     }
     if (arguments.count("version") != 0) {
-      fmt::print("chicorystep-entry {}\n", kVersion);
+      fmt::print("chicorystep-entry {} build={}\n", kVersion, BuildId());
       return 0;
     }
     if (arguments.count("settings") == 0 || !arguments.unmatched().empty()) {
