Log who notes each end of a run, also one that the tables do not place

Cause: an end that the tables do not place on its worker was passed over without a line, and acknowledgements have none. Change: `run_ended` names the incarnation that reported the end and the number of the report. `end_not_placed` is logged for an end that the tables do not place there, with the run and the worker that they have. `ends_acknowledged` is logged once a worker has received an acknowledgement. `orphaned_run_stopped` and `run_absent` name the incarnation.

--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -87,6 +87,7 @@
                     .fence = order.fence,
                     .task = order.task,
                     .run = order.run,
+                    .acknowledged = order.acknowledged,
                     .outcome = OrderOutcome::kDone,
                     .clock = ReadWorkerClock(worker, now)};
   if (order.worker != worker.listing.id) {
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -1,5 +1,7 @@
 #include "chicorystep/systems/task_reports.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 #include <string>
@@ -36,6 +38,25 @@
 // Each sweep of idle workers costs a call to all of them.
 constexpr Duration kSweepSpacing = std::chrono::seconds(5);
 
+// Logs an end that the tables do not place on the worker which reports it, with
+// what they have of its task. It is acknowledged like any other end.
+void LogUnplacedEnd(const TaskWorker& worker,
+                    const EndReport& end,
+                    const TaskRef& ref) {
+  Log(LogLevel::kInfo, "end_not_placed",
+      {{"workflow", end.task.workflow.value},
+       {"step", end.task.step.value},
+       {"task", end.task.task.value},
+       {"run", end.run.value},
+       {"worker", worker.listing.id.value},
+       {"incarnation", worker.listing.incarnation.value},
+       {"number", end.number.value},
+       {"end", EnumName(end.end)},
+       {"table_run", ref ? fmt::format("{}", ref.task->run.value) : ""},
+       {"table_worker", ref ? ref.task->worker.value : ""},
+       {"table_state", ref ? EnumName(ref.task->state) : ""}});
+}
+
 // Applies the end of a run. Ignored unless the tables place that run on this
 // worker.
 void ApplyEnd(WorkflowWorld& world,
@@ -45,6 +66,7 @@
   const TaskRef ref = FindTask(world, end.task);
   if (!ref || ref.task->run != end.run || !HoldsCapacity(ref.task->state) ||
       ref.task->worker != worker.listing.id) {
+    LogUnplacedEnd(worker, end, ref);
     return;
   }
   Task& task = *ref.task;
@@ -55,6 +77,8 @@
        {"run", end.run.value},
        {"worker", worker.listing.id.value},
        {"worker_zone", worker.listing.zone.value},
+       {"incarnation", worker.listing.incarnation.value},
+       {"number", end.number.value},
        {"end", std::string(EnumName(end.end))},
        {"ran_ms", WholeMillis(now - task.since)},
        {"accelerators", ref.spec->need.accelerators.value},
@@ -177,7 +201,8 @@
             {{"workflow", report.task.workflow.value},
              {"task", report.task.task.value},
              {"run", report.run.value},
-             {"worker", id.value}});
+             {"worker", id.value},
+             {"incarnation", reporter.value}});
         worker->orders.push_back(WorkerOrder{.kind = OrderKind::kStop,
                                              .worker = id,
                                              .task = report.task,
@@ -228,11 +253,25 @@
          {"step", key.step.value},
          {"task", key.task.value},
          {"run", run.value},
-         {"worker", id.value}});
+         {"worker", id.value},
+         {"incarnation", reporter.value}});
     HandleUnreportedEnd(world, key, ref, now);
   }
 }
 
+// Logs that a worker has received an acknowledgement: it may delete its records
+// of these ends, so that no later holder reads them.
+void LogAcknowledged(const TaskWorker& worker, const OrderResult& hold) {
+  if (hold.outcome != OrderOutcome::kDone || hold.acknowledged == EndNumber()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "ends_acknowledged",
+      {{"worker", hold.worker.value},
+       {"incarnation",
+        hold.incarnation.value_or(worker.listing.incarnation).value},
+       {"number", hold.acknowledged.value}});
+}
+
 void UpdateClock(const WorkflowWorld& world,
                  TaskWorker& worker,
                  const OrderResult& result) {
@@ -422,6 +461,7 @@
       continue;
     }
     NoteUnansweredOrder(*worker, result, world.self.longest_lease);
+    LogAcknowledged(*worker, result);
     // The order was sent before the worker was seen to restart.
     const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
                                                     worker->fence_raises);
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -158,6 +158,8 @@
   Fence fence;
   TaskKey task;
   RunNumber run;
+  // The ends that the order acknowledges.
+  EndNumber acknowledged;
   OrderOutcome outcome = OrderOutcome::kUnknown;
   // Whether the order bears a lease expiry.
   bool leases = false;
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -475,6 +475,7 @@
                        .fence = order.fence,
                        .task = order.task,
                        .run = order.run,
+                       .acknowledged = order.acknowledged,
                        .leases = order.until.has_value(),
                        .connected = this->connects_anew ? sent : kDistantPast,
                        .sent = sent};
