Start child processes of the tests without the tests' sockets

What was seen: in the soak, a proxy that listens again on its address failed with "address already in use". Cause: the entries inherited all sockets of the test process. A copy in an entry kept listeners open, and a connection that the test reset stayed open while an entry lived that was started later. Change: child processes get the standard descriptors only.

--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -16,7 +16,9 @@
 
 namespace chicorystep::testing {
 
-// A child process that is killed and reaped when it goes out of scope.
+// A child process that is killed and reaped when it goes out of scope. It
+// inherits no descriptors but the standard ones: a copy of a socket would keep
+// the connection or the listener open after this process has closed it.
 class ChildProcess {
  public:
   // Redirects standard output to the file `output` unless the name is empty.
@@ -29,6 +31,7 @@
                                        output.c_str(),
                                        O_WRONLY | O_CREAT | O_TRUNC, 0600);
     }
+    posix_spawn_file_actions_addclosefrom_np(&file_actions, STDERR_FILENO + 1);
     std::vector<char*> arguments;
     for (const std::string& word : command) {
       arguments.push_back(const_cast<char*>(word.c_str()));
