Play restarts of worker processes in the soak as real machines have them

Its workers shared two listeners, so that connections outlived a restart, and no answer of a restarted worker was lost before a cut. Its connections end with its process, or stay open at a proxy, silent or with late answers. Clocks are an hour old, and no lease is longer than in the settings. Eleven kinds of restarts are new: answers are lost or orders carried out 2 to 6 s later before a cut, with and without a listing; entries are paused; half of the entries read the list late; clocks are near or ahead of the earlier ones; two restarts between two lists; two groups at once.

--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -23,6 +23,7 @@
   bool late_starts_outlive_workers = false;
   // False for seeds of an earlier load.
   bool varied_load = false;
+  bool worker_processes = false;
 };
 
 const std::vector<SoakCase> kSoakCases = {
@@ -70,7 +71,8 @@
       .fault_kinds = sample.fault_kinds,
       .only = sample.only,
       .varied_load = sample.varied_load,
-      .late_starts_outlive_workers = sample.late_starts_outlive_workers};
+      .late_starts_outlive_workers = sample.late_starts_outlive_workers,
+      .worker_processes = sample.worker_processes};
   options.entries = NumberOption("--processes", options.entries);
   options.workers = NumberOption("--workers", options.workers);
   options.program = TextOption("--program", options.program);
@@ -92,11 +94,12 @@
       // With fewer accepted workflows the checks would prove nothing.
       BOOST_TEST(accepted > 5U);
     }
-    BOOST_TEST_MESSAGE("seed "
-                       << seed << ": " << soak.InjectedFaults().size()
-                       << " faults, " << accepted << " workflows accepted, "
-                       << soak.Starts() << " starts, stood still for up to "
-                       << WholeMillis(soak.LongestStandstill()) << " ms");
+    BOOST_TEST_MESSAGE(
+        "seed " << seed << ": " << soak.InjectedFaults().size() << " faults, "
+                << accepted << " workflows accepted, " << soak.Starts()
+                << " starts, " << soak.UnansweredStarts()
+                << " unanswered, stood still for up to "
+                << WholeMillis(soak.LongestStandstill()) << " ms");
     if (failed) {
       for (const std::string& fault : soak.InjectedFaults()) {
         BOOST_TEST_MESSAGE(fault);
@@ -124,7 +127,8 @@
               static_cast<std::size_t>(NumberOption("--fault-kinds", 0)),
           .only = TextOption("--only", ""),
           .late_starts_outlive_workers = NumberOption("--late-starts", 1) != 0,
-          .varied_load = NumberOption("--varied-load", 1) != 0});
+          .varied_load = NumberOption("--varied-load", 1) != 0,
+          .worker_processes = NumberOption("--worker-processes", 1) != 0});
     }
     return;
   }
--- a/tests/support/answer_faults.h
+++ b/tests/support/answer_faults.h
@@ -20,6 +20,9 @@
   kDoneClosed,
   // The connection ends, and the call is carried out seconds later.
   kLateClosed,
+  // The connection stays open, and the process that received the call carries
+  // it out seconds later.
+  kLateSilent,
 };
 
 inline const std::vector<AnswerEnd> kAllAnswerEnds = {
--- a/tests/support/platform_soak.h
+++ b/tests/support/platform_soak.h
@@ -50,10 +50,33 @@
   bool varied_load = true;
   // Passed on to the stand-in.
   bool late_starts_outlive_workers = false;
+  // Whether each worker is a process of its own: it has its own address, its
+  // connections end with it, and its clock is an hour old at the start. More
+  // tasks are long then. False for seeds of workers that share two listeners.
+  bool worker_processes = false;
+};
+
+// What becomes of the connections to a worker whose process ends.
+enum class ConnectionsEnd : std::uint8_t {
+  kReset,
+  // A proxy keeps them open and silent.
+  kSilent,
+  // The same, but answers of the ended process still arrive.
+  kDeaf,
+};
+
+// What the clock of a restarted worker reads.
+enum class ClockStart : std::uint8_t {
+  kAnew,
+  // Within 1% of the clock before.
+  kNear,
+  // Up to a minute more than the clock before.
+  kAhead,
 };
 
 // The deployment's bounds, written into the settings of the entries.
 inline constexpr Duration kShutdownGrace = seconds(5);
+inline constexpr Duration kMaxHold = seconds(6);
 inline constexpr Duration kRevokeBound = seconds(5);
 inline constexpr Duration kVisibleBound = seconds(3);
 // Upper bound on the time from the acknowledgement of a cancel to the last
@@ -117,15 +140,25 @@
         this->options.late_starts_outlive_workers;
     this->platform.fleet.AddWorkers(this->options.workers);
     this->platform.fleet.AddWorkers(kOpenWorkers, Service("open"), false);
-    for (int half = 0; half < 2; ++half) {
-      this->worker_links.push_back(std::make_unique<Relay>(
-          this->context, this->platform.ServeWorkers()));
+    this->platform.holds_end_with_workers = this->options.worker_processes;
+    if (this->options.worker_processes) {
+      this->platform.fleet.longest_lease = kMaxHold;
+    }
+    const std::size_t links = this->options.worker_processes
+                                  ? this->platform.fleet.workers.size()
+                                  : 2;
+    for (std::size_t i = 0; i < links; ++i) {
+      this->worker_links.push_back(
+          std::make_unique<Relay>(this->context, this->platform.ServeWorkers(),
+                                  this->platform.addresses.Next()));
     }
     for (std::size_t i = 0; i < this->platform.fleet.workers.size(); ++i) {
       EmulatedWorker& worker = this->platform.fleet.workers[i];
-      worker.started = BootTimeNow();
+      worker.started = BootTimeNow() - (this->options.worker_processes
+                                            ? Duration(std::chrono::hours(1))
+                                            : Duration{});
       worker.listing.labels = {"a", NameRack(i / kWorkersPerRack).value};
-      worker.listing.address = this->worker_links[i % 2]->ListenAddress();
+      worker.listing.address = this->LinkOf(i).ListenAddress();
       this->platform.List(worker);
     }
     this->Configure();
@@ -181,6 +214,9 @@
   [[nodiscard]] std::uint64_t Starts() const {
     return this->platform.fleet.starts;
   }
+  [[nodiscard]] std::uint64_t UnansweredStarts() const {
+    return this->platform.unanswered_starts;
+  }
   // The longest time that a workflow stood still after the faults.
   [[nodiscard]] Duration LongestStandstill() const {
     return this->standstill ? this->standstill->longest : Duration{};
@@ -243,6 +279,55 @@
     }
   }
 
+  // The proxy in front of a worker.
+  Relay& LinkOf(std::size_t worker) {
+    return *this->worker_links[worker % this->worker_links.size()];
+  }
+  // Cuts off the workers with even or those with odd numbers.
+  void CutOffHalf(std::size_t half, bool cut) {
+    for (std::size_t i = half; i < this->worker_links.size(); i += 2) {
+      this->worker_links[i]->faults.cut_to_server = cut;
+    }
+  }
+
+  // Ends a worker's process.
+  void Crash(std::size_t number,
+             ConnectionsEnd connections = ConnectionsEnd::kReset) {
+    this->platform.fleet.workers[number].up = false;
+    if (!this->options.worker_processes) {
+      return;
+    }
+    Relay& link = this->LinkOf(number);
+    if (connections == ConnectionsEnd::kReset) {
+      link.StopListening();
+      link.Reset();
+    } else if (connections == ConnectionsEnd::kSilent) {
+      link.Silence();
+    } else {
+      link.Deafen();
+    }
+  }
+
+  // Starts a worker's process again under its id. `shift` is the difference
+  // between its clock and the one before, per 1000 or in seconds.
+  void RestartWorker(std::size_t number,
+                     ClockStart clock = ClockStart::kAnew,
+                     int shift = 0) {
+    EmulatedWorker& worker = this->platform.fleet.workers[number];
+    if (worker.up) {
+      this->Crash(number);
+    }
+    const TimePoint now = BootTimeNow();
+    const TimePoint before = worker.started;
+    Restart(worker, now);
+    if (clock == ClockStart::kNear) {
+      worker.started = before - (now - before) * shift / 1000;
+    } else if (clock == ClockStart::kAhead) {
+      worker.started = before - seconds(shift);
+    }
+    this->LinkOf(number).Listen();
+  }
+
   // Rewrites the settings and sends the process a SIGHUP to reload them.
   void Reload(std::size_t number) {
     this->WriteSettings(this->entries[number]);
@@ -302,6 +387,8 @@
   PlatformStandin platform;
   std::deque<SoakEntry> entries;
   std::vector<std::unique_ptr<Relay>> worker_links;
+  // Groups of workers that restart or are cut off after a restart.
+  std::set<std::size_t> restarting_groups;
 
  private:
   static constexpr int kOpenWorkers = 2;
@@ -334,11 +421,12 @@
     std::ofstream(entry.settings) << fmt::format(
         "Node = \"{}\"\nZone = \"z\"\n[Listen]\nFront = \"{}\"\nReady = "
         "\"{}\"\n[platform]\nAddress = \"{}\"\n[Bounds]\nMaxHoldMs = "
-        "6000\nStopGraceMs = 300\nRevokeMs = {}\nGraceS = {}\nvisible_ms = "
+        "{}\nStopGraceMs = 300\nRevokeMs = {}\nGraceS = {}\nvisible_ms = "
         "{}\nstatus_s = 120\n",
         entry.name, entry.callers.value, ready,
-        entry.store->ListenAddress().value, WholeMillis(kRevokeBound),
-        WholeMillis(kShutdownGrace) / 1000, WholeMillis(kVisibleBound));
+        entry.store->ListenAddress().value, WholeMillis(kMaxHold),
+        WholeMillis(kRevokeBound), WholeMillis(kShutdownGrace) / 1000,
+        WholeMillis(kVisibleBound));
   }
 
   bool RunUntil(TimePoint end, const std::function<bool()>& done) {
@@ -475,7 +563,10 @@
     } else if (step.gang && this->shape_random() % 2 == 0) {
       step = MakeStep(kWorkersPerRack, 8, true);
       step.same_rack = true;
-    } else if (this->shape_random() % 4 == 0 && !this->faults_ended) {
+    } else if (this->shape_random() %
+                       (this->options.worker_processes ? 2 : 4) ==
+                   0 &&
+               !this->faults_ended) {
       step = MakeStep(1, 1);
       step.estimate = what.work = kLongTask;
       step.data_rack = NameRack(this->shape_random() % 4);
--- a/tests/support/platform_soak_faults.h
+++ b/tests/support/platform_soak_faults.h
@@ -18,15 +18,41 @@
 };
 
 inline void RestartDrainingWorkers(Soak& soak) {
-  for (EmulatedWorker& worker : soak.platform.fleet.workers) {
+  auto& workers = soak.platform.fleet.workers;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    EmulatedWorker& worker = workers[i];
     if (std::exchange(worker.listing.draining, false) &&
         !soak.IsDisplaced(worker)) {
-      Restart(worker, BootTimeNow());
+      soak.RestartWorker(i);
       soak.platform.List(worker);
     }
   }
 }
 
+// Does something later, unless the faults have ended by then.
+inline void Later(Soak& soak,
+                  Duration delay,
+                  std::function<void(Soak&)> action) {
+  soak.platform.After(delay, [&soak, action = std::move(action)] {
+    if (!soak.FaultsEnded()) {
+      action(soak);
+    }
+  });
+}
+
+// Does something with every `step`th worker from `first` on.
+inline void ForWorkers(Soak& soak,
+                       std::size_t first,
+                       std::size_t step,
+                       const std::function<void(std::size_t)>& action) {
+  auto& workers = soak.platform.fleet.workers;
+  for (std::size_t i = first; i < workers.size(); i += step) {
+    if (!soak.IsDisplaced(workers[i])) {
+      action(i);
+    }
+  }
+}
+
 // How long a restarted worker takes to be listed again.
 inline constexpr Duration kListLag = milliseconds(500);
 
@@ -34,42 +60,191 @@
 // after. They are listed late, and then cut off for some time.
 inline void RestartAndCutOff(Soak& soak, std::size_t link) {
   constexpr Duration kDown = milliseconds(600);
-  const auto for_each = [link](Soak& s, const auto& action) {
-    auto& workers = s.platform.fleet.workers;
-    for (std::size_t i = link; i < workers.size(); i += 2) {
-      if (!s.IsDisplaced(workers[i])) {
-        action(workers[i]);
+  ForWorkers(soak, link, 2, [&soak](std::size_t i) { soak.Crash(i); });
+  Later(soak, kDown, [link](Soak& s) {
+    ForWorkers(s, link, 2, [&s](std::size_t i) {
+      if (!s.platform.fleet.workers[i].up) {
+        s.RestartWorker(i);
       }
-    }
+    });
+  });
+  Later(soak, kDown + kListLag, [link](Soak& s) {
+    ForWorkers(s, link, 2, [&s](std::size_t i) {
+      s.platform.List(s.platform.fleet.workers[i]);
+    });
+  });
+  const Duration cut = kDown + seconds(2);
+  Later(soak, cut, [link](Soak& s) { s.CutOffHalf(link, true); });
+  Later(soak, cut + soak.DrawDuration(milliseconds(3000), milliseconds(9000)),
+        [link](Soak& s) { s.CutOffHalf(link, false); });
+}
+
+// How workers restart under their ids before they are cut off.
+struct WorkerRestart {
+  std::string name;
+  ConnectionsEnd connections = ConnectionsEnd::kReset;
+  // How orders to the new process end until it is cut off.
+  std::vector<AnswerEnd> ends;
+  // How long the new process takes to be listed.
+  Duration list_lag = kListLag;
+  // How long the last answers of the old process take.
+  Duration answer_delay{};
+  // How much later than the others every second entry reads the list.
+  Duration entry_list_lag{};
+  // Entries that are paused around the restart.
+  std::size_t paused_entries = 0;
+  // Whether the clock of the new process is near the one before, or ahead.
+  bool near_clock = false;
+  // Whether the new process restarts, too, before it is listed.
+  bool twice = false;
+  // Groups of workers, each a quarter of all.
+  std::size_t groups = 1;
+};
+
+inline const std::vector<WorkerRestart>& WorkerRestarts() {
+  static const std::vector<AnswerEnd> lost = {AnswerEnd::kDoneSilent,
+                                              AnswerEnd::kDoneClosed};
+  static const std::vector<AnswerEnd> late = {AnswerEnd::kLateSilent};
+  static const std::vector<WorkerRestart> restarts = {
+      {.name = "the next incarnation's answers are lost, then it is cut off",
+       .ends = lost},
+      {.name = "the next incarnation's answers are lost, it is not listed",
+       .ends = lost,
+       .list_lag = seconds(4)},
+      {.name = "the next incarnation carries out orders late, then is cut off",
+       .ends = late},
+      {.name = "the next incarnation carries out orders late, is not listed",
+       .ends = late,
+       .list_lag = seconds(4)},
+      {.name = "connections to the earlier incarnation stay open and silent",
+       .connections = ConnectionsEnd::kSilent,
+       .ends = lost},
+      {.name = "the earlier incarnation's answers come after the next one's",
+       .connections = ConnectionsEnd::kDeaf,
+       .list_lag = seconds(2),
+       .answer_delay = milliseconds(1200)},
+      {.name = "entries are paused around the next incarnation's start",
+       .connections = ConnectionsEnd::kSilent,
+       .ends = lost,
+       .paused_entries = 2},
+      {.name = "half of the entries see the next incarnation late",
+       .list_lag = milliseconds(100),
+       .entry_list_lag = seconds(4)},
+      {.name = "the next incarnation's clock is near the earlier one's",
+       .connections = ConnectionsEnd::kSilent,
+       .ends = lost,
+       .list_lag = seconds(2),
+       .near_clock = true},
+      {.name = "two incarnations end between two lists",
+       .ends = lost,
+       .list_lag = seconds(2),
+       .twice = true},
+      {.name = "the next incarnations of two groups start at once",
+       .connections = ConnectionsEnd::kSilent,
+       .ends = lost,
+       .groups = 2},
   };
-  const auto later = [&soak](Duration delay, auto action) {
-    soak.platform.After(delay, [&soak, action] {
-      if (!soak.FaultsEnded()) {
-        action(soak);
-      }
+  return restarts;
+}
+
+// Restarts a quarter of the workers as `how` says. The workers are cut off
+// within 2 s of their restart.
+inline void RestartGroup(Soak& soak,
+                         const WorkerRestart& how,
+                         std::size_t group) {
+  constexpr Duration kCrash = milliseconds(300);
+  const Duration start =
+      kCrash + soak.DrawDuration(milliseconds(50), milliseconds(400));
+  const Duration cut =
+      start + soak.DrawDuration(milliseconds(500), milliseconds(2000));
+  const Duration heal =
+      cut + soak.DrawDuration(milliseconds(6000), milliseconds(11'000));
+  const ClockStart clock = !how.near_clock          ? ClockStart::kAnew
+                           : soak.random() % 2 == 0 ? ClockStart::kNear
+                                                    : ClockStart::kAhead;
+  // Per 1000, or seconds.
+  const int shift = clock == ClockStart::kAhead
+                        ? 5 + static_cast<int>(soak.random() % 55)
+                        : -10 + static_cast<int>(soak.random() % 20);
+  const auto at = [&soak, group](
+                      Duration when,
+                      std::function<void(Soak&, std::size_t)> action) {
+    Later(soak, when, [group, action = std::move(action)](Soak& s) {
+      ForWorkers(s, group, 4, [&](std::size_t i) { action(s, i); });
     });
   };
-  for_each(soak, [](EmulatedWorker& worker) { worker.up = false; });
-  later(kDown, [for_each](Soak& s) {
-    for_each(s, [](EmulatedWorker& worker) {
-      if (!worker.up) {
-        Restart(worker, BootTimeNow());
-      }
+  const auto id = [](Soak& s, std::size_t i) {
+    return s.platform.fleet.workers[i].listing.id;
+  };
+  const auto restart = [&how, clock, shift](Soak& s, std::size_t i) {
+    if (!s.platform.fleet.workers[i].up) {
+      s.RestartWorker(i, clock, shift);
+    }
+  };
+  const auto lose_answers = [&how, id](Soak& s, std::size_t i) {
+    s.platform.order_faults.answers_of[id(s, i)] = {1000, how.ends};
+  };
+  if (how.answer_delay > Duration{}) {
+    ForWorkers(soak, group, 4, [&](std::size_t i) {
+      soak.platform.order_faults.answer_delay_of[id(soak, i)] =
+          how.answer_delay;
     });
+  }
+  at(kCrash, [&how, id](Soak& s, std::size_t i) {
+    s.platform.order_faults.answer_delay_of.erase(id(s, i));
+    s.Crash(i, how.connections);
   });
-  later(kDown + kListLag, [for_each](Soak& s) {
-    for_each(s, [&s](EmulatedWorker& worker) { s.platform.List(worker); });
+  at(start, restart);
+  if (how.twice) {
+    at(start + (cut - start) / 3,
+       [&how](Soak& s, std::size_t i) { s.Crash(i, how.connections); });
+    at(start + (cut - start) / 2, restart);
+  }
+  if (!how.ends.empty()) {
+    at(start, lose_answers);
+    at(heal, [id](Soak& s, std::size_t i) {
+      s.platform.order_faults.answers_of.erase(id(s, i));
+    });
+  }
+  at(start + how.list_lag, [](Soak& s, std::size_t i) {
+    s.platform.List(s.platform.fleet.workers[i]);
   });
-  const Duration cut = kDown + seconds(2);
-  later(cut,
-        [link](Soak& s) { s.worker_links[link]->faults.cut_to_server = true; });
-  later(
-      cut + soak.DrawDuration(milliseconds(3000), milliseconds(9000)),
-      [link](Soak& s) { s.worker_links[link]->faults.cut_to_server = false; });
+  at(cut,
+     [](Soak& s, std::size_t i) { s.LinkOf(i).faults.cut_to_server = true; });
+  at(heal,
+     [](Soak& s, std::size_t i) { s.LinkOf(i).faults.cut_to_server = false; });
+  Later(soak, heal, [group](Soak& s) { s.restarting_groups.erase(group); });
 }
 
-inline const std::vector<SoakFault>& SoakFaults() {
-  static const std::vector<SoakFault> faults = {
+inline void InjectRestart(Soak& soak, const WorkerRestart& how) {
+  const std::size_t first = soak.random() % 4;
+  for (std::size_t i = 0; i < how.groups; ++i) {
+    // Tasks that are lost there need other workers to start on.
+    if (const std::size_t group = (first + i) % 4;
+        soak.restarting_groups.size() < 2 &&
+        soak.restarting_groups.insert(group).second) {
+      RestartGroup(soak, how, group);
+    }
+  }
+  const std::size_t paused = soak.DrawEntry();
+  const Duration pause =
+      soak.DrawDuration(milliseconds(500), milliseconds(4000));
+  for (std::size_t i = 0; i < how.paused_entries; ++i) {
+    const std::size_t number = (paused + i) % soak.entries.size();
+    soak.Pause(number);
+    Later(soak, pause, [number](Soak& s) { s.Resume(number); });
+  }
+  if (how.entry_list_lag > Duration{}) {
+    for (std::size_t i = soak.random() % 2; i < soak.entries.size(); i += 2) {
+      soak.platform.store_faults[i].list_lag = how.entry_list_lag;
+      Later(soak, seconds(6),
+            [i](Soak& s) { s.platform.store_faults[i].list_lag = {}; });
+    }
+  }
+}
+
+inline std::vector<SoakFault> MakeSoakFaults() {
+  std::vector<SoakFault> faults = {
       {"an entry is killed and restarted",
        [](Soak& soak) {
          const std::size_t number = soak.DrawEntry();
@@ -174,14 +349,15 @@
       {"half of the workers are cut off",
        [](Soak& soak) {
          const std::size_t half = soak.random() % 2;
-         soak.worker_links[half]->faults.cut_to_server = true;
-         return [half](Soak& s) {
-           s.worker_links[half]->faults.cut_to_server = false;
-         };
+         soak.CutOffHalf(half, true);
+         return [half](Soak& s) { s.CutOffHalf(half, false); };
        }},
       {"connections to workers are silenced",
        [](Soak& soak) {
-         soak.worker_links[soak.random() % 2]->Silence();
+         const std::size_t half = soak.random() % 2;
+         for (std::size_t i = half; i < soak.worker_links.size(); i += 2) {
+           soak.worker_links[i]->Silence();
+         }
          return [](Soak&) {};
        }},
       {"workers crash and restart",
@@ -189,13 +365,13 @@
          const std::size_t first = soak.random() % 4;
          auto& workers = soak.platform.fleet.workers;
          for (std::size_t i = first; i < workers.size(); i += 4) {
-           workers[i].up = false;
+           soak.Crash(i);
          }
          return [first](Soak& s) {
            auto& all_workers = s.platform.fleet.workers;
            for (std::size_t i = first; i < all_workers.size(); i += 4) {
              if (!all_workers[i].up && !s.IsDisplaced(all_workers[i])) {
-               Restart(all_workers[i], BootTimeNow());
+               s.RestartWorker(i);
                s.platform.List(all_workers[i]);
              }
            }
@@ -329,6 +505,17 @@
          return [](Soak&) {};
        }},
   };
+  for (const WorkerRestart& restart : WorkerRestarts()) {
+    faults.push_back({restart.name, [&restart](Soak& soak) {
+                        InjectRestart(soak, restart);
+                        return [](Soak&) {};
+                      }});
+  }
+  return faults;
+}
+
+inline const std::vector<SoakFault>& SoakFaults() {
+  static const std::vector<SoakFault> faults = MakeSoakFaults();
   return faults;
 }
 
@@ -392,13 +579,14 @@
     link->faults = {};
   }
   RestartDrainingWorkers(*this);
-  for (EmulatedWorker& worker : this->platform.fleet.workers) {
+  for (std::size_t i = 0; i < this->platform.fleet.workers.size(); ++i) {
+    EmulatedWorker& worker = this->platform.fleet.workers[i];
     worker.fails_runs = false;
     if (this->IsDisplaced(worker)) {
       continue;
     }
     if (!worker.up) {
-      Restart(worker, BootTimeNow());
+      this->RestartWorker(i);
     }
     this->platform.List(worker);
   }
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -57,6 +57,8 @@
   int lost_per_thousand = 0;
   // Ends of appends and reads.
   AnswerFaults answers;
+  // How long a change of the list of workers takes to be read.
+  Duration list_lag{};
 };
 
 // Faults of the workers' handling of orders.
@@ -67,6 +69,8 @@
   // Ends of all orders to all workers, and to single ones.
   AnswerFaults answers;
   std::map<WorkerId, AnswerFaults> answers_of;
+  // How long the answers of single workers take after the order was executed.
+  std::map<WorkerId, Duration> answer_delay_of;
   // Workers that reject every hold with 503.
   std::set<WorkerId> rejects_holds;
 };
@@ -187,12 +191,18 @@
   std::vector<StoreFaults> store_faults;
   StoreFaults all_store_faults;
   OrderFaults order_faults;
+  // Starts that had an effect and got no answer.
+  std::uint64_t unanswered_starts = 0;
   // Workers that are down and at whose address another process answers.
   std::set<WorkerId> displaced_workers;
   // Whether a start that is executed late is executed even when the worker has
   // restarted meanwhile, as on the platform. Late holds always outlive the
   // process.
   bool late_starts_outlive_workers = false;
+  // Whether a hold that waits at a worker ends with the worker's process.
+  bool holds_end_with_workers = false;
+  // When the records of the list of workers were written.
+  std::vector<TimePoint> listed_at;
   std::minstd_rand random;
   // Exchanges that are never answered; kept, so that their connections stay
   // open.
@@ -234,10 +244,10 @@
           {"Gpu", listing.capacity.accelerators.value}}},
         {"Labels", listing.labels},
         {"born", listing.incarnation.value}};
-    this->Put("keyed.servers", listing.id.value, json.dump());
+    this->Put(kListTopic, listing.id.value, json.dump());
   }
   void Unlist(const EmulatedWorker& worker) {
-    this->Put("keyed.servers", worker.listing.id.value, std::nullopt);
+    this->Put(kListTopic, worker.listing.id.value, std::nullopt);
   }
 
   void Put(const std::string& topic,
@@ -245,6 +255,9 @@
            std::optional<std::string> value) {
     (void)AppendTo(this->topics[topic],
                    {KeyedValue{.key = key, .value = std::move(value)}}, {});
+    if (topic == kListTopic) {
+      this->listed_at.push_back(BootTimeNow());
+    }
   }
 
   // Compacts the journal and the progress stream: only the newest record of
@@ -273,6 +286,7 @@
   }
 
  private:
+  static constexpr const char* kListTopic = "keyed.servers";
   // How often a waiting call checks for its result.
   static constexpr Duration kPollInterval = milliseconds(10);
 
@@ -321,6 +335,11 @@
         this->After(milliseconds(1000 + this->random() % 5000),
                     [carry_out = std::move(carry_out)] { (void)carry_out(); });
         return;
+      case AnswerEnd::kLateSilent:
+        this->After(milliseconds(2000 + this->random() % 4000),
+                    [carry_out = std::move(carry_out)] { (void)carry_out(); });
+        this->unanswered.push_back(std::move(respond));
+        return;
       case AnswerEnd::kClosed:
         return;
     }
@@ -346,7 +365,7 @@
     }
     this->After(
         milliseconds(2) + own.delay + all.delay,
-        [this, request, end, is_append, respond = std::move(respond)] {
+        [this, entry, request, end, is_append, respond = std::move(respond)] {
           if (is_append) {
             this->EndCall(end, respond, [this, request] {
               return this->ExecuteAppend(request);
@@ -356,7 +375,7 @@
           } else if (request.path.ends_with("log-read")) {
             const Duration wait =
                 milliseconds(impl::GetNumberField(request.query, "WaitMs"));
-            this->ServeRead(request, respond, BootTimeNow() + wait);
+            this->ServeRead(entry, request, respond, BootTimeNow() + wait);
           } else {
             this->ServeNewest(request, respond);
           }
@@ -396,7 +415,21 @@
     return ServedResponse{.status = status, .body = json.dump()};
   }
 
-  void ServeRead(const ServedRequest& request,
+  // The number of records of the topic that the entry can read.
+  std::uint64_t VisibleEnd(std::size_t entry, const ServedRequest& request) {
+    const EmulatedLog& log = this->GetTopic(request);
+    if (impl::GetQueryField(request.query, "Topic") != kListTopic) {
+      return log.records.size();
+    }
+    const TimePoint newest = BootTimeNow() - this->store_faults[entry].list_lag;
+    return static_cast<std::uint64_t>(std::upper_bound(this->listed_at.begin(),
+                                                       this->listed_at.end(),
+                                                       newest) -
+                                      this->listed_at.begin());
+  }
+
+  void ServeRead(std::size_t entry,
+                 const ServedRequest& request,
                  const Respond& respond,
                  TimePoint until) {
     const EmulatedLog& log = this->GetTopic(request);
@@ -405,17 +438,18 @@
       respond(ServedResponse{.status = 410, .body = "{}"});
       return;
     }
-    if (from >= log.records.size() && BootTimeNow() < until) {
-      this->After(kPollInterval, [this, request, respond, until] {
-        this->ServeRead(request, respond, until);
+    const std::uint64_t end = this->VisibleEnd(entry, request);
+    if (from >= end && BootTimeNow() < until) {
+      this->After(kPollInterval, [this, entry, request, respond, until] {
+        this->ServeRead(entry, request, respond, until);
       });
       return;
     }
     const std::uint64_t max_bytes =
         1024 * impl::GetNumberField(request.query, "MaxKb", 1024);
-    std::string body = impl::EncodeBigEndian64(log.records.size()) +
+    std::string body = impl::EncodeBigEndian64(std::max(from, end)) +
                        impl::EncodeBigEndian64(log.first.value);
-    for (std::uint64_t at = from; at < log.records.size(); ++at) {
+    for (std::uint64_t at = from; at < end; ++at) {
       const std::string record = platform::EncodeLogRecords({log.records[at]});
       if (body.size() + record.size() > max_bytes) {
         break;
@@ -482,34 +516,42 @@
         own != this->order_faults.answers_of.end()) {
       end = DrawAnswerEnd(own->second, this->random);
     }
-    if (end == AnswerEnd::kAnswered) {
-      this->ProcessOrder(order, std::move(respond), BootTimeNow() + order.wait);
-      return;
-    }
-    // A late order reaches the incarnation that runs when it arrives.
     const EmulatedWorker* recipient = this->fleet.FindWorker(order.worker);
     const WorkerIncarnation incarnation = recipient != nullptr
                                               ? recipient->listing.incarnation
                                               : WorkerIncarnation();
+    if (end == AnswerEnd::kAnswered) {
+      this->ProcessOrder(order, incarnation, std::move(respond),
+                         BootTimeNow() + order.wait);
+      return;
+    }
+    // A late order reaches the incarnation that runs when it arrives, unless
+    // the earlier one has received it.
     const bool outlives =
-        order.kind != OrderKind::kStart || this->late_starts_outlive_workers;
+        end != AnswerEnd::kLateSilent &&
+        (order.kind != OrderKind::kStart || this->late_starts_outlive_workers);
     this->EndCall(
         end, std::move(respond), [this, order, incarnation, outlives] {
           EmulatedWorker* worker = this->fleet.FindWorker(order.worker);
           if (worker != nullptr && worker->up &&
               (outlives || worker->listing.incarnation == incarnation)) {
             this->fleet.now = BootTimeNow();
+            const std::uint64_t before = this->fleet.starts;
             (void)this->fleet.ExecuteOrderOn(*worker, order);
+            this->unanswered_starts += this->fleet.starts - before;
           }
           return ServedResponse{};
         });
   }
 
   void ProcessOrder(const WorkerOrder& order,
+                    WorkerIncarnation received_by,
                     Respond respond,
                     TimePoint until) {
     EmulatedWorker* worker = this->fleet.FindWorker(order.worker);
-    if (worker == nullptr || !worker->up) {
+    if (worker == nullptr || !worker->up ||
+        (this->holds_end_with_workers &&
+         worker->listing.incarnation != received_by)) {
       this->unanswered.push_back(std::move(respond));
       return;
     }
@@ -519,10 +561,17 @@
                        ended.outcome == OrderOutcome::kDone &&
                        ended.ended.empty() && this->fleet.now < until;
     if (waits) {
-      this->After(kPollInterval,
-                  [this, order, respond = std::move(respond), until]() mutable {
-                    this->ProcessOrder(order, std::move(respond), until);
-                  });
+      this->After(
+          kPollInterval, [this, order, received_by,
+                          respond = std::move(respond), until]() mutable {
+            this->ProcessOrder(order, received_by, std::move(respond), until);
+          });
+    } else if (const auto delay =
+                   this->order_faults.answer_delay_of.find(order.worker);
+               delay != this->order_faults.answer_delay_of.end()) {
+      this->After(delay->second,
+                  [respond = std::move(respond),
+                   answer = impl::EncodeAnswer(ended)] { respond(answer); });
     } else {
       respond(impl::EncodeAnswer(ended));
     }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -45,6 +45,8 @@
   // Drops all bytes while both connections stay open, so that neither end
   // notices.
   bool silent = false;
+  // Drops the bytes to the server only.
+  bool deaf = false;
 
   void Close() {
     std::error_code ignored;
@@ -87,15 +89,40 @@
       : context(io_context),
         acceptor(io_context,
                  asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        server(std::move(server_address)) {
+        server(std::move(server_address)),
+        address("127.0.0.1:" +
+                std::to_string(this->acceptor.local_endpoint().port())) {
     this->Accept();
   }
 
+  // Listens on the given address. An address that no other process uses can be
+  // listened on again after `StopListening`.
+  Relay(asio::io_context& io_context, Address server_address, Address listen)
+      : context(io_context),
+        acceptor(io_context),
+        server(std::move(server_address)),
+        address(std::move(listen)) {
+    this->Listen();
+  }
+
   LinkFaults faults;
 
-  [[nodiscard]] Address ListenAddress() const {
-    return Address("127.0.0.1:" +
-                   std::to_string(this->acceptor.local_endpoint().port()));
+  [[nodiscard]] Address ListenAddress() const { return this->address; }
+
+  // Refuses new connections until `Listen`.
+  void StopListening() {
+    std::error_code ignored;
+    this->acceptor.close(ignored);
+  }
+  void Listen() {
+    if (!this->acceptor.is_open()) {
+      const auto endpoint = *platform::ParseEndpoint(this->address);
+      this->acceptor.open(endpoint.protocol());
+      this->acceptor.set_option(asio::socket_base::reuse_address(true));
+      this->acceptor.bind(endpoint);
+      this->acceptor.listen();
+      this->Accept();
+    }
   }
 
   // Resets every open connection.
@@ -118,6 +145,16 @@
     }
   }
 
+  // The same, but answers to what has reached the server still pass.
+  void Deafen() {
+    for (const auto& weak : this->connections) {
+      if (const auto connection = weak.lock()) {
+        connection->deaf = true;
+        this->silenced.push_back(connection);
+      }
+    }
+  }
+
  private:
   using Connection = std::shared_ptr<impl::RelayedConnection>;
   // How often a block held by a cut checks whether the cut has ended.
@@ -186,7 +223,7 @@
     pump->timer.expires_after(wait);
     pump->timer.async_wait([this, connection, pump,
                             size](const std::error_code&) {
-      if (connection->silent) {
+      if (connection->silent || (connection->deaf && !pump->from_server)) {
         return;
       }
       // Bytes that are held up are lost with a reset of their sender, but not
@@ -217,6 +254,7 @@
   asio::io_context& context;
   asio::ip::tcp::acceptor acceptor;
   Address server;
+  Address address;
   std::vector<std::weak_ptr<impl::RelayedConnection>> connections;
   // Silenced connections, kept open.
   std::vector<Connection> silenced;
