--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -257,7 +257,6 @@
 bool ReadsRestartedClock(const TaskWorker& worker, const OrderResult& result) {
   return !result.incarnation && result.clock &&
          worker.clock_read != kDistantPast &&
-         result.sent >= worker.clock_read &&
          *result.clock < EarliestWorkerClock(worker, result.sent);
 }
 
@@ -422,9 +421,12 @@
       continue;
     }
     NoteUnansweredOrder(*worker, result, world.self.longest_lease);
-    // The order was sent before the worker was seen to restart.
-    const bool outdated = result.fence != MakeFence(world.holding.own_epoch,
-                                                    worker->fence_raises);
+    // The order was sent before the worker was seen to restart, or before it
+    // was asked again because it may have restarted.
+    const bool outdated =
+        result.fence !=
+            MakeFence(world.holding.own_epoch, worker->fence_raises) ||
+        (result.kind == OrderKind::kHold && result.sent < worker->hold_sent);
     const bool cut_short =
         result.kind == OrderKind::kHold && IsCutShort(*worker, result);
     if (result.kind != OrderKind::kHold) {
@@ -437,6 +439,10 @@
       return;
     }
     if (result.outcome == OrderOutcome::kOtherIncarnation) {
+      if (outdated) {
+        // The present incarnation may have another address.
+        continue;
+      }
       worker->next_hold = time.now + kMaxHoldRetryDelay;
       // A worker that lives is listed again with each heartbeat.
       worker->listing_outdated = true;
