--- a/tests/platform_soak_test.cc
+++ b/tests/platform_soak_test.cc
@@ -47,6 +47,18 @@
     {9121,
      "a cut delivered an acknowledgement to the worker's next incarnation", 32,
      "come back", true, true},
+    {41001, "a restarted worker kept a lease for a start whose answer was lost",
+     43, "incarnation", true, true, true},
+};
+
+// Seeds that have failed before and take too long for CI; run with
+// `--recorded 1`.
+const std::vector<SoakCase> kRecordedCases = {
+    {41003, "same cause as seed 41001", 43, "incarnation", true, true, true},
+    {41005, "a start was carried out after its task had ended elsewhere", 43,
+     "incarnation", true, true, true},
+    {41009, "same cause as seed 41005", 43, "incarnation", true, true, true},
+    {41012, "same cause as seed 41001", 43, "incarnation", true, true, true},
 };
 
 // The command-line argument after `name`, or `fallback` without one.
@@ -137,6 +149,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(recorded_seeds) {
+  if (NumberOption("--recorded", 0) == 0) {
+    return;
+  }
+  ConfigureLogging(LogLevel::kError, "soak");
+  for (const SoakCase& sample : kRecordedCases) {
+    RunSeed(sample);
+  }
+}
+
 // Seeds that fail because of a known open fault; KNOWN-RED.txt lists this case.
 const std::vector<SoakCase> kOpenCases = {
     {3012, "a late start is executed by the worker's next incarnation", 27, "",
