--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE platform_http
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
 #include <asio/buffer.hpp>
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
@@ -8,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <future>
+#include <new>
 #include <optional>
 #include <string>
 #include <thread>
@@ -329,5 +332,80 @@
   }
 }
 
+// What reaches a connection of a server before and after the server has ended,
+// whether its request is answered after the end, and what the caller gets.
+struct OutlivingCase {
+  std::string name;
+  std::string before;
+  std::string after;
+  bool answered = false;
+  std::string received;
+};
+
+const std::vector<OutlivingCase> kOutlivingCases = {
+    {.name = "an idle connection"},
+    {.name = "a request without an answer", .before = "GET / HTTP/1.1\r\n\r\n"},
+    {.name = "a request that is answered",
+     .before = "GET / HTTP/1.1\r\n\r\n",
+     .answered = true,
+     .received = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                 "Content-Length: 0\r\nConnection: close\r\n\r\n"},
+    {.name = "the rest of a request",
+     .before = "GET / HTT",
+     .after = "P/1.1\r\n\r\n"},
+    {.name = "a new request", .after = "GET / HTTP/1.1\r\n\r\n"},
+};
+
+// Guards against connections that write to the memory of a server that has
+// ended, which ended the soak with a memory access violation after a seed.
+BOOST_AUTO_TEST_CASE(connections_may_outlive_their_server) {
+  constexpr unsigned char kPattern = 0x5a;
+  for (const OutlivingCase& sample : kOutlivingCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      alignas(HttpServer) std::array<unsigned char, sizeof(HttpServer)> memory;
+      std::string received;
+      {
+        asio::io_context context;
+        const auto guard = asio::make_work_guard(context);
+        std::vector<Respond> held;
+        auto* server = new (memory.data())
+            HttpServer(context, [&held](const ServedRequest&, Respond respond) {
+              held.push_back(std::move(respond));
+            });
+        std::optional<asio::ip::tcp::endpoint> endpoint;
+        for (unsigned short port = 21'400; port < 21'600 && !endpoint; ++port) {
+          if (server->Listen(Address("127.0.0.1:" + std::to_string(port)))) {
+            endpoint.emplace(asio::ip::address_v4::loopback(), port);
+          }
+        }
+        BOOST_TEST_REQUIRE(endpoint.has_value());
+        asio::ip::tcp::socket caller(context);
+        caller.connect(*endpoint);
+        asio::write(caller, asio::buffer(sample.before));
+        context.run_for(milliseconds(20));
+        server->~HttpServer();
+        memory.fill(kPattern);
+        asio::write(caller, asio::buffer(sample.after));
+        if (sample.answered) {
+          BOOST_TEST_REQUIRE(held.size() == 1U);
+          held[0](ServedResponse{});
+        }
+        context.run_for(milliseconds(20));
+        held.clear();
+        std::array<char, 1000> bytes{};
+        caller.async_read_some(asio::buffer(bytes),
+                               [&](const std::error_code&, std::size_t size) {
+                                 received.assign(bytes.data(), size);
+                               });
+        context.run_for(milliseconds(20));
+      }
+      BOOST_TEST(received == sample.received);
+      BOOST_TEST(
+          std::all_of(memory.begin(), memory.end(),
+                      [](unsigned char byte) { return byte == kPattern; }));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
