Count all answers of a tick in the rate of a service

Cause: a measuring period ended with the first answer after it, although more answers had come in the same tick. After a standstill of the process, or with slots that end together, the rate counted one of them: after eight answers in a second it was one a second, and a burst that could be served was refused with deadline_unreachable.

Change: the answers of a tick are counted first, and the period ends after them.

--- a/chicorystep/systems/executor_health.cc
+++ b/chicorystep/systems/executor_health.cc
@@ -112,6 +112,9 @@
   ++estimate.samples;
   estimate.last_sampled = now;
   ++service.answers_in_period;
+}
+
+void UpdateAnswerRate(ServiceTraffic& service, TimePoint now) {
   const Duration elapsed = now - service.period_start;
   if (elapsed < impl::kRatePeriod) {
     return;
--- a/chicorystep/systems/executor_health.h
+++ b/chicorystep/systems/executor_health.h
@@ -13,13 +13,16 @@
                           Duration run_time,
                           TimePoint now);
 
-// Updates the run time estimate of a kind and the answer rate of the service
-// after an answer.
+// Updates the run time estimate of a kind and counts the answer.
 void RecordRunTime(ServiceTraffic& service,
                    const Kind& kind,
                    Duration run_time,
                    TimePoint now);
 
+// Updates the answer rate of a service at the end of a measuring period. Called
+// once all answers of a tick are counted.
+void UpdateAnswerRate(ServiceTraffic& service, TimePoint now);
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
--- a/chicorystep/systems/routing.cc
+++ b/chicorystep/systems/routing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "chicorystep/systems/executor_choice.h"
@@ -50,9 +51,11 @@
   request.last_executor = std::exchange(request.executor, ExecutorId{});
 }
 
+// Ends an attempt, and adds the service to `answered` if it was answered.
 void EndAttempt(World& world,
                 const AttemptEnded& ended,
                 TimePoint now,
+                std::set<Service>& answered,
                 Outbox& outbox) {
   Request* request = world.requests.table.find(ended.exchange);
   if (request == nullptr || request->attempts != ended.attempt ||
@@ -61,6 +64,7 @@
   }
   RecordAttemptEnd(world, *request, ended, now);
   if (ended.result == AttemptResult::kAnswered) {
+    answered.insert(request->service);
     EndRequest(world, ended.exchange, std::nullopt, outbox);
     return;
   }
@@ -177,8 +181,12 @@
                  const Inbox& inbox,
                  TimePoint now,
                  Outbox& outbox) {
+  std::set<Service> answered;
   for (const AttemptEnded& ended : inbox.attempts_ended) {
-    impl::EndAttempt(world, ended, now, outbox);
+    impl::EndAttempt(world, ended, now, answered, outbox);
+  }
+  for (const Service& service : answered) {
+    UpdateAnswerRate(world.requests.services[service], now);
   }
 }
 
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE routing
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -385,6 +386,72 @@
   }
 }
 
+// Answers that arrive together after a standstill, and the requests that come
+// in the same tick or after it.
+struct TogetherCase {
+  std::string name;
+  // Answers before the standstill.
+  int before;
+  Duration standstill;
+  bool same_tick;
+};
+
+const std::vector<TogetherCase> kTogetherCases = {
+    {"the first answers of the process", 0, seconds(1), false},
+    {"requests of the same tick", 0, seconds(1), true},
+    {"after other answers", 16, seconds(1), false},
+    {"a short standstill", 16, milliseconds(300), true},
+};
+
+// Guards against a rate that counts one of the answers of a tick: a burst after
+// a standstill of the process was refused with deadline_unreachable.
+BOOST_AUTO_TEST_CASE(answers_that_arrive_together_count_together) {
+  constexpr int kSlots = 8;
+  for (const TogetherCase& sample : kTogetherCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Harness harness({{"x1", "z1", "north", kSlots}});
+      harness.world.self.max_waiting_requests = 100;
+      for (int n = 0; n < sample.before; ++n) {
+        const Outbox sent = harness.Arrive("verify");
+        harness.now += milliseconds(15);
+        (void)harness.End(sent.attempts.at(0), AttemptResult::kAnswered);
+      }
+      Inbox inbox;
+      for (int n = 0; n < kSlots; ++n) {
+        const Outbox sent = harness.Arrive("verify");
+        inbox.attempts_ended.push_back(
+            AttemptEnded{.exchange = sent.attempts.at(0).exchange,
+                         .attempt = sent.attempts.at(0).attempt,
+                         .result = AttemptResult::kAnswered});
+      }
+      harness.now += sample.standstill;
+      // At eight answers in a standstill of a second, the 20 that wait take 2.5
+      // seconds.
+      Inbox burst;
+      for (int n = 0; n < kSlots + 20; ++n) {
+        burst.requests.push_back(
+            RequestArrived{.exchange = ExchangeId(++harness.last_exchange),
+                           .id = RequestId("r"),
+                           .workspace = Workspace("w1"),
+                           .kind = Kind("verify"),
+                           .size = Bytes(100),
+                           .deadline = seconds(5)});
+      }
+      if (sample.same_tick) {
+        burst.attempts_ended = inbox.attempts_ended;
+      } else {
+        (void)Tick(harness.world, inbox, harness.now);
+      }
+      const Outbox sent = Tick(harness.world, burst, harness.now);
+      const auto refused = std::count_if(
+          sent.ended_exchanges.begin(), sent.ended_exchanges.end(),
+          [](const EndExchange& end) { return end.refusal.has_value(); });
+      BOOST_TEST(refused == 0);
+      BOOST_TEST(sent.attempts.size() == static_cast<std::size_t>(kSlots));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(long_kinds_leave_slots_to_short_ones) {
   Harness harness({{"x1", "z1", "north", 8}});
   harness.world.self.max_waiting_requests = 100;
