Log the incarnation of unconfirmed starts and why runs are given up

Cause: the event of a lost worker names none of its runs, an order that may have reached an unknown incarnation has no line, and a start whose answer was lost has no line at all. Change: `run_given_up` is logged for each run that counts as ended without a reported end, `run_reported` for the first report of a run by an incarnation that no earlier line named, `order_unanswered` and `unanswered_orders_settled` for the wait for an unknown incarnation.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -172,6 +172,15 @@
   }
 }
 
+// Whether a report of the run tells more of the incarnation that carried out
+// its start than what was logged before: the start got no answer, or the run
+// was placed on, or reported by, another incarnation.
+bool ShowsIncarnation(const Task& task, WorkerIncarnation reporter) {
+  return task.reported_by != reporter &&
+         (!task.reported_by.empty() || task.state == TaskState::kStarting ||
+          task.incarnation != reporter);
+}
+
 // Reconciles the runs that the worker reports with the tables: stops orphaned
 // runs, updates reported ones and ends those that are missing.
 void ReconcileRuns(WorkflowWorld& world,
@@ -218,6 +227,17 @@
         }
       }
     }
+    if (ShowsIncarnation(*ref.task, reporter)) {
+      Log(LogLevel::kInfo, "run_reported",
+          {{"workflow", report.task.workflow.value},
+           {"step", report.task.step.value},
+           {"task", report.task.task.value},
+           {"run", report.run.value},
+           {"worker", id.value},
+           {"incarnation", reporter.value},
+           {"placed_on", ref.task->incarnation.value},
+           {"state", EnumName(ref.task->state)}});
+    }
     if (ref.task->state == TaskState::kStarting) {
       ref.task->state = TaskState::kRunning;
       ref.task->since = now;
@@ -405,6 +425,8 @@
       if (ref.task->start_unconfirmed) {
         StopRun(world, start.task, ref, now);
       } else {
+        LogRunGivenUp(*worker, start.task, *ref.task,
+                      "its start could not be sent", now);
         HandleUnreportedEnd(world, start.task, ref, now);
       }
       return;
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "chicorystep/core/logging.h"
+
 namespace chicorystep {
 
 Duration ScaleForSlowClocks(Duration time) {
@@ -41,15 +43,41 @@
       order.connected <= worker.identified) {
     return;
   }
+  const bool counts_already = worker.unidentified_lease_expiry > order.answered;
   worker.unidentified_order = std::max(worker.unidentified_order, order.sent);
   worker.unidentified_lease_expiry =
       std::max(worker.unidentified_lease_expiry,
                order.sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
+  // A hold names no run, so it is only worth a line if it begins the wait.
+  if (order.kind == OrderKind::kHold && counts_already) {
+    return;
+  }
+  Log(LogLevel::kInfo, "order_unanswered",
+      {{"worker", order.worker.value},
+       {"incarnation", worker.listing.incarnation.value},
+       {"kind", EnumName(order.kind)},
+       {"workflow", order.task.workflow.value},
+       {"step", order.task.step.value},
+       {"task", order.task.task.value},
+       {"run", order.run.value},
+       {"connected_ms",
+        WholeMillis(std::max(Duration(), order.sent - order.connected))},
+       {"leases_expire_ms",
+        WholeMillis(worker.unidentified_lease_expiry - order.answered)}});
 }
 
 void NoteIdentified(TaskWorker& worker, const OrderResult& hold) {
   worker.identified = std::max(worker.identified, hold.sent);
   if (worker.identified > worker.unidentified_order) {
+    if (worker.unidentified_lease_expiry > hold.answered) {
+      Log(LogLevel::kInfo, "unanswered_orders_settled",
+          {{"worker", worker.listing.id.value},
+           {"incarnation", worker.listing.incarnation.value},
+           {"waited_ms",
+            WholeMillis(hold.answered - worker.unidentified_order)},
+           {"leases_expire_ms",
+            WholeMillis(worker.unidentified_lease_expiry - hold.answered)}});
+    }
     worker.unidentified_lease_expiry = kDistantPast;
   }
 }
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -204,6 +204,25 @@
 
 }  // namespace
 
+void LogRunGivenUp(const TaskWorker& worker,
+                   const TaskKey& key,
+                   const Task& task,
+                   std::string_view why,
+                   TimePoint now) {
+  Log(LogLevel::kInfo, "run_given_up",
+      {{"workflow", key.workflow.value},
+       {"step", key.step.value},
+       {"task", key.task.value},
+       {"run", task.run.value},
+       {"worker", worker.listing.id.value},
+       {"incarnation", worker.listing.incarnation.value},
+       {"reported_by", task.reported_by.value},
+       {"start_unconfirmed", task.start_unconfirmed},
+       {"state", EnumName(task.state)},
+       {"state_ms", WholeMillis(now - task.since)},
+       {"why", why}});
+}
+
 void ReleaseLostTasks(WorkflowWorld& world,
                       const WorkerId& id,
                       std::string_view why,
@@ -221,6 +240,8 @@
   for (const auto& [key, run] : tasks) {
     const TaskRef ref = FindTask(world, key);
     if (ref && ref.task->run == run && HoldsCapacity(ref.task->state)) {
+      LogRunGivenUp(*world.scheduling.workers.find(id), key, *ref.task, why,
+                    now);
       HandleUnreportedEnd(world, key, ref, now);
     }
   }
--- a/chicorystep/systems/task_workers.h
+++ b/chicorystep/systems/task_workers.h
@@ -12,6 +12,14 @@
                          const WorkflowInbox& inbox,
                          const WorkflowTime& time);
 
+// Logs why a run whose end no worker has reported counts as ended, and what was
+// known of it. Called before the task returns to waiting.
+void LogRunGivenUp(const TaskWorker& worker,
+                   const TaskKey& key,
+                   const Task& task,
+                   std::string_view why,
+                   TimePoint now);
+
 // Returns the worker's tasks to waiting. Called only when every run there is
 // certain to have ended: another process answers at the address, or the leases
 // have expired.
--- a/tests/task_log_test.cc
+++ b/tests/task_log_test.cc
@@ -196,5 +196,181 @@
   }
 }
 
+// What the holder knew of a run that the worker reports as in progress, and the
+// line about it, if the report tells more than was logged before.
+struct ReportCase {
+  std::string name;
+  TaskState state;
+  WorkerIncarnation placed_on;
+  WorkerIncarnation reported_by;
+  std::string line;
+};
+
+const std::vector<ReportCase> kReportCases = {
+    {"its start was answered", TaskState::kRunning, kIncarnation,
+     WorkerIncarnation(), ""},
+    {"it was reported before", TaskState::kRunning, WorkerIncarnation(1),
+     kIncarnation, ""},
+    {"its start got no answer", TaskState::kStarting, kIncarnation,
+     WorkerIncarnation(),
+     "run_reported workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
+     "incarnation=2 placed_on=2 state=starting"},
+    {"it was placed on an earlier incarnation", TaskState::kRunning,
+     WorkerIncarnation(1), WorkerIncarnation(),
+     "run_reported workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
+     "incarnation=2 placed_on=1 state=running"},
+    {"an earlier incarnation reported it", TaskState::kStopping, kIncarnation,
+     WorkerIncarnation(1),
+     "run_reported workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
+     "incarnation=2 placed_on=2 state=stopping"},
+};
+
+// Guards against runs of which no log says which process of a restarted worker
+// carried out their start (issue 42).
+BOOST_AUTO_TEST_CASE(reports_that_show_the_incarnation_of_a_start_are_logged) {
+  for (const ReportCase& sample : kReportCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const LogCapture log;
+      Task task = MakeTask(sample.state);
+      task.incarnation = sample.placed_on;
+      task.reported_by = sample.reported_by;
+      WorkflowWorld world = MakeWorld(task);
+      const OrderResult hold{.outcome = OrderOutcome::kDone,
+                             .incarnation = kIncarnation,
+                             .running = {{.task = kTask, .run = kRun}}};
+      ApplyResult(world, hold);
+      ApplyResult(world, hold);
+      CheckLine(log, "run_reported", sample.line);
+    }
+  }
+}
+
+// What the tables have of a run when its worker is lost, and the line about it.
+struct LossCase {
+  std::string name;
+  TaskState state;
+  WorkerIncarnation reported_by;
+  bool start_unconfirmed;
+  std::string line;
+};
+
+const std::vector<LossCase> kLossCases = {
+    {"a run that was reported", TaskState::kRunning, kIncarnation, false,
+     "run_given_up workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
+     "incarnation=2 reported_by=2 start_unconfirmed=false state=running "
+     "state_ms=500 why=\"all its leases have expired\""},
+    {"a run whose start got no answer", TaskState::kStopping,
+     WorkerIncarnation(), true,
+     "run_given_up workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
+     "incarnation=2 reported_by=0 start_unconfirmed=true state=stopping "
+     "state_ms=500 why=\"all its leases have expired\""},
+    {"a task without a run", TaskState::kWaiting, WorkerIncarnation(), false,
+     ""},
+};
+
+// Guards against runs of which no log says that they were given up: the event
+// of their worker named none (issue 42).
+BOOST_AUTO_TEST_CASE(each_run_that_is_given_up_is_logged) {
+  for (const LossCase& sample : kLossCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const LogCapture log;
+      Task task = MakeTask(sample.state);
+      task.reported_by = sample.reported_by;
+      task.start_unconfirmed = sample.start_unconfirmed;
+      WorkflowWorld world = MakeWorld(task);
+      ReleaseLostTasks(world, kWorker, "all its leases have expired", kNow.now);
+      CheckLine(log, "run_given_up", sample.line);
+    }
+  }
+}
+
+// Orders without an answer to a worker that answered a hold a second earlier,
+// and when a hold was sent that it answers next, if it does. The number of
+// lines that say that the wait for an unknown incarnation has begun, or which
+// order it is for, and that it has ended.
+struct UnansweredCase {
+  std::string name;
+  std::vector<OrderKind> orders;
+  // How long before the orders their connection was opened.
+  Duration connected;
+  Duration next_hold;
+  std::size_t noted;
+  std::size_t settled;
+};
+
+const std::vector<UnansweredCase> kUnansweredCases = {
+    {"a start on an older connection",
+     {OrderKind::kStart},
+     seconds(2),
+     seconds(1),
+     0,
+     0},
+    {"a start", {OrderKind::kStart}, Duration(), Duration(), 1, 0},
+    {"two starts",
+     {OrderKind::kStart, OrderKind::kStart},
+     Duration(),
+     Duration(),
+     2,
+     0},
+    {"two holds",
+     {OrderKind::kHold, OrderKind::kHold},
+     Duration(),
+     Duration(),
+     1,
+     0},
+    {"a start, then a report",
+     {OrderKind::kStart},
+     Duration(),
+     seconds(1),
+     1,
+     1},
+    {"a start, then a report that was asked for before",
+     {OrderKind::kStart},
+     Duration(),
+     -milliseconds(500),
+     1,
+     0},
+    {"a start, then a report after the wait",
+     {OrderKind::kStart},
+     Duration(),
+     seconds(30),
+     1,
+     0},
+};
+
+// Guards against waits for an unknown incarnation that no log mentions.
+BOOST_AUTO_TEST_CASE(waits_for_unknown_incarnations_are_logged) {
+  for (const UnansweredCase& sample : kUnansweredCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      const LogCapture log;
+      TaskWorker worker{
+          .listing = {.id = kWorker, .incarnation = kIncarnation}};
+      NoteIdentified(worker, OrderResult{.sent = kNow.now - seconds(1)});
+      for (const OrderKind kind : sample.orders) {
+        NoteUnansweredOrder(
+            worker,
+            OrderResult{.kind = kind,
+                        .worker = kWorker,
+                        .task = kTask,
+                        .run = kRun,
+                        .outcome = OrderOutcome::kUnknown,
+                        .leases = true,
+                        .connected = kNow.now - sample.connected,
+                        .sent = kNow.now,
+                        .answered = kNow.now + milliseconds(700)},
+            seconds(10));
+      }
+      if (sample.next_hold != Duration()) {
+        NoteIdentified(worker,
+                       OrderResult{.sent = kNow.now + sample.next_hold,
+                                   .answered = kNow.now + sample.next_hold});
+      }
+      BOOST_TEST(log.Find("order_unanswered").size() == sample.noted);
+      BOOST_TEST(log.Find("unanswered_orders_settled").size() ==
+                 sample.settled);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
