Keep tasks placed while a start of theirs is in flight

Cause: when the leases of a silent worker have expired, its tasks are placed elsewhere. A start that was still in flight was taken for one that can't be carried out any more. That holds for the incarnation on whose clock its lease is; a later one may grant its longest lease, and an order counts for that only once its result is known, up to 0.7 s after it was sent.

Change: the tasks are released only when no start to the worker is in flight. The orders in flight are kept with their kinds, because a stop is repeated for as long as it gets no answer and must not delay the release.

--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/task_orders.cc
@@ -185,7 +185,7 @@
       }
       worker.leased_until = std::max(worker.leased_until, *order.until);
     }
-    worker.orders_in_flight.insert(order.task);
+    worker.orders_in_flight.emplace(order.task, order.kind);
     outbox.orders.push_back(std::move(order));
   }
   worker.orders = std::move(deferred);
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -193,6 +193,14 @@
   }
 }
 
+// Whether a start is in flight, for which a later incarnation of the worker may
+// grant its longest lease. Its result shows whether it may have arrived.
+bool HasStartInFlight(const TaskWorker& worker) {
+  return std::any_of(
+      worker.orders_in_flight.begin(), worker.orders_in_flight.end(),
+      [](const auto& row) { return row.second == OrderKind::kStart; });
+}
+
 void ApplyUnlisted(WorkflowWorld& world, const WorkerId& id) {
   if (TaskWorker* worker = world.scheduling.workers.find(id);
       worker != nullptr && worker->listed) {
@@ -362,8 +370,8 @@
   for (std::size_t i = workers.size(); i-- > 0;) {
     const TaskWorker& worker = workers.rows[i];
     if ((worker.unanswered_holds > 0 || !worker.listed) &&
-        !worker.tasks.empty() && HaveLeasesExpired(worker, time.now)) {
-      // A start that is still in flight can no longer be carried out either.
+        !worker.tasks.empty() && HaveLeasesExpired(worker, time.now) &&
+        !HasStartInFlight(worker)) {
       ReleaseLostTasks(world, WorkerId(workers.keys[i]),
                        "all its leases have expired", time.now);
     }
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -203,7 +203,7 @@
   bool fenced = false;
   bool hold_in_flight = false;
   // Tasks with a start or stop order in flight; at most one order per task.
-  std::set<TaskKey> orders_in_flight;
+  std::map<TaskKey, OrderKind> orders_in_flight;
   // Orders that have not been sent yet.
   std::deque<WorkerOrder> orders;
   TimePoint next_hold{};
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -326,7 +326,7 @@
       worker.listed = false;
       worker.clock_read = kNow.now;
       if (sample.in_flight) {
-        worker.orders_in_flight.insert(kTask);
+        worker.orders_in_flight.emplace(kTask, OrderKind::kStart);
       }
       ExpireWorkers(world, {.now = kNow.now + milliseconds(100)});
       BOOST_TEST(EnumName(GetTask(world).state) == EnumName(sample.state));
