Count an unanswered order from when its connection was opened

Cause: an order without an answer is settled by a later report of the known incarnation. An order is handed over before its connection is open, so a hold between the two counted as later, though its answer says nothing about which process is at the other end of that connection. The time for which the order may be late began as early.

Change: both are counted from the opening of the connection, if that is later.

--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -47,10 +47,12 @@
       order.connected <= worker.identified) {
     return;
   }
-  worker.unidentified_order = std::max(worker.unidentified_order, order.sent);
+  // The order is sent once its connection is open.
+  const TimePoint sent = std::max(order.sent, order.connected);
+  worker.unidentified_order = std::max(worker.unidentified_order, sent);
   worker.unidentified_lease_expiry =
       std::max(worker.unidentified_lease_expiry,
-               order.sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
+               sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
 }
 
 void NoteIdentified(TaskWorker& worker, const OrderResult& hold) {
