Use the long leases that the holder before the previous one recorded

Cause: the wait for an order of an unknown incarnation is longer than that for any ordinary lease, and only the record of unresponsive workers hands it over. A holder that is replaced before it has written a record of its own passes on the wait for ordinary leases alone.

Change: if the previous holder has not recorded the worker, the record of the holder before it counts as well, if it is the longer. The rule is in one function, which a record that the previous holders' orders have ended uses too.

Records of still earlier holders are not kept.

--- a/chicorystep/systems/task_unresponsive_workers.cc
+++ b/chicorystep/systems/task_unresponsive_workers.cc
@@ -1,6 +1,7 @@
 #include "chicorystep/systems/task_unresponsive_workers.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/task_worker_clock.h"
@@ -37,6 +38,20 @@
   });
 }
 
+// By when every lease on the worker has expired, as the holder of `epoch`
+// recorded it; nothing if it did not.
+std::optional<TimePoint> FindRecordedLeaseExpiry(const Holding& holding,
+                                                 Epoch epoch,
+                                                 const WorkerId& id) {
+  const UnresponsiveWorkers& recorded = holding.unresponsive[epoch.value % 2];
+  if (recorded.epoch != epoch) {
+    return std::nullopt;
+  }
+  const auto row = recorded.expiry.find(id);
+  return row == recorded.expiry.end() ? std::nullopt
+                                      : std::optional(row->second);
+}
+
 }  // namespace
 
 bool NeedsUnresponsiveRecord(const WorkflowWorld& world, TimePoint now) {
@@ -94,30 +109,25 @@
   }
 }
 
-std::optional<TimePoint> FindRecordedLeaseExpiry(const Holding& holding,
-                                                 const WorkerId& id) {
-  const std::uint64_t previous_epoch = holding.own_epoch.value - 1;
-  const UnresponsiveWorkers& recorded =
-      holding.unresponsive[previous_epoch % 2];
-  // A record of an earlier epoch does not cover the leases of later holders.
-  if (recorded.epoch != Epoch(previous_epoch)) {
-    return std::nullopt;
-  }
-  const auto row = recorded.expiry.find(id);
-  return row == recorded.expiry.end() ? std::nullopt
-                                      : std::optional(row->second);
-}
-
 TimePoint RestartedLeaseExpiry(const WorkflowWorld& world, TimePoint now) {
   return std::max(now, PreviousOrdersEnd(world.holding)) +
          ScaleForSlowClocks(world.self.longest_lease);
 }
 
-void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker) {
-  worker.inherited_lease_expiry =
-      FindRecordedLeaseExpiry(world.holding, worker.listing.id)
-          .value_or(PreviousOrdersEnd(world.holding) +
-                    ScaleForSlowClocks(world.self.lease));
+TimePoint InheritedLeaseExpiry(const WorkflowWorld& world, const WorkerId& id) {
+  const Holding& holding = world.holding;
+  const Epoch previous(holding.own_epoch.value - 1);
+  if (const auto expiry = FindRecordedLeaseExpiry(holding, previous, id)) {
+    return *expiry;
+  }
+  const TimePoint expiry =
+      PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
+  // A record of the holder before does not cover the leases of the previous
+  // one, which may have ended before it recorded the longer ones that it knew.
+  const Epoch before(previous.value - 1);
+  return std::max(
+      expiry,
+      FindRecordedLeaseExpiry(holding, before, id).value_or(kDistantPast));
 }
 
 bool MayGrantLease(const TaskWorker& worker) noexcept {
--- a/chicorystep/systems/task_unresponsive_workers.h
+++ b/chicorystep/systems/task_unresponsive_workers.h
@@ -1,8 +1,6 @@
 #ifndef CHICORYSTEP_SYSTEMS_TASK_UNRESPONSIVE_WORKERS_H_
 #define CHICORYSTEP_SYSTEMS_TASK_UNRESPONSIVE_WORKERS_H_
 
-#include <optional>
-
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/workflow_world.h"
 
@@ -30,12 +28,6 @@
                              const UnresponsiveWorkersRecord& record,
                              TimePoint now);
 
-// By when every lease on the worker has expired, as the previous holder
-// recorded it; nothing if it did not.
-[[nodiscard]] std::optional<TimePoint> FindRecordedLeaseExpiry(
-    const Holding& holding,
-    const WorkerId& id);
-
 // By when every lease on a worker that is seen to restart at `now` has expired.
 // An order to an earlier incarnation bears a lease expiry on that incarnation's
 // clock, so the present one may grant its longest lease. Previous holders may
@@ -43,9 +35,10 @@
 [[nodiscard]] TimePoint RestartedLeaseExpiry(const WorkflowWorld& world,
                                              TimePoint now);
 
-// Sets the time by which every lease of previous holders on a newly added
-// worker is certain to have expired.
-void InheritLeaseExpiry(const WorkflowWorld& world, TaskWorker& worker);
+// By when every lease of previous holders on the worker has expired, if it has
+// not restarted.
+[[nodiscard]] TimePoint InheritedLeaseExpiry(const WorkflowWorld& world,
+                                             const WorkerId& id);
 
 // Whether the worker may be given a lease: it answers, and no record lists it
 // as unresponsive.
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -57,7 +57,7 @@
                     .listed_incarnation = listing.incarnation,
                     .fence_raises = world.scheduling.fence_raises,
                     .next_hold = now};
-  InheritLeaseExpiry(world, worker);
+  worker.inherited_lease_expiry = InheritedLeaseExpiry(world, listing.id);
   if (const auto own = placed.find(listing.id); own != placed.end()) {
     for (const TaskKey& key : own->second) {
       const TaskRef ref = FindTask(world, key);
--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflow_previous_holders.cc
@@ -78,12 +78,14 @@
       PreviousOrdersEnd(holding) + ScaleForSlowClocks(world.self.lease);
   std::size_t waiting = 0;
   for (TaskWorker& worker : world.scheduling.workers.rows) {
-    // A recorded expiry may be that of a longer lease.
-    if (!worker.fenced &&
-        !FindRecordedLeaseExpiry(holding, worker.listing.id)) {
-      worker.inherited_lease_expiry = std::min(
-          worker.inherited_lease_expiry,
-          worker.restarted ? RestartedLeaseExpiry(world, now) : expiry);
+    if (!worker.fenced) {
+      const TimePoint inherited =
+          InheritedLeaseExpiry(world, worker.listing.id);
+      worker.inherited_lease_expiry =
+          std::min(worker.inherited_lease_expiry,
+                   worker.restarted
+                       ? std::max(inherited, RestartedLeaseExpiry(world, now))
+                       : inherited);
       waiting += worker.tasks.empty() ? 0 : 1;
     }
   }
--- a/tests/task_worker_silence_test.cc
+++ b/tests/task_worker_silence_test.cc
@@ -90,9 +90,7 @@
         BOOST_TEST((read.workers == record.workers));
         ApplyUnresponsiveRecord(world.holding, read, kNow);
       }
-      TaskWorker worker{.listing = {.id = kWorker}};
-      InheritLeaseExpiry(world, worker);
-      BOOST_TEST((worker.inherited_lease_expiry - kNow).count() ==
+      BOOST_TEST((InheritedLeaseExpiry(world, kWorker) - kNow).count() ==
                  sample.wait.count());
     }
   }
