--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -50,10 +50,12 @@
     return;
   }
   const bool counts_already = worker.unidentified_lease_expiry > order.answered;
-  worker.unidentified_order = std::max(worker.unidentified_order, order.sent);
+  // The order is sent once its connection is open.
+  const TimePoint sent = std::max(order.sent, order.connected);
+  worker.unidentified_order = std::max(worker.unidentified_order, sent);
   worker.unidentified_lease_expiry =
       std::max(worker.unidentified_lease_expiry,
-               order.sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
+               sent + kMaxOrderDelay + ScaleForSlowClocks(longest_lease));
   // A hold names no run, so it is only worth a line if it begins the wait.
   if (order.kind == OrderKind::kHold && counts_already) {
     return;
