Keep the lines of a task's trail few, and write them when lines are dropped

What callers saw: nothing yet; with the new lines the holder drops more lines than before, those about the runs of a task among them. Cause: an acknowledgement has a line of its own for almost every end, each member of a gang has an end that the tables do not place once another one's end has counted for all, and routine lines may not use the lines reserved for warnings. What is rare and explains a second run is a warning: end_not_placed, ends_acknowledged, run_given_up, order_unanswered, run_at_restart, orphaned_run_stopped, and run_reported by another incarnation. The rows of answered_acknowledgements_are_logged name the end that is not placed; the two that had a line have one still.

--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/task_reports.cc
@@ -43,7 +43,7 @@
 void LogUnplacedEnd(const TaskWorker& worker,
                     const EndReport& end,
                     const TaskRef& ref) {
-  Log(LogLevel::kInfo, "end_not_placed",
+  Log(LogLevel::kWarn, "end_not_placed",
       {{"workflow", end.task.workflow.value},
        {"step", end.task.step.value},
        {"task", end.task.task.value},
@@ -57,16 +57,28 @@
        {"table_state", ref ? EnumName(ref.task->state) : ""}});
 }
 
+// Whether the end is that of a member of a gang that has succeeded by the end
+// of another member.
+bool EndsSucceededMember(const TaskWorker& worker,
+                         const EndReport& end,
+                         const TaskRef& ref) {
+  return ref && ref.spec->gang && ref.task->state == TaskState::kDone &&
+         ref.task->run == end.run && ref.task->worker == worker.listing.id;
+}
+
 // Applies the end of a run. Ignored unless the tables place that run on this
 // worker.
 void ApplyEnd(WorkflowWorld& world,
-              const TaskWorker& worker,
+              TaskWorker& worker,
               const EndReport& end,
               TimePoint now) {
   const TaskRef ref = FindTask(world, end.task);
   if (!ref || ref.task->run != end.run || !HoldsCapacity(ref.task->state) ||
       ref.task->worker != worker.listing.id) {
-    LogUnplacedEnd(worker, end, ref);
+    if (!EndsSucceededMember(worker, end, ref)) {
+      LogUnplacedEnd(worker, end, ref);
+      worker.unplaced_end = end.number;
+    }
     return;
   }
   Task& task = *ref.task;
@@ -206,7 +218,7 @@
             return order.task == report.task && order.run == report.run;
           });
       if (!queued) {
-        Log(LogLevel::kInfo, "orphaned_run_stopped",
+        Log(LogLevel::kWarn, "orphaned_run_stopped",
             {{"workflow", report.task.workflow.value},
              {"task", report.task.task.value},
              {"run", report.run.value},
@@ -228,7 +240,8 @@
       }
     }
     if (ShowsIncarnation(*ref.task, reporter)) {
-      Log(LogLevel::kInfo, "run_reported",
+      Log(ref.task->incarnation == reporter ? LogLevel::kInfo : LogLevel::kWarn,
+          "run_reported",
           {{"workflow", report.task.workflow.value},
            {"step", report.task.step.value},
            {"task", report.task.task.value},
@@ -279,16 +292,25 @@
   }
 }
 
-// Logs that a worker has received an acknowledgement: it may delete its records
-// of these ends, so that no later holder reads them.
-void LogAcknowledged(const TaskWorker& worker, const OrderResult& hold) {
+// Logs that a worker has received an acknowledgement, so that no later holder
+// reads these ends, if the tables do not place one of them or another
+// incarnation has answered. The others are each logged as they are applied.
+void LogAcknowledged(TaskWorker& worker, const OrderResult& hold) {
   if (hold.outcome != OrderOutcome::kDone || hold.acknowledged == EndNumber()) {
     return;
   }
-  Log(LogLevel::kInfo, "ends_acknowledged",
+  const WorkerIncarnation incarnation =
+      hold.incarnation.value_or(worker.listing.incarnation);
+  const bool unplaced = worker.unplaced_end != EndNumber() &&
+                        hold.acknowledged >= worker.unplaced_end;
+  if (!unplaced && incarnation == worker.listing.incarnation) {
+    return;
+  }
+  worker.unplaced_end = EndNumber();
+  Log(LogLevel::kWarn, "ends_acknowledged",
       {{"worker", hold.worker.value},
-       {"incarnation",
-        hold.incarnation.value_or(worker.listing.incarnation).value},
+       {"incarnation", incarnation.value},
+       {"in_table", worker.listing.incarnation.value},
        {"number", hold.acknowledged.value}});
 }
 
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/task_worker_clock.cc
@@ -52,7 +52,7 @@
   if (order.kind == OrderKind::kHold && counts_already) {
     return;
   }
-  Log(LogLevel::kInfo, "order_unanswered",
+  Log(LogLevel::kWarn, "order_unanswered",
       {{"worker", order.worker.value},
        {"incarnation", worker.listing.incarnation.value},
        {"kind", EnumName(order.kind)},
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -209,7 +209,7 @@
                    const Task& task,
                    std::string_view why,
                    TimePoint now) {
-  Log(LogLevel::kInfo, "run_given_up",
+  Log(LogLevel::kWarn, "run_given_up",
       {{"workflow", key.workflow.value},
        {"step", key.step.value},
        {"task", key.task.value},
@@ -275,7 +275,7 @@
     const bool in_flight =
         world.scheduling.workers.find(id)->orders_in_flight.contains(key);
     const bool ended = EndedWithIncarnation(*ref.task, before, in_flight);
-    Log(LogLevel::kInfo, "run_at_restart",
+    Log(LogLevel::kWarn, "run_at_restart",
         {{"workflow", key.workflow.value},
          {"step", key.step.value},
          {"task", key.task.value},
@@ -304,7 +304,7 @@
        {"tasks_lost", lost},
        {"tasks_unconfirmed", tasks.size() - lost}});
   worker->recorded_ends = worker->applied_ends = worker->acknowledged_ends =
-      EndNumber();
+      worker->unplaced_end = EndNumber();
   worker->leased_until = WorkerClock();
   worker->clock_read = kDistantPast;
   // An order to an earlier incarnation carries a lease expiry on that
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -248,6 +248,9 @@
   // acknowledged to the worker in a hold that was not left unanswered.
   EndNumber applied_ends;
   EndNumber acknowledged_ends;
+  // The newest end that the tables do not place on the worker and whose
+  // acknowledgement has not been answered; for the log.
+  EndNumber unplaced_end;
 
   // No task is placed on the worker before this time.
   TimePoint excluded_until = kDistantPast;
--- a/tests/task_log_test.cc
+++ b/tests/task_log_test.cc
@@ -86,6 +86,7 @@
   std::string placed;
   // The line `end_not_placed`.
   std::string not_placed;
+  bool gang = false;
 };
 
 EndReport MakeEnd(RunNumber run, const WorkflowId& workflow = kTask.workflow) {
@@ -122,6 +123,14 @@
      "end_not_placed workflow=0000000000000001 step=0 task=0 run=3 worker=w0 "
      "incarnation=2 number=5 end=done table_run=3 table_worker=w0 "
      "table_state=done"},
+    {"of a member of a gang that is done", MakeTask(TaskState::kDone),
+     MakeEnd(kRun), EndNumber(), "", "", true},
+    {"of an earlier run of such a member", MakeTask(TaskState::kDone),
+     MakeEnd(RunNumber(2)), EndNumber(), "",
+     "end_not_placed workflow=0000000000000001 step=0 task=0 run=2 worker=w0 "
+     "incarnation=2 number=5 end=done table_run=3 table_worker=w0 "
+     "table_state=done",
+     true},
     {"of an unknown workflow", MakeTask(TaskState::kRunning),
      MakeEnd(kRun, Emulation::MakeId(2)), EndNumber(), "",
      "end_not_placed workflow=0000000000000002 step=0 task=0 run=3 worker=w0 "
@@ -139,6 +148,7 @@
       const LogCapture log;
       WorkflowWorld world = MakeWorld(sample.task);
       world.scheduling.workers.find(kWorker)->applied_ends = sample.applied;
+      world.workflows.find(kTask.workflow)->spec.steps[0].gang = sample.gang;
       ApplyResult(world, OrderResult{.outcome = OrderOutcome::kDone,
                                      .incarnation = kIncarnation,
                                      .ended = {sample.end}});
@@ -153,33 +163,58 @@
   }
 }
 
-// The answer to a hold that acknowledges ends, and the line about it.
+// The answer to a hold that acknowledges ends, after an end of some number that
+// the tables do not place there, if any, and the line about it.
 struct AcknowledgementCase {
   std::string name;
+  EndNumber unplaced;
   OrderResult answer;
   std::string line;
 };
 
 const std::vector<AcknowledgementCase> kAcknowledgementCases = {
-    {"answered",
+    {"of an end that is not placed",
+     EndNumber(4),
+     {.acknowledged = EndNumber(4),
+      .outcome = OrderOutcome::kDone,
+      .incarnation = kIncarnation},
+     "ends_acknowledged worker=w0 incarnation=2 in_table=2 number=4"},
+    {"of an earlier end that is not placed",
+     EndNumber(3),
+     {.acknowledged = EndNumber(4),
+      .outcome = OrderOutcome::kDone,
+      .incarnation = kIncarnation},
+     "ends_acknowledged worker=w0 incarnation=2 in_table=2 number=4"},
+    {"before an end that is not placed",
+     EndNumber(5),
      {.acknowledged = EndNumber(4),
       .outcome = OrderOutcome::kDone,
       .incarnation = kIncarnation},
-     "ends_acknowledged worker=w0 incarnation=2 number=4"},
+     ""},
+    {"of ends that are placed",
+     EndNumber(),
+     {.acknowledged = EndNumber(4),
+      .outcome = OrderOutcome::kDone,
+      .incarnation = kIncarnation},
+     ""},
     {"answered by another incarnation",
+     EndNumber(),
      {.acknowledged = EndNumber(4),
       .outcome = OrderOutcome::kDone,
       .incarnation = WorkerIncarnation(6)},
-     "ends_acknowledged worker=w0 incarnation=6 number=4"},
+     "ends_acknowledged worker=w0 incarnation=6 in_table=2 number=4"},
     {"not answered",
+     EndNumber(4),
      {.acknowledged = EndNumber(4), .outcome = OrderOutcome::kUnknown},
      ""},
     {"rejected",
+     EndNumber(4),
      {.acknowledged = EndNumber(4),
       .outcome = OrderOutcome::kUnhealthy,
       .incarnation = kIncarnation},
      ""},
     {"answered, without an acknowledgement",
+     EndNumber(4),
      {.outcome = OrderOutcome::kDone, .incarnation = kIncarnation},
      ""},
 };
@@ -190,6 +225,8 @@
     BOOST_TEST_CONTEXT(sample.name) {
       const LogCapture log;
       WorkflowWorld world = MakeWorld(MakeTask(TaskState::kWaiting));
+      world.scheduling.workers.find(kWorker)->unplaced_end = sample.unplaced;
+      ApplyResult(world, sample.answer);
       ApplyResult(world, sample.answer);
       CheckLine(log, "ends_acknowledged", sample.line);
     }
