--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/task_workers.cc
@@ -217,7 +217,7 @@
                    const Task& task,
                    std::string_view why,
                    TimePoint now) {
-  Log(LogLevel::kInfo, "run_given_up",
+  Log(LogLevel::kWarn, "run_given_up",
       {{"workflow", key.workflow.value},
        {"step", key.step.value},
        {"task", key.task.value},
@@ -285,7 +285,7 @@
     const bool start_in_flight =
         order != in_flight.end() && order->second == OrderKind::kStart;
     const bool ended = EndedWithIncarnation(*ref.task, before, start_in_flight);
-    Log(LogLevel::kInfo, "run_at_restart",
+    Log(LogLevel::kWarn, "run_at_restart",
         {{"workflow", key.workflow.value},
          {"step", key.step.value},
          {"task", key.task.value},
@@ -314,7 +314,7 @@
        {"tasks_lost", lost},
        {"tasks_unconfirmed", tasks.size() - lost}});
   worker->recorded_ends = worker->applied_ends = worker->acknowledged_ends =
-      EndNumber();
+      worker->unplaced_end = EndNumber();
   worker->leased_until = WorkerClock();
   worker->clock_read = kDistantPast;
   worker->inherited_lease_expiry =
