--- a/tests/platform_orders_test.cc
+++ b/tests/platform_orders_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE platform_orders
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform/http_server.h"
@@ -163,5 +165,26 @@
              EnumName(OrderOutcome::kNotSent));
 }
 
+// Guards against an order that a paused process sends when it goes on, after
+// its permission to order has run out.
+BOOST_AUTO_TEST_CASE(an_order_is_not_sent_after_its_time_out) {
+  FakeWorker worker;
+  std::optional<OrderResult> got;
+  CarryOutOrder(
+      worker.client,
+      WorkerOrder{.kind = OrderKind::kStart,
+                  .worker = WorkerId("w"),
+                  .address = worker.address,
+                  .task = {.workflow = WorkflowId("0123456789abcdef")},
+                  .run = RunNumber(1)},
+      [&](const OrderResult& ended) { got = ended; });
+  // Longer than the time-out of a start.
+  std::this_thread::sleep_for(std::chrono::milliseconds(900));
+  worker.context.run_for(std::chrono::milliseconds(200));
+  BOOST_REQUIRE(got.has_value());
+  BOOST_TEST(EnumName(got->outcome) == EnumName(OrderOutcome::kNotSent));
+  BOOST_TEST(worker.received == 0);
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
