--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -185,6 +185,47 @@
   BOOST_TEST(loopback.OpenedConnections() == 2U);
 }
 
+// How many connections are idle when a request on one of them gets no answer.
+struct IdleCase {
+  std::string name;
+  std::size_t connections;
+};
+
+const std::vector<IdleCase> kIdleCases = {
+    {"one", 1},
+    {"four", 4},
+};
+
+// Guards against a worker that is asked again and again on connections to its
+// earlier process, which a proxy keeps open and silent, and counts as silent
+// for seconds after it is back (soak seed 41001).
+BOOST_AUTO_TEST_CASE(an_answer_that_times_out_ends_older_connections) {
+  for (const IdleCase& sample : kIdleCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Loopback loopback;
+      const HttpRequest echo_request{
+          .method = "POST", .target = "/", .body = "b"};
+      std::vector<std::promise<int>> answered(sample.connections);
+      asio::post(loopback.context, [&] {
+        for (std::promise<int>& status : answered) {
+          HttpRequest request = echo_request;
+          request.address = loopback.address;
+          loopback.client.Send(request, [&status](const HttpReply& got) {
+            status.set_value(got.status);
+          });
+        }
+      });
+      for (std::promise<int>& status : answered) {
+        BOOST_TEST(status.get_future().get() == 200);
+      }
+      BOOST_TEST(loopback.OpenedConnections() == sample.connections);
+      (void)loopback.Send({.target = "/silent", .timeout = milliseconds(50)});
+      BOOST_TEST(loopback.Send(echo_request).status == 200);
+      BOOST_TEST(loopback.OpenedConnections() == sample.connections + 1);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_that_the_server_closed_is_replaced) {
   Loopback loopback;
   const HttpRequest echo_request{.method = "POST", .target = "/", .body = "b"};
