--- a/review/standin-2/scene.h
+++ b/review/standin-2/scene.h
@@ -33,6 +33,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -246,6 +247,8 @@
   // While set, no byte passes in either direction; what was sent meanwhile
   // arrives afterwards unless its sender has closed the connection.
   std::atomic<bool> cut = false;
+  // How long a message takes in one direction.
+  std::atomic<int> one_way_ms = 0;
   int port = 0;
 
  private:
@@ -280,6 +283,7 @@
     std::string head;
     std::string body;
     while (ReadMessage(fd, buffer, head, body)) {
+      SleepMs(this->one_way_ms);
       if (this->cut) {
         this->AwaitLink();
         if (IsClosed(fd)) {
@@ -293,6 +297,7 @@
         }
         break;
       }
+      SleepMs(this->one_way_ms);
       this->AwaitLink();
       const std::string text =
           "HTTP/1.1 " + std::to_string(response->status) +
@@ -581,6 +586,8 @@
   std::int64_t work_ms = 1000;
   // The processors that it uses while it works, in thousandths.
   std::int64_t cpu_in_use = 0;
+  // Members of its gang, all on one executor; 0 for a task that works alone.
+  std::size_t gang_size = 0;
 };
 
 // What executors have seen, for the checks.
@@ -623,6 +630,7 @@
  public:
   static constexpr std::int64_t kMaxHoldMs = 10'000;
   static constexpr std::int64_t kStopMs = 100;
+  static constexpr std::int64_t kGangTimeoutMs = 3000;
   static constexpr std::size_t kMaxListedEnds = 500;
 
   Worker(std::string name,
@@ -678,7 +686,9 @@
   struct Run {
     std::uint64_t run = 0;
     TaskPlan plan;
-    std::int64_t ends_at = 0;
+    std::int64_t present_since = 0;
+    // Set when the work begins.
+    std::int64_t ends_at = -1;
     std::int64_t stops_at = -1;
   };
   struct End {
@@ -720,12 +730,51 @@
     this->had_lease = leased;
     const auto present = this->running;
     for (const auto& [task, run] : present) {
+      if (!this->running.contains(task)) {
+        continue;
+      }
       if (!leased) {
         this->EndRun(task, "lapsed");
-      } else if (now >= run.ends_at) {
+      } else if (run.ends_at >= 0 && now >= run.ends_at) {
         this->EndRun(task, "done");
       } else if (run.stops_at >= 0 && now >= run.stops_at) {
         this->EndRun(task, "stopped");
+        this->BreakGang(task, run);
+      } else if (run.ends_at < 0 && now >= run.present_since + kGangTimeoutMs) {
+        this->EndRun(task, "alone");
+      }
+    }
+  }
+
+  // The gang of a task: its name without the index.
+  static std::string GangOf(const std::string& task) {
+    return task.substr(0, task.rfind('.'));
+  }
+
+  // Ends the other members of a run of which one has ended at work.
+  void BreakGang(const std::string& task, const Run& ended_run) {
+    if (ended_run.plan.gang_size == 0 || ended_run.ends_at < 0) {
+      return;
+    }
+    const auto present = this->running;
+    for (const auto& [other, run] : present) {
+      if (run.run == ended_run.run && GangOf(other) == GangOf(task)) {
+        this->EndRun(other, "broken");
+      }
+    }
+  }
+
+  // Begins the work of a gang of which all members are present.
+  void BeginGang(const std::string& task, const Run& newest) {
+    std::vector<Run*> members;
+    for (auto& [other, run] : this->running) {
+      if (run.run == newest.run && GangOf(other) == GangOf(task)) {
+        members.push_back(&run);
+      }
+    }
+    if (members.size() == newest.plan.gang_size) {
+      for (Run* member : members) {
+        member->ends_at = NowMs() + member->plan.work_ms;
       }
     }
   }
@@ -804,8 +853,13 @@
         used.gpu > this->capacity.gpu) {
       return this->Rejected("room");
     }
-    this->running[task] =
-        Run{.run = run, .plan = work, .ends_at = NowMs() + work.work_ms};
+    Run& started = this->running[task];
+    started = Run{.run = run, .plan = work, .present_since = NowMs()};
+    if (work.gang_size == 0) {
+      started.ends_at = NowMs() + work.work_ms;
+    } else {
+      this->BeginGang(task, started);
+    }
     TheSightings().Add(Seen{.kind = Seen::Kind::kStart,
                             .worker = this->id,
                             .task = task,
@@ -873,14 +927,21 @@
   Server server;
 };
 
+// Returns a port that nothing listens on, below those that the system gives to
+// outgoing connections.
 inline int FreePort() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof address;
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(fd);
-  return ntohs(address.sin_port);
+  static std::mt19937 random(std::random_device{}());
+  for (;;) {
+    const int port = 20'000 + static_cast<int>(random() % 12'000);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                                sizeof address) == 0;
+    ::close(fd);
+    if (is_free) {
+      return port;
+    }
+  }
 }
 
 // One process of the system.
@@ -931,12 +992,11 @@
       ::dup2(out, 1);
       ::dup2(out, 2);
       const std::string variable = "CHICORYSTEP_NODE_FILE=" + this->settings;
-      std::vector<char> program_name(
-          {'c', 'h', 'i', 'c', 'o', 'r', 'y', 's', 't', 'e', 'p', 0});
-      char* arguments[] = {program_name.data(), nullptr};
+      std::string program = "target/bin/chicorystep-edge";
+      char* arguments[] = {program.data(), nullptr};
       std::string text = variable;
       char* environment[] = {text.data(), nullptr};
-      ::execve("target/bin/chicorystep-edge", arguments, environment);
+      ::execve(program.c_str(), arguments, environment);
       ::_exit(127);
     }
   }
@@ -1091,17 +1151,22 @@
     return reply;
   }
 
-  // Hands in a job, with retries as a client; throws if it is not accepted.
-  void Submit(const std::string& path, const Json& job) {
+  // Hands in a job, with retries as a client. Returns whether it was accepted.
+  bool TrySubmit(const std::string& path, const Json& job) {
     for (std::size_t i = 0; i < 6; ++i) {
       if (this->Ask(i % this->edges.size(), "POST", path, job.dump()).status /
               100 ==
           2) {
-        return;
+        return true;
       }
       SleepMs(500);
     }
-    throw std::runtime_error("a job was not accepted");
+    return false;
+  }
+  void Submit(const std::string& path, const Json& job) {
+    if (!this->TrySubmit(path, job)) {
+      throw std::runtime_error("a job was not accepted");
+    }
   }
 
   // The state that a GET shows; empty if there is none.
