--- a/review/standin-2/case_pending.cc
+++ b/review/standin-2/case_pending.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int kJobs = 8;
-// One of seven executors is unhealthy for this long.
-constexpr std::int64_t kUnhealthyMs = 6500;
+// One of seven executors is unhealthy for this long; the site's limit is 6.5 s.
+constexpr std::int64_t kUnhealthyMs = 6200;
 constexpr std::int64_t kVisibleMs = 3000;
 // How long clients ask for the count after the last submission.
 constexpr std::int64_t kWatchMs = 20'000;
@@ -46,6 +46,11 @@
   if (HasTrouble()) {
     Note("the executor is unhealthy");
     only.unhealthy = true;
+    std::thread([&only] {
+      SleepMs(kUnhealthyMs);
+      only.unhealthy = false;
+      Note("the executor is healthy again");
+    }).detach();
   }
   const std::int64_t begin = NowMs();
   std::vector<Job> jobs;
@@ -64,10 +69,6 @@
   }
   int broken = 0;
   while (NowMs() < begin + kWatchMs) {
-    if (NowMs() > begin + kUnhealthyMs && only.unhealthy) {
-      only.unhealthy = false;
-      Note("the executor is healthy again");
-    }
     for (std::size_t edge = 0; edge < scene.edges.size(); ++edge) {
       const std::int64_t asked = NowMs();
       const Reply reply = scene.Ask(edge, "GET", "/notice/");
