--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -20,8 +20,8 @@
 #include "chicorystep/clients/log_client.h"
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/systems/config_stream.h"
-#include "chicorystep/systems/guarantee_check.h"
+#include "chicorystep/systems/cells/guarantee_check.h"
+#include "chicorystep/systems/config/config_stream.h"
 #include "tests/support/cluster.h"
 
 namespace chicorystep::testing {
--- a/bench/requests_bench.cc
+++ b/bench/requests_bench.cc
@@ -19,7 +19,7 @@
 #include "bench/support/goals.h"
 #include "chicorystep/control/tick.h"
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/executor_choice.h"
+#include "chicorystep/systems/requests/executor_choice.h"
 #include "tests/support/ready_config.h"
 
 namespace chicorystep {
--- a/chicorystep/clients/config_reader.cc
+++ b/chicorystep/clients/config_reader.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "chicorystep/encoding/config_snapshot.h"
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config/config_stream.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/clients/config_reader.h
+++ b/chicorystep/clients/config_reader.h
@@ -6,7 +6,7 @@
 
 #include "chicorystep/clients/log_client.h"
 #include "chicorystep/core/result.h"
-#include "chicorystep/systems/config_edits.h"
+#include "chicorystep/systems/config/config_edits.h"
 #include "chicorystep/tables/config.h"
 #include "chicorystep/tables/log.h"
 
--- a/chicorystep/control/loop.cc
+++ b/chicorystep/control/loop.cc
@@ -4,7 +4,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
-#include "chicorystep/systems/stopping.h"
+#include "chicorystep/systems/cells/stopping.h"
 
 namespace chicorystep {
 
--- a/chicorystep/control/tick.cc
+++ b/chicorystep/control/tick.cc
@@ -2,19 +2,19 @@
 
 #include <algorithm>
 
-#include "chicorystep/systems/admission.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/claims.h"
-#include "chicorystep/systems/config_publish.h"
-#include "chicorystep/systems/config_sync.h"
-#include "chicorystep/systems/gangs.h"
-#include "chicorystep/systems/job_operations.h"
-#include "chicorystep/systems/membership.h"
-#include "chicorystep/systems/packing.h"
-#include "chicorystep/systems/routing.h"
-#include "chicorystep/systems/scheduling.h"
-#include "chicorystep/systems/stopping.h"
-#include "chicorystep/systems/worker_polls.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/claims.h"
+#include "chicorystep/systems/cells/gangs.h"
+#include "chicorystep/systems/cells/job_operations.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/cells/packing.h"
+#include "chicorystep/systems/cells/scheduling.h"
+#include "chicorystep/systems/cells/stopping.h"
+#include "chicorystep/systems/cells/worker_polls.h"
+#include "chicorystep/systems/config/config_publish.h"
+#include "chicorystep/systems/config/config_sync.h"
+#include "chicorystep/systems/requests/admission.h"
+#include "chicorystep/systems/requests/routing.h"
 
 namespace chicorystep {
 
--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -3,17 +3,17 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_orders.h"
-#include "chicorystep/systems/task_placement.h"
-#include "chicorystep/systems/task_reports.h"
-#include "chicorystep/systems/task_status.h"
-#include "chicorystep/systems/task_workers.h"
-#include "chicorystep/systems/workflow_append_latency.h"
-#include "chicorystep/systems/workflow_calls.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_progress.h"
-#include "chicorystep/systems/workflow_streams.h"
-#include "chicorystep/systems/workflow_writes.h"
+#include "chicorystep/systems/workflows/task_orders.h"
+#include "chicorystep/systems/workflows/task_placement.h"
+#include "chicorystep/systems/workflows/task_reports.h"
+#include "chicorystep/systems/workflows/task_status.h"
+#include "chicorystep/systems/workflows/task_workers.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_calls.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_progress.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_writes.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/encoding/edit_record.h
+++ b/chicorystep/encoding/edit_record.h
@@ -7,7 +7,7 @@
 
 #include "chicorystep/core/result.h"
 #include "chicorystep/encoding/json.h"
-#include "chicorystep/systems/config_edits.h"
+#include "chicorystep/systems/config/config_edits.h"
 
 namespace chicorystep {
 
--- a/chicorystep/encoding/job_record.h
+++ b/chicorystep/encoding/job_record.h
@@ -6,7 +6,7 @@
 
 #include "chicorystep/core/result.h"
 #include "chicorystep/encoding/json.h"
-#include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/cells/job_records.h"
 
 namespace chicorystep {
 
--- a/chicorystep/encoding/state_dump.cc
+++ b/chicorystep/encoding/state_dump.cc
@@ -4,9 +4,9 @@
 
 #include "chicorystep/encoding/config_fields.h"
 #include "chicorystep/encoding/json.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/membership.h"
-#include "chicorystep/systems/packing.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/cells/packing.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -3,8 +3,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-#include "chicorystep/systems/task_candidates.h"
-#include "chicorystep/systems/task_status.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
+#include "chicorystep/systems/workflows/task_status.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/programs/ctl_tables.cc
+++ b/chicorystep/programs/ctl_tables.cc
@@ -22,8 +22,8 @@
 #include "chicorystep/settings/entry_settings.h"
 #include "chicorystep/settings/table_files.h"
 #include "chicorystep/settings/values.h"
-#include "chicorystep/systems/config_edits.h"
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config/config_edits.h"
+#include "chicorystep/systems/config/config_stream.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/programs/ctl_work.cc
+++ b/chicorystep/programs/ctl_work.cc
@@ -19,7 +19,7 @@
 #include "chicorystep/encoding/caller_messages.h"
 #include "chicorystep/programs/ctl_commands.h"
 #include "chicorystep/programs/ctl_render.h"
-#include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/cells/job_records.h"
 #include "chicorystep/traffic/headers.h"
 #include "chicorystep/traffic/http_client.h"
 
--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -19,7 +19,7 @@
 #include "chicorystep/core/logging.h"
 #include "chicorystep/core/version.h"
 #include "chicorystep/settings/entry_settings.h"
-#include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/cells/claims.h"
 #include "chicorystep/traffic/admin_server.h"
 #include "chicorystep/traffic/caller_server.h"
 #include "chicorystep/traffic/exchange.h"
--- a/chicorystep/systems/cell_state.cc
+++ b/chicorystep/systems/cells/cell_state.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells/cell_state.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/cells/job_records.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/cell_state.h
+++ b/chicorystep/systems/cells/cell_state.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_CELL_STATE_H_
-#define CHICORYSTEP_SYSTEMS_CELL_STATE_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_CELL_STATE_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_CELL_STATE_H_
 
 #include <cstdint>
 #include <optional>
@@ -90,4 +90,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CELL_STATE_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_CELL_STATE_H_
--- a/chicorystep/systems/cells.cc
+++ b/chicorystep/systems/cells/cells.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/cells/cells.h"
 
 #include <fmt/format.h>
 
@@ -13,11 +13,11 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/job_record.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/gangs.h"
-#include "chicorystep/systems/job_check.h"
-#include "chicorystep/systems/membership.h"
-#include "chicorystep/systems/rendezvous.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/gangs.h"
+#include "chicorystep/systems/cells/job_check.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/requests/rendezvous.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/cells.h
+++ b/chicorystep/systems/cells/cells.h
@@ -1,9 +1,9 @@
-#ifndef CHICORYSTEP_SYSTEMS_CELLS_H_
-#define CHICORYSTEP_SYSTEMS_CELLS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_CELLS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_CELLS_H_
 
 #include <optional>
 
-#include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/cells/job_records.h"
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
 
@@ -62,4 +62,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CELLS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_CELLS_H_
--- a/chicorystep/systems/claims.cc
+++ b/chicorystep/systems/cells/claims.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/claims.h"
+#include "chicorystep/systems/cells/claims.h"
 
 #include <fmt/format.h>
 
@@ -8,8 +8,8 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/claim_record.h"
-#include "chicorystep/systems/queues.h"
-#include "chicorystep/systems/request_end.h"
+#include "chicorystep/systems/requests/queues.h"
+#include "chicorystep/systems/requests/request_end.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/claims.h
+++ b/chicorystep/systems/cells/claims.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_CLAIMS_H_
-#define CHICORYSTEP_SYSTEMS_CLAIMS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_CLAIMS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_CLAIMS_H_
 
 #include <optional>
 
@@ -60,4 +60,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CLAIMS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_CLAIMS_H_
--- a/chicorystep/systems/gang_recovery.cc
+++ b/chicorystep/systems/cells/gang_recovery.cc
@@ -3,9 +3,9 @@
 #include <optional>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/gangs.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/gangs.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/gangs.cc
+++ b/chicorystep/systems/cells/gangs.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/gangs.h"
+#include "chicorystep/systems/cells/gangs.h"
 
 #include <fmt/format.h>
 
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/job_records.h"
-#include "chicorystep/systems/worker_health.h"
-#include "chicorystep/systems/worker_polls.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/job_records.h"
+#include "chicorystep/systems/cells/worker_health.h"
+#include "chicorystep/systems/cells/worker_polls.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/gangs.h
+++ b/chicorystep/systems/cells/gangs.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_GANGS_H_
-#define CHICORYSTEP_SYSTEMS_GANGS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_GANGS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_GANGS_H_
 
 #include <string>
 
@@ -29,4 +29,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_GANGS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_GANGS_H_
--- a/chicorystep/systems/guarantee_check.cc
+++ b/chicorystep/systems/cells/guarantee_check.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/guarantee_check.h"
+#include "chicorystep/systems/cells/guarantee_check.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/chicorystep/systems/job_check.cc
+++ b/chicorystep/systems/cells/job_check.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/job_check.h"
+#include "chicorystep/systems/cells/job_check.h"
 
 #include <fmt/format.h>
 
--- a/chicorystep/systems/job_check.h
+++ b/chicorystep/systems/cells/job_check.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_JOB_CHECK_H_
-#define CHICORYSTEP_SYSTEMS_JOB_CHECK_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_JOB_CHECK_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_JOB_CHECK_H_
 
 #include <optional>
 
@@ -19,4 +19,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_JOB_CHECK_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_JOB_CHECK_H_
--- a/chicorystep/systems/job_operations.cc
+++ b/chicorystep/systems/cells/job_operations.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/cells/job_operations.h"
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -9,11 +9,11 @@
 #include <string>
 #include <utility>
 
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/job_check.h"
-#include "chicorystep/systems/job_records.h"
-#include "chicorystep/systems/job_status.h"
-#include "chicorystep/systems/scheduling.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/job_check.h"
+#include "chicorystep/systems/cells/job_records.h"
+#include "chicorystep/systems/cells/job_status.h"
+#include "chicorystep/systems/cells/scheduling.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/job_operations.h
+++ b/chicorystep/systems/cells/job_operations.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_JOB_OPERATIONS_H_
-#define CHICORYSTEP_SYSTEMS_JOB_OPERATIONS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_JOB_OPERATIONS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_JOB_OPERATIONS_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -23,4 +23,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_JOB_OPERATIONS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_JOB_OPERATIONS_H_
--- a/chicorystep/systems/job_records.h
+++ b/chicorystep/systems/cells/job_records.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_JOB_RECORDS_H_
-#define CHICORYSTEP_SYSTEMS_JOB_RECORDS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_JOB_RECORDS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_JOB_RECORDS_H_
 
 #include <array>
 #include <cstdint>
@@ -57,4 +57,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_JOB_RECORDS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_JOB_RECORDS_H_
--- a/chicorystep/systems/job_status.cc
+++ b/chicorystep/systems/cells/job_status.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/job_status.h"
+#include "chicorystep/systems/cells/job_status.h"
 
 #include <fmt/format.h>
 
--- a/chicorystep/systems/job_status.h
+++ b/chicorystep/systems/cells/job_status.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_JOB_STATUS_H_
-#define CHICORYSTEP_SYSTEMS_JOB_STATUS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_JOB_STATUS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_JOB_STATUS_H_
 
 #include "chicorystep/tables/jobs.h"
 
@@ -11,4 +11,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_JOB_STATUS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_JOB_STATUS_H_
--- a/chicorystep/systems/membership.cc
+++ b/chicorystep/systems/cells/membership.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/cells/membership.h"
 
 #include <xxhash.h>
 
@@ -9,7 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include "chicorystep/systems/executor_choice.h"
+#include "chicorystep/systems/requests/executor_choice.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/membership.h
+++ b/chicorystep/systems/cells/membership.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
-#define CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_MEMBERSHIP_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_MEMBERSHIP_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -26,4 +26,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_MEMBERSHIP_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_MEMBERSHIP_H_
--- a/chicorystep/systems/packing.cc
+++ b/chicorystep/systems/cells/packing.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/packing.h"
+#include "chicorystep/systems/cells/packing.h"
 
 #include <fmt/format.h>
 
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/packing.h
+++ b/chicorystep/systems/cells/packing.h
@@ -1,9 +1,9 @@
-#ifndef CHICORYSTEP_SYSTEMS_PACKING_H_
-#define CHICORYSTEP_SYSTEMS_PACKING_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_PACKING_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_PACKING_H_
 
 #include <string>
 
-#include "chicorystep/systems/placement.h"
+#include "chicorystep/systems/cells/placement.h"
 #include "chicorystep/tables/world.h"
 
 namespace chicorystep {
@@ -37,4 +37,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_PACKING_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_PACKING_H_
--- a/chicorystep/systems/placement.cc
+++ b/chicorystep/systems/cells/placement.cc
@@ -1,10 +1,10 @@
-#include "chicorystep/systems/placement.h"
+#include "chicorystep/systems/cells/placement.h"
 
 #include <algorithm>
 #include <limits>
 #include <tuple>
 
-#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells/cell_state.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/placement.h
+++ b/chicorystep/systems/cells/placement.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_PLACEMENT_H_
-#define CHICORYSTEP_SYSTEMS_PLACEMENT_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_PLACEMENT_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_PLACEMENT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -28,4 +28,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_PLACEMENT_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_PLACEMENT_H_
--- a/chicorystep/systems/preemption.cc
+++ b/chicorystep/systems/cells/preemption.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/preemption.h"
+#include "chicorystep/systems/cells/preemption.h"
 
 #include <algorithm>
 #include <chrono>
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
+#include "chicorystep/systems/cells/cell_state.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/preemption.h
+++ b/chicorystep/systems/cells/preemption.h
@@ -1,12 +1,12 @@
-#ifndef CHICORYSTEP_SYSTEMS_PREEMPTION_H_
-#define CHICORYSTEP_SYSTEMS_PREEMPTION_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_PREEMPTION_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_PREEMPTION_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
 
-#include "chicorystep/systems/placement.h"
+#include "chicorystep/systems/cells/placement.h"
 #include "chicorystep/tables/world.h"
 
 namespace chicorystep {
@@ -49,4 +49,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_PREEMPTION_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_PREEMPTION_H_
--- a/chicorystep/systems/scheduling.cc
+++ b/chicorystep/systems/cells/scheduling.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/scheduling.h"
+#include "chicorystep/systems/cells/scheduling.h"
 
 #include <fmt/format.h>
 
@@ -13,13 +13,13 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/packing.h"
-#include "chicorystep/systems/placement.h"
-#include "chicorystep/systems/preemption.h"
-#include "chicorystep/systems/worker_health.h"
-#include "chicorystep/systems/worker_polls.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/packing.h"
+#include "chicorystep/systems/cells/placement.h"
+#include "chicorystep/systems/cells/preemption.h"
+#include "chicorystep/systems/cells/worker_health.h"
+#include "chicorystep/systems/cells/worker_polls.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/scheduling.h
+++ b/chicorystep/systems/cells/scheduling.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_SCHEDULING_H_
-#define CHICORYSTEP_SYSTEMS_SCHEDULING_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_SCHEDULING_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_SCHEDULING_H_
 
 #include <string>
 
@@ -21,4 +21,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_SCHEDULING_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_SCHEDULING_H_
--- a/chicorystep/systems/stopping.cc
+++ b/chicorystep/systems/cells/stopping.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/stopping.h"
+#include "chicorystep/systems/cells/stopping.h"
 
 #include <algorithm>
 
--- a/chicorystep/systems/stopping.h
+++ b/chicorystep/systems/cells/stopping.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_STOPPING_H_
-#define CHICORYSTEP_SYSTEMS_STOPPING_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_STOPPING_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_STOPPING_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -23,4 +23,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_STOPPING_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_STOPPING_H_
--- a/chicorystep/systems/worker_health.cc
+++ b/chicorystep/systems/cells/worker_health.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/worker_health.h"
+#include "chicorystep/systems/cells/worker_health.h"
 
 #include <algorithm>
 #include <chrono>
--- a/chicorystep/systems/worker_polls.cc
+++ b/chicorystep/systems/cells/worker_polls.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/worker_polls.h"
+#include "chicorystep/systems/cells/worker_polls.h"
 
 #include <algorithm>
 #include <optional>
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/worker_health.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/worker_health.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/worker_polls.h
+++ b/chicorystep/systems/cells/worker_polls.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKER_POLLS_H_
-#define CHICORYSTEP_SYSTEMS_WORKER_POLLS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CELLS_WORKER_POLLS_H_
+#define CHICORYSTEP_SYSTEMS_CELLS_WORKER_POLLS_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -32,4 +32,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKER_POLLS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CELLS_WORKER_POLLS_H_
--- a/chicorystep/systems/config_edits.cc
+++ b/chicorystep/systems/config/config_edits.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/config_edits.h"
+#include "chicorystep/systems/config/config_edits.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include <set>
 #include <utility>
 
-#include "chicorystep/systems/guarantee_check.h"
+#include "chicorystep/systems/cells/guarantee_check.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/config_edits.h
+++ b/chicorystep/systems/config/config_edits.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_CONFIG_EDITS_H_
-#define CHICORYSTEP_SYSTEMS_CONFIG_EDITS_H_
+#ifndef CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_EDITS_H_
+#define CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_EDITS_H_
 
 #include <array>
 #include <cstddef>
@@ -110,4 +110,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CONFIG_EDITS_H_
+#endif  // CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_EDITS_H_
--- a/chicorystep/systems/config_publish.cc
+++ b/chicorystep/systems/config/config_publish.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/config_publish.h"
+#include "chicorystep/systems/config/config_publish.h"
 
 #include <fmt/format.h>
 
@@ -10,9 +10,9 @@
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/systems/config_stream.h"
-#include "chicorystep/systems/membership.h"
-#include "chicorystep/systems/rendezvous.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/config/config_stream.h"
+#include "chicorystep/systems/requests/rendezvous.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/config_publish.h
+++ b/chicorystep/systems/config/config_publish.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_CONFIG_PUBLISH_H_
-#define CHICORYSTEP_SYSTEMS_CONFIG_PUBLISH_H_
+#ifndef CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_PUBLISH_H_
+#define CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_PUBLISH_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -16,4 +16,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CONFIG_PUBLISH_H_
+#endif  // CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_PUBLISH_H_
--- a/chicorystep/systems/config_stream.cc
+++ b/chicorystep/systems/config/config_stream.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config/config_stream.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/systems/config_edits.h"
+#include "chicorystep/systems/config/config_edits.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/config_stream.h
+++ b/chicorystep/systems/config/config_stream.h
@@ -1,10 +1,10 @@
-#ifndef CHICORYSTEP_SYSTEMS_CONFIG_STREAM_H_
-#define CHICORYSTEP_SYSTEMS_CONFIG_STREAM_H_
+#ifndef CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_STREAM_H_
+#define CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_STREAM_H_
 
 #include <string_view>
 
 #include "chicorystep/core/result.h"
-#include "chicorystep/systems/config_edits.h"
+#include "chicorystep/systems/config/config_edits.h"
 #include "chicorystep/tables/log.h"
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -35,4 +35,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CONFIG_STREAM_H_
+#endif  // CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_STREAM_H_
--- a/chicorystep/systems/config_sync.cc
+++ b/chicorystep/systems/config/config_sync.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/config_sync.h"
+#include "chicorystep/systems/config/config_sync.h"
 
 #include <algorithm>
 #include <chrono>
@@ -8,9 +8,9 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/config_snapshot.h"
-#include "chicorystep/systems/config_stream.h"
-#include "chicorystep/systems/membership.h"
-#include "chicorystep/systems/rendezvous.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/config/config_stream.h"
+#include "chicorystep/systems/requests/rendezvous.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/config_sync.h
+++ b/chicorystep/systems/config/config_sync.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_CONFIG_SYNC_H_
-#define CHICORYSTEP_SYSTEMS_CONFIG_SYNC_H_
+#ifndef CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_SYNC_H_
+#define CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_SYNC_H_
 
 #include <vector>
 
@@ -27,4 +27,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_CONFIG_SYNC_H_
+#endif  // CHICORYSTEP_SYSTEMS_CONFIG_CONFIG_SYNC_H_
--- a/chicorystep/systems/admission.cc
+++ b/chicorystep/systems/requests/admission.cc
@@ -1,14 +1,14 @@
-#include "chicorystep/systems/admission.h"
+#include "chicorystep/systems/requests/admission.h"
 
 #include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "chicorystep/systems/claims.h"
-#include "chicorystep/systems/queues.h"
-#include "chicorystep/systems/request_end.h"
-#include "chicorystep/systems/stopping.h"
+#include "chicorystep/systems/cells/claims.h"
+#include "chicorystep/systems/cells/stopping.h"
+#include "chicorystep/systems/requests/queues.h"
+#include "chicorystep/systems/requests/request_end.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/admission.h
+++ b/chicorystep/systems/requests/admission.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_ADMISSION_H_
-#define CHICORYSTEP_SYSTEMS_ADMISSION_H_
+#ifndef CHICORYSTEP_SYSTEMS_REQUESTS_ADMISSION_H_
+#define CHICORYSTEP_SYSTEMS_REQUESTS_ADMISSION_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -22,4 +22,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_ADMISSION_H_
+#endif  // CHICORYSTEP_SYSTEMS_REQUESTS_ADMISSION_H_
--- a/chicorystep/systems/executor_choice.cc
+++ b/chicorystep/systems/requests/executor_choice.cc
@@ -1,10 +1,10 @@
-#include "chicorystep/systems/executor_choice.h"
+#include "chicorystep/systems/requests/executor_choice.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <vector>
 
-#include "chicorystep/systems/retries.h"
+#include "chicorystep/systems/requests/retries.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/executor_health.cc
+++ b/chicorystep/systems/requests/executor_health.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/executor_health.h"
+#include "chicorystep/systems/requests/executor_health.h"
 
 #include <algorithm>
 #include <functional>
--- a/chicorystep/systems/executor_health.h
+++ b/chicorystep/systems/requests/executor_health.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
-#define CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
+#ifndef CHICORYSTEP_SYSTEMS_REQUESTS_EXECUTOR_HEALTH_H_
+#define CHICORYSTEP_SYSTEMS_REQUESTS_EXECUTOR_HEALTH_H_
 
 #include "chicorystep/tables/world.h"
 
@@ -25,4 +25,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_EXECUTOR_HEALTH_H_
+#endif  // CHICORYSTEP_SYSTEMS_REQUESTS_EXECUTOR_HEALTH_H_
--- a/chicorystep/systems/queues.cc
+++ b/chicorystep/systems/requests/queues.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/queues.h"
+#include "chicorystep/systems/requests/queues.h"
 
 #include <algorithm>
 #include <utility>
--- a/chicorystep/systems/queues.h
+++ b/chicorystep/systems/requests/queues.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_QUEUES_H_
-#define CHICORYSTEP_SYSTEMS_QUEUES_H_
+#ifndef CHICORYSTEP_SYSTEMS_REQUESTS_QUEUES_H_
+#define CHICORYSTEP_SYSTEMS_REQUESTS_QUEUES_H_
 
 #include <cstdint>
 #include <optional>
@@ -55,4 +55,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_QUEUES_H_
+#endif  // CHICORYSTEP_SYSTEMS_REQUESTS_QUEUES_H_
--- a/chicorystep/systems/request_end.cc
+++ b/chicorystep/systems/requests/request_end.cc
@@ -1,9 +1,9 @@
-#include "chicorystep/systems/request_end.h"
+#include "chicorystep/systems/requests/request_end.h"
 
 #include <utility>
 
-#include "chicorystep/systems/claims.h"
-#include "chicorystep/systems/queues.h"
+#include "chicorystep/systems/cells/claims.h"
+#include "chicorystep/systems/requests/queues.h"
 
 namespace chicorystep {
 
--- a/chicorystep/systems/retries.cc
+++ b/chicorystep/systems/requests/retries.cc
@@ -1,11 +1,11 @@
-#include "chicorystep/systems/retries.h"
+#include "chicorystep/systems/requests/retries.h"
 
 #include <algorithm>
 #include <array>
 #include <cstddef>
 #include <utility>
 
-#include "chicorystep/systems/request_end.h"
+#include "chicorystep/systems/requests/request_end.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/retries.h
+++ b/chicorystep/systems/requests/retries.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_RETRIES_H_
-#define CHICORYSTEP_SYSTEMS_RETRIES_H_
+#ifndef CHICORYSTEP_SYSTEMS_REQUESTS_RETRIES_H_
+#define CHICORYSTEP_SYSTEMS_REQUESTS_RETRIES_H_
 
 #include "chicorystep/tables/world.h"
 
@@ -31,4 +31,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_RETRIES_H_
+#endif  // CHICORYSTEP_SYSTEMS_REQUESTS_RETRIES_H_
--- a/chicorystep/systems/routing.cc
+++ b/chicorystep/systems/requests/routing.cc
@@ -1,15 +1,15 @@
-#include "chicorystep/systems/routing.h"
+#include "chicorystep/systems/requests/routing.h"
 
 #include <algorithm>
 #include <optional>
 #include <set>
 #include <utility>
 
-#include "chicorystep/systems/executor_choice.h"
-#include "chicorystep/systems/executor_health.h"
-#include "chicorystep/systems/queues.h"
-#include "chicorystep/systems/request_end.h"
-#include "chicorystep/systems/retries.h"
+#include "chicorystep/systems/requests/executor_choice.h"
+#include "chicorystep/systems/requests/executor_health.h"
+#include "chicorystep/systems/requests/queues.h"
+#include "chicorystep/systems/requests/request_end.h"
+#include "chicorystep/systems/requests/retries.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/systems/routing.h
+++ b/chicorystep/systems/requests/routing.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_ROUTING_H_
-#define CHICORYSTEP_SYSTEMS_ROUTING_H_
+#ifndef CHICORYSTEP_SYSTEMS_REQUESTS_ROUTING_H_
+#define CHICORYSTEP_SYSTEMS_REQUESTS_ROUTING_H_
 
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
@@ -26,4 +26,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_ROUTING_H_
+#endif  // CHICORYSTEP_SYSTEMS_REQUESTS_ROUTING_H_
--- a/chicorystep/systems/task_candidates.cc
+++ b/chicorystep/systems/workflows/task_candidates.cc
@@ -1,10 +1,10 @@
-#include "chicorystep/systems/task_candidates.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_orders.cc
+++ b/chicorystep/systems/workflows/task_orders.cc
@@ -1,13 +1,13 @@
-#include "chicorystep/systems/task_orders.h"
+#include "chicorystep/systems/workflows/task_orders.h"
 
 #include <algorithm>
 #include <deque>
 #include <utility>
 #include <vector>
 
-#include "chicorystep/systems/task_unresponsive_workers.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_orders.h
+++ b/chicorystep/systems/workflows/task_orders.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_ORDERS_H_
-#define CHICORYSTEP_SYSTEMS_TASK_ORDERS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_ORDERS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_ORDERS_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -14,4 +14,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_ORDERS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_ORDERS_H_
--- a/chicorystep/systems/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_placement.h"
+#include "chicorystep/systems/workflows/task_placement.h"
 
 #include <algorithm>
 #include <map>
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_candidates.h"
-#include "chicorystep/systems/task_preemption.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
+#include "chicorystep/systems/workflows/task_preemption.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_preemption.cc
+++ b/chicorystep/systems/workflows/task_preemption.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_preemption.h"
+#include "chicorystep/systems/workflows/task_preemption.h"
 
 #include <algorithm>
 #include <map>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_preemption.h
+++ b/chicorystep/systems/workflows/task_preemption.h
@@ -1,7 +1,7 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_PREEMPTION_H_
-#define CHICORYSTEP_SYSTEMS_TASK_PREEMPTION_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_PREEMPTION_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_PREEMPTION_H_
 
-#include "chicorystep/systems/task_candidates.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
 
 namespace chicorystep {
 
@@ -13,4 +13,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_PREEMPTION_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_PREEMPTION_H_
--- a/chicorystep/systems/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_reports.h"
+#include "chicorystep/systems/workflows/task_reports.h"
 
 #include <fmt/format.h>
 
@@ -9,12 +9,12 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_speed.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/task_worker_exclusion.h"
-#include "chicorystep/systems/task_workers.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_speed.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/task_worker_exclusion.h"
+#include "chicorystep/systems/workflows/task_workers.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_reports.h
+++ b/chicorystep/systems/workflows/task_reports.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_REPORTS_H_
-#define CHICORYSTEP_SYSTEMS_TASK_REPORTS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_REPORTS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_REPORTS_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -13,4 +13,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_REPORTS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_REPORTS_H_
--- a/chicorystep/systems/task_speed.cc
+++ b/chicorystep/systems/workflows/task_speed.cc
@@ -1,9 +1,9 @@
-#include "chicorystep/systems/task_speed.h"
+#include "chicorystep/systems/workflows/task_speed.h"
 
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_worker_exclusion.h"
+#include "chicorystep/systems/workflows/task_worker_exclusion.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_speed.h
+++ b/chicorystep/systems/workflows/task_speed.h
@@ -1,9 +1,9 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_SPEED_H_
-#define CHICORYSTEP_SYSTEMS_TASK_SPEED_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_SPEED_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_SPEED_H_
 
 #include <vector>
 
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 #include "chicorystep/tables/workflow_world.h"
 
 namespace chicorystep {
@@ -24,4 +24,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_SPEED_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_SPEED_H_
--- a/chicorystep/systems/task_status.cc
+++ b/chicorystep/systems/workflows/task_status.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_status.h"
+#include "chicorystep/systems/workflows/task_status.h"
 
 #include <algorithm>
 #include <array>
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_candidates.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_status.h
+++ b/chicorystep/systems/workflows/task_status.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_STATUS_H_
-#define CHICORYSTEP_SYSTEMS_TASK_STATUS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_STATUS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_STATUS_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -20,4 +20,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_STATUS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_STATUS_H_
--- a/chicorystep/systems/task_worker_clock.cc
+++ b/chicorystep/systems/workflows/task_worker_clock.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_worker_clock.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
 
 #include <algorithm>
 #include <chrono>
--- a/chicorystep/systems/task_worker_clock.h
+++ b/chicorystep/systems/workflows/task_worker_clock.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_WORKER_CLOCK_H_
-#define CHICORYSTEP_SYSTEMS_TASK_WORKER_CLOCK_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKER_CLOCK_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKER_CLOCK_H_
 
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/task_workers.h"
@@ -59,4 +59,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_WORKER_CLOCK_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKER_CLOCK_H_
--- a/chicorystep/systems/task_worker_exclusion.cc
+++ b/chicorystep/systems/workflows/task_worker_exclusion.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_worker_exclusion.h"
+#include "chicorystep/systems/workflows/task_worker_exclusion.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/chicorystep/systems/task_workers.cc
+++ b/chicorystep/systems/workflows/task_workers.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/task_workers.h"
+#include "chicorystep/systems/workflows/task_workers.h"
 
 #include <algorithm>
 #include <set>
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_unresponsive_workers.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/task_workers.h
+++ b/chicorystep/systems/workflows/task_workers.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
-#define CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKERS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKERS_H_
 
 #include <string_view>
 
@@ -47,4 +47,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_TASK_WORKERS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_TASK_WORKERS_H_
--- a/chicorystep/systems/workflow_append_latency.cc
+++ b/chicorystep/systems/workflows/workflow_append_latency.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
 
 #include <algorithm>
 
--- a/chicorystep/systems/workflow_calls.cc
+++ b/chicorystep/systems/workflows/workflow_calls.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/workflow_calls.h"
+#include "chicorystep/systems/workflows/workflow_calls.h"
 
 #include <algorithm>
 #include <cctype>
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/workflow_append_latency.h"
-#include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_calls.h
+++ b/chicorystep/systems/workflows/workflow_calls.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_CALLS_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_CALLS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_CALLS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_CALLS_H_
 
 #include <string_view>
 
@@ -40,4 +40,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_CALLS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_CALLS_H_
--- a/chicorystep/systems/workflow_holder.cc
+++ b/chicorystep/systems/workflows/workflow_holder.cc
@@ -1,14 +1,14 @@
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/workflow_previous_holders.h"
-#include "chicorystep/systems/workflow_streams.h"
-#include "chicorystep/systems/workflow_tables.h"
-#include "chicorystep/systems/workflow_writes.h"
+#include "chicorystep/systems/workflows/workflow_previous_holders.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_writes.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_holder.h
+++ b/chicorystep/systems/workflows/workflow_holder.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_HOLDER_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_HOLDER_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_HOLDER_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_HOLDER_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -25,4 +25,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_HOLDER_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_HOLDER_H_
--- a/chicorystep/systems/workflow_previous_holders.cc
+++ b/chicorystep/systems/workflows/workflow_previous_holders.cc
@@ -1,11 +1,11 @@
-#include "chicorystep/systems/workflow_previous_holders.h"
+#include "chicorystep/systems/workflows/workflow_previous_holders.h"
 
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_unresponsive_workers.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/workflow_progress.h"
+#include "chicorystep/systems/workflows/workflow_progress.h"
 
 #include <algorithm>
 #include <string>
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_progress.h
+++ b/chicorystep/systems/workflows/workflow_progress.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_PROGRESS_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_PROGRESS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_PROGRESS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_PROGRESS_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -19,4 +19,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_PROGRESS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_PROGRESS_H_
--- a/chicorystep/systems/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -1,13 +1,13 @@
-#include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_unresponsive_workers.h"
-#include "chicorystep/systems/workflow_previous_holders.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/workflow_previous_holders.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_streams.h
+++ b/chicorystep/systems/workflows/workflow_streams.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_STREAMS_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_STREAMS_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_STREAMS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_STREAMS_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -41,4 +41,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_STREAMS_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_STREAMS_H_
--- a/chicorystep/systems/workflow_tables.cc
+++ b/chicorystep/systems/workflows/workflow_tables.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 #include <algorithm>
 #include <utility>
--- a/chicorystep/systems/workflow_tables.h
+++ b/chicorystep/systems/workflows/workflow_tables.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_TABLES_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_TABLES_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_TABLES_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_TABLES_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -79,4 +79,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_TABLES_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_TABLES_H_
--- a/chicorystep/systems/workflow_writes.cc
+++ b/chicorystep/systems/workflows/workflow_writes.cc
@@ -1,4 +1,4 @@
-#include "chicorystep/systems/workflow_writes.h"
+#include "chicorystep/systems/workflows/workflow_writes.h"
 
 #include <algorithm>
 #include <array>
@@ -8,11 +8,11 @@
 #include <variant>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/task_unresponsive_workers.h"
-#include "chicorystep/systems/workflow_append_latency.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_previous_holders.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_previous_holders.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
 namespace {
--- a/chicorystep/systems/workflow_writes.h
+++ b/chicorystep/systems/workflows/workflow_writes.h
@@ -1,5 +1,5 @@
-#ifndef CHICORYSTEP_SYSTEMS_WORKFLOW_WRITES_H_
-#define CHICORYSTEP_SYSTEMS_WORKFLOW_WRITES_H_
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_WRITES_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_WRITES_H_
 
 #include "chicorystep/tables/workflow_world.h"
 
@@ -35,4 +35,4 @@
 
 }  // namespace chicorystep
 
-#endif  // CHICORYSTEP_SYSTEMS_WORKFLOW_WRITES_H_
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_WRITES_H_
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "chicorystep/core/outcome.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/membership.h"
 
 namespace chicorystep {
 namespace impl {
--- a/chicorystep/traffic/peers.cc
+++ b/chicorystep/traffic/peers.cc
@@ -14,7 +14,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/encoding/peer_messages.h"
-#include "chicorystep/systems/config_sync.h"
+#include "chicorystep/systems/config/config_sync.h"
 
 namespace chicorystep {
 namespace impl {
--- a/fuzz/bodies_fuzz.cc
+++ b/fuzz/bodies_fuzz.cc
@@ -9,7 +9,7 @@
 #include "chicorystep/encoding/instance_list.h"
 #include "chicorystep/encoding/log_messages.h"
 #include "chicorystep/encoding/worker_messages.h"
-#include "chicorystep/systems/job_check.h"
+#include "chicorystep/systems/cells/job_check.h"
 #include "fuzz/check.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
--- a/fuzz/records_fuzz.cc
+++ b/fuzz/records_fuzz.cc
@@ -9,7 +9,7 @@
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
 #include "chicorystep/encoding/job_record.h"
-#include "chicorystep/systems/job_check.h"
+#include "chicorystep/systems/cells/job_check.h"
 #include "fuzz/check.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
--- a/tests/cell_span_test.cc
+++ b/tests/cell_span_test.cc
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "chicorystep/settings/entry_settings.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/packing.h"
-#include "chicorystep/systems/placement.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/packing.h"
+#include "chicorystep/systems/cells/placement.h"
 
 namespace chicorystep::testing {
 namespace {
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -8,8 +8,8 @@
 
 #include "chicorystep/control/tick.h"
 #include "chicorystep/encoding/claim_record.h"
-#include "chicorystep/systems/claims.h"
-#include "chicorystep/systems/executor_choice.h"
+#include "chicorystep/systems/cells/claims.h"
+#include "chicorystep/systems/requests/executor_choice.h"
 #include "tests/support/ready_config.h"
 
 namespace chicorystep {
--- a/tests/config_edits_test.cc
+++ b/tests/config_edits_test.cc
@@ -9,9 +9,9 @@
 
 #include "chicorystep/encoding/config_snapshot.h"
 #include "chicorystep/encoding/edit_record.h"
-#include "chicorystep/systems/config_edits.h"
-#include "chicorystep/systems/config_stream.h"
-#include "chicorystep/systems/guarantee_check.h"
+#include "chicorystep/systems/cells/guarantee_check.h"
+#include "chicorystep/systems/config/config_edits.h"
+#include "chicorystep/systems/config/config_stream.h"
 
 namespace chicorystep {
 namespace {
--- a/tests/guarantees_test.cc
+++ b/tests/guarantees_test.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
-#include "chicorystep/systems/packing.h"
+#include "chicorystep/systems/cells/packing.h"
 #include "tests/support/cell_simulation.h"
 
 namespace chicorystep::testing {
--- a/tests/job_zone_test.cc
+++ b/tests/job_zone_test.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/job_operations.h"
 #include "tests/support/ready_config.h"
 
 namespace chicorystep::testing {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/config_sync.h"
-#include "chicorystep/systems/membership.h"
+#include "chicorystep/systems/cells/membership.h"
+#include "chicorystep/systems/config/config_sync.h"
 
 namespace chicorystep {
 namespace {
--- a/tests/planted_test.cc
+++ b/tests/planted_test.cc
@@ -7,7 +7,7 @@
 
 #include <string>
 
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config/config_stream.h"
 #include "tests/support/faults.h"
 
 namespace chicorystep::testing {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "chicorystep/control/tick.h"
-#include "chicorystep/systems/executor_choice.h"
-#include "chicorystep/systems/queues.h"
+#include "chicorystep/systems/requests/executor_choice.h"
+#include "chicorystep/systems/requests/queues.h"
 #include "tests/support/ready_config.h"
 
 namespace chicorystep {
--- a/tests/support/cell_simulation.h
+++ b/tests/support/cell_simulation.h
@@ -18,9 +18,9 @@
 
 #include "chicorystep/control/tick.h"
 #include "chicorystep/encoding/job_record.h"
-#include "chicorystep/systems/cell_state.h"
-#include "chicorystep/systems/cells.h"
-#include "chicorystep/systems/job_operations.h"
+#include "chicorystep/systems/cells/cell_state.h"
+#include "chicorystep/systems/cells/cells.h"
+#include "chicorystep/systems/cells/job_operations.h"
 #include "chicorystep/tables/messages.h"
 #include "chicorystep/tables/world.h"
 #include "tests/support/ready_config.h"
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -17,8 +17,8 @@
 
 #include "chicorystep/control/workflow_tick.h"
 #include "chicorystep/standin/emulated_store.h"
-#include "chicorystep/systems/workflow_append_latency.h"
-#include "chicorystep/systems/workflow_calls.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_calls.h"
 #include "tests/support/standstill.h"
 #include "tests/support/worker_fleet.h"
 
--- a/tests/support/state_cluster.h
+++ b/tests/support/state_cluster.h
@@ -9,7 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chicorystep/clients/log_client.h"
-#include "chicorystep/systems/config_stream.h"
+#include "chicorystep/systems/config/config_stream.h"
 #include "tests/support/cluster.h"
 
 namespace chicorystep::testing {
--- a/tests/task_log_test.cc
+++ b/tests/task_log_test.cc
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/task_reports.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/task_workers.h"
+#include "chicorystep/systems/workflows/task_reports.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/task_workers.h"
 #include "tests/support/emulation.h"
 #include "tests/support/log_capture.h"
 
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE task_placement
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/systems/task_placement.h"
-#include "chicorystep/systems/workflow_tables.h"
+#include "chicorystep/systems/workflows/task_placement.h"
+#include "chicorystep/systems/workflows/workflow_tables.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE task_reports
-#include "chicorystep/systems/task_reports.h"
+#include "chicorystep/systems/workflows/task_reports.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/task_workers.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/task_workers.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
--- a/tests/task_status_test.cc
+++ b/tests/task_status_test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE task_status
-#include "chicorystep/systems/task_status.h"
+#include "chicorystep/systems/workflows/task_status.h"
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
--- a/tests/task_worker_silence_test.cc
+++ b/tests/task_worker_silence_test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE task_worker_silence
-#include "chicorystep/systems/task_unresponsive_workers.h"
+#include "chicorystep/systems/workflows/task_unresponsive_workers.h"
 
 #include <fmt/format.h>
 
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "chicorystep/encoding/workflow_record.h"
-#include "chicorystep/systems/task_worker_clock.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
 
 namespace chicorystep {
 namespace {
--- a/tests/whole_path_test.cc
+++ b/tests/whole_path_test.cc
@@ -7,7 +7,7 @@
 #include <thread>
 #include <vector>
 
-#include "chicorystep/systems/job_records.h"
+#include "chicorystep/systems/cells/job_records.h"
 #include "tests/support/cluster.h"
 
 namespace chicorystep::testing {
--- a/tests/workflow_append_pace_test.cc
+++ b/tests/workflow_append_pace_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/workflow_append_latency.h"
+#include "chicorystep/systems/workflows/workflow_append_latency.h"
 
 namespace chicorystep {
 namespace {
--- a/tests/workflow_calls_test.cc
+++ b/tests/workflow_calls_test.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE workflow_calls
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/systems/workflow_calls.h"
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_calls.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
--- a/tests/workflow_previous_holders_test.cc
+++ b/tests/workflow_previous_holders_test.cc
@@ -1,13 +1,13 @@
 #define BOOST_TEST_MODULE workflow_previous_holders
-#include "chicorystep/systems/workflow_previous_holders.h"
+#include "chicorystep/systems/workflows/workflow_previous_holders.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
 
 namespace chicorystep {
 namespace {
--- a/tests/workflow_recovery_test.cc
+++ b/tests/workflow_recovery_test.cc
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE workflow_recovery
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
--- a/tests/workflow_standstill_test.cc
+++ b/tests/workflow_standstill_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "chicorystep/systems/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -1,10 +1,10 @@
 #define BOOST_TEST_MODULE workflow_streams
 #include <boost/test/unit_test.hpp>
 
-#include "chicorystep/systems/task_workers.h"
-#include "chicorystep/systems/workflow_holder.h"
-#include "chicorystep/systems/workflow_streams.h"
-#include "chicorystep/systems/workflow_writes.h"
+#include "chicorystep/systems/workflows/task_workers.h"
+#include "chicorystep/systems/workflows/workflow_holder.h"
+#include "chicorystep/systems/workflows/workflow_streams.h"
+#include "chicorystep/systems/workflows/workflow_writes.h"
 #include "tests/support/emulation.h"
 
 namespace chicorystep {
