Start wide gangs on distant workers in time

Change: a worker with many tasks gets up to 32 orders in flight, one for 16 tasks. Workers with fewer than 144 tasks are served as before.

Result: workflow_load_test wide_gangs_are_complete_in_time failed for the distant worker before and passes now.

--- a/chicorystep/systems/workflows/task_orders.cc
+++ b/chicorystep/systems/workflows/task_orders.cc
@@ -46,7 +46,12 @@
 constexpr Duration kHoldAnswerTimeout = milliseconds(700);
 // Concurrent orders per worker, each on its own connection. The members of a
 // gang wait for the one that starts last.
-constexpr std::size_t kMaxOrdersInFlight = 8;
+constexpr std::size_t kOrdersInFlight = 8;
+// A worker with many tasks gets more, so that a gang of hundreds that is placed
+// there is started within the gang time-out even if each order takes as long as
+// the way between two regions and back.
+constexpr std::size_t kTasksPerOrderInFlight = 16;
+constexpr std::size_t kMaxOrdersInFlight = 32;
 // Orders that one tick may send; the rest follows in the next ticks. Each costs
 // the traffic thread a connection or a write, and an append that follows must
 // not wait for thousands of them.
@@ -148,6 +153,12 @@
   outbox.orders.push_back(std::move(hold));
 }
 
+// The number of orders that may be in flight to the worker.
+std::size_t OrderWindow(const TaskWorker& worker) {
+  return std::clamp(worker.tasks.size() / kTasksPerOrderInFlight,
+                    kOrdersInFlight, kMaxOrdersInFlight);
+}
+
 // Sends the queued orders of tasks that have no order in flight. A worker that
 // is recorded as unresponsive is sent no start, because a start carries a
 // lease; nor is one of which it is not known which incarnation answers, as its
@@ -157,6 +168,7 @@
                 TimePoint now,
                 WorkflowOutbox& outbox) {
   std::deque<WorkerOrder> deferred;
+  const std::size_t window = OrderWindow(worker);
   while (!worker.orders.empty()) {
     WorkerOrder order = std::move(worker.orders.front());
     worker.orders.pop_front();
@@ -165,7 +177,7 @@
       deferred.push_back(std::move(order));
       continue;
     }
-    if (worker.orders_in_flight.size() >= kMaxOrdersInFlight ||
+    if (worker.orders_in_flight.size() >= window ||
         worker.orders_in_flight.contains(order.task) ||
         (order.kind == OrderKind::kStart &&
          (worker.recorded_unresponsive || !worker.fenced))) {
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -65,6 +65,8 @@
   // another process answers.
   std::set<WorkerId> unhealthy_workers;
   std::set<WorkerId> displaced_workers;
+  // How long an order to a worker takes each way; `kLatency` for the others.
+  std::map<WorkerId, Duration> distances;
   // Whether the store serves the stream of progress, while it is up.
   bool progress_up = true;
   // Whether the store answers every append with 503, while it serves reads.
@@ -440,6 +442,11 @@
                : this->order_timeout;
   }
 
+  [[nodiscard]] Duration DistanceTo(const WorkerId& worker) const {
+    const auto found = this->distances.find(worker);
+    return found == this->distances.end() ? kLatency : found->second;
+  }
+
   void SendOrder(Entry& entry, const WorkerOrder& order) {
     const bool late = this->DrawChance(order.kind == OrderKind::kHold
                                            ? this->rates.late_holds
@@ -447,7 +454,8 @@
     const bool lost = late || this->DrawChance(this->rates.lost_orders);
     const TimePoint sent = this->now;
     const Duration delay =
-        late ? Duration(milliseconds(2000 + this->random() % 6000)) : kLatency;
+        late ? Duration(milliseconds(2000 + this->random() % 6000))
+             : this->DistanceTo(order.worker);
     const bool cut = entry.cut_workers.contains(order.worker);
     if (lost || cut) {
       // The sender gets no answer and gives up after its time-out.
@@ -510,7 +518,8 @@
       // The process has been replaced while its machine was up, which resets
       // the connection.
       if (!lost) {
-        this->DeliverOrderResult(entry, incarnation, kLatency, ended);
+        this->DeliverOrderResult(entry, incarnation,
+                                 this->DistanceTo(order.worker), ended);
       }
       return;
     }
@@ -548,7 +557,8 @@
       this->DeliverOrderResult(entry, incarnation, this->AnswerTimeout(order),
                                this->Unanswered(order, sent));
     } else if (!lost) {
-      this->DeliverOrderResult(entry, incarnation, kLatency, ended);
+      this->DeliverOrderResult(entry, incarnation,
+                               this->DistanceTo(order.worker), ended);
     }
   }
 
--- a/tests/workflow_load_test.cc
+++ b/tests/workflow_load_test.cc
@@ -123,5 +123,47 @@
   }
 }
 
+// A gang of small tasks that all fit on one worker.
+struct WideGangCase {
+  std::string name;
+  std::uint32_t members;
+  // How long an order to the worker takes each way.
+  Duration distance;
+};
+
+const std::vector<WideGangCase> kWideGangCases = {
+    {"a near worker", 480, milliseconds(4)},
+    {"a worker in another region", 480, milliseconds(30)},
+    {"a smaller gang in another region", 200, milliseconds(30)},
+};
+
+// Pattern: the members that start first wait for the last one until the worker
+// gives them up, again and again (review/10).
+BOOST_AUTO_TEST_CASE(wide_gangs_are_complete_in_time) {
+  for (const WideGangCase& sample : kWideGangCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.order_cost = std::chrono::microseconds(100);
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(1);
+      run.distances[run.workers.front().listing.id] = sample.distance;
+      run.AddEntries(2);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted gang{.work = milliseconds(500)};
+      gang.spec.steps = {StepSpec{
+          .count = sample.members,
+          .need = Capacity{Accelerators(0), Millicores(50), Mebibytes(64)},
+          .estimate = milliseconds(500),
+          .gang = true}};
+      run.Submit(0, "normal", Emulation::MakeId(1), gang);
+      BOOST_TEST(
+          run.RunFor(seconds(8), [&] { return run.AllWorkflowsEnded(); }));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
