Begin due occurrences as earlier ones end

Cause: all due occurrences of a schedule began in one tick and were kept for ever, and each placement pass and each look-up searched all of them.

Change: occurrences begin while those that have not ended hold up to 2,000 rows, one at a time may be larger; ended ones are dropped once a later one has begun; step runs are kept in order and found by binary search.

Result: workflow_volume_test due_occurrences_begin_as_others_end failed before with 12,000 rows of 3,000 occurrences, and passes now, also with a takeover.

--- a/chicorystep/systems/workflows/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -19,6 +19,11 @@
 // entries differ. The id is therefore kept longer than callers can query it.
 constexpr Duration kEvictionMargin = std::chrono::seconds(30);
 
+// Occurrences begin only while the rows of those that have begun stay within
+// this number, so that neither a tick nor an append grows with the schedule.
+// One occurrence at a time may be larger.
+constexpr std::size_t kMaxOccurrenceRows = 2000;
+
 std::uint32_t OccurrenceCount(const WorkflowSpec& spec) {
   return std::max<std::uint32_t>(1, spec.occurrences);
 }
@@ -32,12 +37,60 @@
   return spec.first_due + UnixMillis(WholeMillis(spec.interval) * index);
 }
 
+// Drops the occurrences that have ended, but for the newest, which tells the
+// next holder how many have begun.
+void DropEndedOccurrences(Workflow& workflow) {
+  if (workflow.runs.empty()) {
+    return;
+  }
+  std::vector<StepRun>& runs = workflow.runs;
+  const Occurrence newest = runs.back().occurrence;
+  auto kept = runs.begin();
+  for (auto begin = runs.begin(); begin != runs.end();) {
+    const auto end = std::find_if(begin, runs.end(), [&](const StepRun& run) {
+      return run.occurrence != begin->occurrence;
+    });
+    const bool ended = begin->occurrence != newest &&
+                       std::all_of(begin, end, [](const StepRun& run) {
+                         return run.done == run.tasks.size();
+                       });
+    if (!ended) {
+      kept = kept == begin ? end : std::move(begin, end, kept);
+    }
+    begin = end;
+  }
+  runs.erase(kept, runs.end());
+}
+
+// Whether another occurrence may begin beside those that have not ended.
+bool HasRoomForOccurrence(const Workflow& workflow) {
+  std::size_t one = 0;
+  for (const StepSpec& step : workflow.spec.steps) {
+    one += 1 + step.count;
+  }
+  std::size_t open = 0;
+  bool any_open = false;
+  for (const StepRun& run : workflow.runs) {
+    open += 1 + run.tasks.size();
+    any_open = any_open || run.done < run.tasks.size();
+  }
+  return !any_open || open + one <= kMaxOccurrenceRows;
+}
+
 void BeginOccurrences(WorkflowWorld& world,
                       const WorkflowId& id,
                       Workflow& workflow,
                       const WorkflowTime& time) {
+  if (workflow.spec.occurrences > 0) {
+    DropEndedOccurrences(workflow);
+  }
+  workflow.occurrences_deferred = false;
   while (workflow.occurrences_begun < OccurrenceCount(workflow.spec) &&
          DueAt(workflow.spec, workflow.occurrences_begun) <= time.wall) {
+    if (!HasRoomForOccurrence(workflow)) {
+      workflow.occurrences_deferred = true;
+      return;
+    }
     const Occurrence occurrence(workflow.occurrences_begun++);
     for (std::uint32_t i = 0; i < workflow.spec.steps.size(); ++i) {
       StepRun run{.occurrence = occurrence, .step = StepIndex(i)};
@@ -122,7 +175,8 @@
 void QueueDueOccurrences(WorkflowWorld& world, const WorkflowTime& time) {
   for (const WorkflowId& id : world.scheduling.scheduled) {
     Workflow* workflow = world.workflows.find(id);
-    if (DueAt(workflow->spec, workflow->occurrences_begun) <= time.wall) {
+    if (!workflow->occurrences_deferred &&
+        DueAt(workflow->spec, workflow->occurrences_begun) <= time.wall) {
       QueueAdvance(world, id, *workflow);
     }
   }
@@ -194,6 +248,9 @@
   }
   for (const WorkflowId& id : world.scheduling.scheduled) {
     const Workflow* workflow = world.workflows.find(id);
+    if (workflow->occurrences_deferred) {
+      continue;
+    }
     const UnixMillis at = DueAt(workflow->spec, workflow->occurrences_begun);
     due = std::min(
         due, time.now + std::chrono::milliseconds(at.value - time.wall.value));
--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -195,6 +195,14 @@
     workflow->ended_at = progress->ended_at;
     AddProgressPart(workflow->runs, progress->runs);
   }
+  // Pages of the stream have the order of keys, not that of parts.
+  for (Workflow& workflow : world.workflows.rows) {
+    std::sort(workflow.runs.begin(), workflow.runs.end(),
+              [](const StepRun& a, const StepRun& b) {
+                return std::pair(a.occurrence, a.step) <
+                       std::pair(b.occurrence, b.step);
+              });
+  }
   world.holding.progress_loaded = true;
 }
 
--- a/chicorystep/systems/workflows/workflow_tables.cc
+++ b/chicorystep/systems/workflows/workflow_tables.cc
@@ -11,18 +11,35 @@
   if (workflow == nullptr || key.step.value >= workflow->spec.steps.size()) {
     return {};
   }
-  for (StepRun& run : workflow->runs) {
-    if (run.occurrence == key.occurrence && run.step == key.step) {
-      if (key.task.value >= run.tasks.size()) {
-        return {};
-      }
-      return TaskRef{.workflow = workflow,
-                     .spec = &workflow->spec.steps[key.step.value],
-                     .run = &run,
-                     .task = &run.tasks[key.task.value]};
-    }
+  StepRun* run = FindStepRun(*workflow, key.occurrence, key.step);
+  if (run == nullptr || key.task.value >= run->tasks.size()) {
+    return {};
   }
-  return {};
+  return TaskRef{.workflow = workflow,
+                 .spec = &workflow->spec.steps[key.step.value],
+                 .run = run,
+                 .task = &run->tasks[key.task.value]};
+}
+
+const StepRun* FindStepRun(const Workflow& workflow,
+                           Occurrence occurrence,
+                           StepIndex step) {
+  const auto run = std::lower_bound(
+      workflow.runs.begin(), workflow.runs.end(), std::pair(occurrence, step),
+      [](const StepRun& row, const std::pair<Occurrence, StepIndex>& wanted) {
+        return std::pair(row.occurrence, row.step) < wanted;
+      });
+  return run != workflow.runs.end() && run->occurrence == occurrence &&
+                 run->step == step
+             ? &*run
+             : nullptr;
+}
+
+StepRun* FindStepRun(Workflow& workflow,
+                     Occurrence occurrence,
+                     StepIndex step) {
+  return const_cast<StepRun*>(  // NOLINT(cppcoreguidelines-pro-type-const-cast)
+      FindStepRun(std::as_const(workflow), occurrence, step));
 }
 
 void QueueAdvance(WorkflowWorld& world,
@@ -143,12 +160,8 @@
   const StepSpec& spec = workflow.spec.steps[run.step.value];
   return std::all_of(
       spec.depends_on.begin(), spec.depends_on.end(), [&](StepIndex needed) {
-        return std::any_of(workflow.runs.begin(), workflow.runs.end(),
-                           [&](const StepRun& other) {
-                             return other.occurrence == run.occurrence &&
-                                    other.step == needed &&
-                                    other.done == other.tasks.size();
-                           });
+        const StepRun* other = FindStepRun(workflow, run.occurrence, needed);
+        return other != nullptr && other->done == other->tasks.size();
       });
 }
 
--- a/chicorystep/systems/workflows/workflow_tables.h
+++ b/chicorystep/systems/workflows/workflow_tables.h
@@ -68,6 +68,16 @@
                          const TaskRef& ref,
                          TimePoint now);
 
+// Returns the run of one step for one occurrence; null if it has not begun or
+// has been dropped with its occurrence. The runs are in the order of
+// occurrences, and of steps within each.
+[[nodiscard]] StepRun* FindStepRun(Workflow& workflow,
+                                   Occurrence occurrence,
+                                   StepIndex step);
+[[nodiscard]] const StepRun* FindStepRun(const Workflow& workflow,
+                                         Occurrence occurrence,
+                                         StepIndex step);
+
 // Whether every step that `run` depends on has succeeded in the same
 // occurrence.
 [[nodiscard]] bool DependenciesMet(const Workflow& workflow,
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -221,7 +221,8 @@
 
   // The members below are used only by the holder.
 
-  // The steps that have begun or may begin.
+  // The steps that have begun or may begin, in the order of occurrences and of
+  // steps. Occurrences that have ended are dropped once a later one has begun.
   std::vector<StepRun> runs;
 
   // The state that the next progress record carries.
@@ -238,6 +239,8 @@
   WorkflowState announced = WorkflowState::kQueued;
   // Occurrences whose steps have been added to `runs`.
   std::uint32_t occurrences_begun = 0;
+  // An occurrence is due and begins once earlier ones have ended.
+  bool occurrences_deferred = false;
 };
 
 // The records of the journal and of the progress stream.
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -128,6 +128,66 @@
   }
 }
 
+// A workflow with occurrences that are all due when it is submitted.
+struct DueOccurrencesCase {
+  std::string name;
+  std::uint32_t occurrences;
+  bool kill_holder;
+};
+
+const std::vector<DueOccurrencesCase> kDueOccurrencesCases = {
+    {"a few", 20, false},
+    {"thousands", 3000, false},
+    {"thousands, and the holder is killed while they run", 3000, true},
+};
+
+// Pattern: a schedule that begins far in the past. Guards against work of every
+// tick and append for each occurrence that was ever due (review/7).
+BOOST_AUTO_TEST_CASE(due_occurrences_begin_as_others_end) {
+  constexpr std::size_t kMaxRows = 2000;
+  for (const DueOccurrencesCase& sample : kDueOccurrencesCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(16);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(100)};
+      what.spec.steps = {MakeStep(1, 1), MakeStep(1, 1)};
+      what.spec.steps[1].depends_on = {StepIndex(0)};
+      what.spec.occurrences = sample.occurrences;
+      what.spec.first_due = UnixMillis(Emulation::kWallClockStartMs - 100'000);
+      what.spec.interval = milliseconds(10);
+      const WorkflowId scheduled = Emulation::MakeId(1);
+      run.Submit(0, "bulk", scheduled, what);
+      std::size_t most_rows = 0;
+      const auto all_ended = [&] {
+        for (const auto& entry : run.entries) {
+          if (const Workflow* workflow =
+                  entry->world.workflows.find(scheduled)) {
+            std::size_t rows = 0;
+            for (const StepRun& step : workflow->runs) {
+              rows += 1 + step.tasks.size();
+            }
+            most_rows = std::max(most_rows, rows);
+          }
+        }
+        return run.AllWorkflowsEnded();
+      };
+      if (sample.kill_holder) {
+        BOOST_TEST(!run.RunFor(seconds(3), all_ended));
+        run.KillEntry(run.Holder());
+      }
+      BOOST_TEST(run.RunFor(seconds(60), all_ended));
+      BOOST_TEST(most_rows <= kMaxRows);
+      BOOST_TEST(run.starts >= 2 * sample.occurrences);
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 // When the holder of a large workflow is killed.
 struct LargeWorkflowCase {
   std::string name;
