Read all ends of a worker before a run counts as absent

Cause: a worker lists 500 ends in a report.

Change: a report says whether it lists all ends; while it does not, no run counts as absent. The emulated worker lists 500 ends, too.

--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -119,7 +119,11 @@
         ended.running.push_back(RunningReport{
             .task = key, .run = present.run, .in_use = Millicores(used)});
       }
-      ended.ended = worker.ended;
+      ended.ends_complete = worker.ended.size() < kEndsPerReport;
+      ended.ended.assign(
+          worker.ended.begin(),
+          worker.ended.begin() + std::min(std::ssize(worker.ended),
+                                          std::ptrdiff_t{kEndsPerReport}));
       break;
   }
   return ended;
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -27,6 +27,9 @@
   TimePoint stops_at = kNever;
 };
 
+// A worker lists at most this many ends in one report.
+inline constexpr std::size_t kEndsPerReport = 500;
+
 // An in-memory model of one of the platform's workers.
 struct EmulatedWorker {
   WorkerListing listing;
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -267,7 +267,11 @@
   CheckWorkerSpeed(world, id, measured, now);
   // A run that the tables place on this worker but that the report omits has
   // never begun or no longer exists, provided that its start or stop was
-  // answered before the hold was sent.
+  // answered before the hold was sent. If the worker has more ends to list, the
+  // run's end may be among them.
+  if (!hold.ends_complete) {
+    return;
+  }
   const auto tasks = world.scheduling.workers.find(id)->tasks;
   for (const auto& [key, run] : tasks) {
     const TaskRef ref = FindTask(world, key);
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -172,6 +172,9 @@
   // The worker's runs; set only for holds.
   std::vector<RunningReport> running;
   std::vector<EndReport> ended;
+  // Whether `ended` holds all ends that are not acknowledged. A worker lists
+  // them in parts, so a run that is in neither list may have ended.
+  bool ends_complete = true;
 };
 
 // A row of the holder's table of workers.
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -188,6 +188,62 @@
   }
 }
 
+// Tasks that all end while their worker is cut off.
+struct ManyEndsCase {
+  std::string name;
+  std::uint32_t tasks;
+  bool kill_holder;
+};
+
+const std::vector<ManyEndsCase> kManyEndsCases = {
+    {"as many ends as one report holds", 500, false},
+    {"more ends", 620, false},
+    {"many times as many", 1400, false},
+    {"more ends, read first by the next holder", 620, true},
+};
+
+// Pattern: hundreds of small tasks end at once. Guards against a run that is
+// taken for one that never began, as its end is not in the first part of the
+// worker's list (review/6).
+BOOST_AUTO_TEST_CASE(ends_that_exceed_one_report_are_all_read) {
+  for (const ManyEndsCase& sample : kManyEndsCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(1);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(6000)};
+      what.spec.steps = {StepSpec{
+          .count = sample.tasks,
+          .need = Capacity{Accelerators(0), Millicores(20), Mebibytes(16)},
+          .estimate = milliseconds(6000)}};
+      run.Submit(0, "bulk", Emulation::MakeId(1), what);
+      BOOST_REQUIRE(
+          run.RunFor(seconds(6), [&] { return run.starts == sample.tasks; }));
+      const WorkerId worker = run.workers.front().listing.id;
+      BOOST_REQUIRE(run.RunFor(
+          seconds(6), [&] { return run.RunningTasks() < sample.tasks; }));
+      for (const auto& entry : run.entries) {
+        entry->cut_workers.insert(worker);
+      }
+      if (sample.kill_holder) {
+        run.KillEntry(run.Holder());
+      }
+      run.RunFor(milliseconds(2000));
+      for (const auto& entry : run.entries) {
+        entry->cut_workers.clear();
+      }
+      BOOST_TEST(
+          run.RunFor(seconds(40), [&] { return run.AllWorkflowsEnded(); }));
+      BOOST_TEST(run.starts == sample.tasks);
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 // When the holder of a large workflow is killed.
 struct LargeWorkflowCase {
   std::string name;
