Show a workflow as running once a start is confirmed

Cause: placing a task set its workflow's state to running, before its start was ordered, and nothing set it back when the start was rejected.

--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -53,7 +53,6 @@
   for (const TaskIndex index : unit.tasks) {
     newest = std::max(newest, unit.run->tasks[index.value].run.value);
   }
-  unit.workflow->state = WorkflowState::kRunning;
   MarkDirty(*pass.world, unit.id, *unit.workflow);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     CandidateWorker& candidate = pass.candidates[candidates[i]];
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -97,6 +97,7 @@
        {"state", std::string(EnumName(task.state))},
        {"saves", ref.spec->saves_progress},
        {"cancelled", ref.workflow->cancel_requested}});
+  MarkBegun(world, end.task.workflow, *ref.workflow);
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
@@ -251,6 +252,7 @@
            {"placed_on", ref.task->incarnation.value},
            {"state", EnumName(ref.task->state)}});
     }
+    MarkBegun(world, report.task.workflow, *ref.workflow);
     if (ref.task->state == TaskState::kStarting) {
       ref.task->state = TaskState::kRunning;
       ref.task->since = now;
@@ -425,6 +427,7 @@
            {"incarnation", worker->listing.incarnation.value},
            {"placed_ms", WholeMillis(now - ref.task->since)},
            {"answer_ms", WholeMillis(start.answered - start.sent)}});
+      MarkBegun(world, start.task.workflow, *ref.workflow);
       ref.task->state = TaskState::kRunning;
       ref.task->since = now;
       ref.task->last_running = now;
--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -191,7 +191,8 @@
           {{"workflow", progress->id.value}, {"offset", offset.value}});
       continue;
     }
-    workflow->state = progress->state;
+    // The state that callers see may be newer than the progress.
+    workflow->state = std::max(progress->state, workflow->shown);
     workflow->ended_at = progress->ended_at;
     AddProgressPart(workflow->runs, progress->runs);
   }
--- a/chicorystep/systems/workflows/workflow_tables.cc
+++ b/chicorystep/systems/workflows/workflow_tables.cc
@@ -58,6 +58,15 @@
   }
 }
 
+void MarkBegun(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow) {
+  if (workflow.state != WorkflowState::kQueued) {
+    return;
+  }
+  workflow.state = workflow.announced = WorkflowState::kRunning;
+  world.scheduling.to_announce.push_back(StateRecord{
+      .id = id, .epoch = world.holding.own_epoch, .state = workflow.state});
+}
+
 void ReleaseCapacity(WorkflowWorld& world,
                      const TaskKey& key,
                      const StepSpec& spec,
--- a/chicorystep/systems/workflows/workflow_tables.h
+++ b/chicorystep/systems/workflows/workflow_tables.h
@@ -28,6 +28,10 @@
 // again, and queues the workflow to be advanced.
 void MarkDirty(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow);
 
+// Shows the workflow as running once a worker has confirmed the start of one of
+// its tasks. A start that is only placed or rejected does not count.
+void MarkBegun(WorkflowWorld& world, const WorkflowId& id, Workflow& workflow);
+
 // Releases the capacity that a task holds on its worker.
 void ReleaseCapacity(WorkflowWorld& world,
                      const TaskKey& key,
--- a/chicorystep/systems/workflows/workflow_writes.cc
+++ b/chicorystep/systems/workflows/workflow_writes.cc
@@ -41,7 +41,8 @@
 // Queues a state record for the journal when written progress has a new state.
 void QueueStateRecord(WorkflowWorld& world, const ProgressRecord& progress) {
   Workflow* workflow = world.workflows.find(progress.id);
-  if (workflow == nullptr || workflow->announced == progress.state) {
+  // Progress that was queued before a start was confirmed has an earlier state.
+  if (workflow == nullptr || progress.state <= workflow->announced) {
     return;
   }
   workflow->announced = progress.state;
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -65,6 +65,8 @@
   // another process answers.
   std::set<WorkerId> unhealthy_workers;
   std::set<WorkerId> displaced_workers;
+  // Workers that reject starts as unhealthy, and carry out all other orders.
+  std::set<WorkerId> rejects_starts;
   // How long an order to a worker takes each way; `kLatency` for the others.
   std::map<WorkerId, Duration> distances;
   // Whether the store serves the stream of progress, while it is up.
@@ -535,7 +537,9 @@
     }
     if (this->displaced_workers.contains(order.worker)) {
       ended.outcome = OrderOutcome::kOtherIncarnation;
-    } else if (this->unhealthy_workers.contains(order.worker)) {
+    } else if (this->unhealthy_workers.contains(order.worker) ||
+               (order.kind == OrderKind::kStart &&
+                this->rejects_starts.contains(order.worker))) {
       ended.outcome = OrderOutcome::kUnhealthy;
     } else {
       ended = this->ExecuteOrderOn(*worker, order);
--- a/tests/workflow_lifecycle_test.cc
+++ b/tests/workflow_lifecycle_test.cc
@@ -210,5 +210,69 @@
   }
 }
 
+// Workers that reject starts while workflows wait.
+struct WaitingCase {
+  std::string name;
+  bool rejects_starts;
+  // Whether another entry holds the role when the workflows are counted.
+  bool kill_holder;
+  std::int64_t waiting;
+};
+
+const std::vector<WaitingCase> kWaitingCases = {
+    {"starts are confirmed", false, false, 0},
+    {"starts are rejected", true, false, 8},
+    {"starts are confirmed, and the holder is killed", false, true, 0},
+    {"starts are rejected, and the holder is killed", true, true, 8},
+};
+
+// Pattern: a worker that answers reports rejects starts for seconds. Guards
+// against workflows that are shown as running before any of their tasks has
+// started (review/9).
+BOOST_AUTO_TEST_CASE(workflows_wait_until_a_start_is_confirmed) {
+  constexpr int kWorkflows = 8;
+  for (const WaitingCase& sample : kWaitingCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(1);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      const WorkerId worker = run.workers.front().listing.id;
+      // Reports are answered; only starts are rejected.
+      run.rejects_starts =
+          sample.rejects_starts ? std::set{worker} : std::set<WorkerId>{};
+      for (int i = 1; i <= kWorkflows; ++i) {
+        Emulation::Submitted what{.work = seconds(20)};
+        what.spec.steps = {MakeStep(1, 1)};
+        run.Submit(0, "bulk", Emulation::MakeId(i), what);
+      }
+      run.RunFor(seconds(3));
+      if (sample.kill_holder) {
+        run.KillEntry(run.Holder());
+        run.RunFor(seconds(4));
+      }
+      for (std::size_t i = 0; i < run.entries.size(); ++i) {
+        if (!run.entries[i]->up) {
+          continue;
+        }
+        const ExchangeId count =
+            run.Call(static_cast<int>(i),
+                     WorkflowCall{.kind = CallKind::kCount, .path = "/bulk/"});
+        run.RunFor(seconds(1));
+        const auto answer = run.AnswerTo(count);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST((answer->waiting == sample.waiting));
+      }
+      run.rejects_starts.clear();
+      BOOST_TEST(
+          run.RunFor(seconds(60), [&] { return run.AllWorkflowsEnded(); }));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
