Start nothing in evacuated zones

The operator may evacuate an availability zone by a record beside the configuration.

Every entry now keeps the table of evacuated zones from the operator's stream. A load of the newest records replaces it, so a removal that was compacted unread counts. The holder places nothing on workers of these zones, sends them no starts, and withdraws tasks there whose start is not in flight and not confirmed; a start that got no answer is barred by a stop order, and gangs are withdrawn as a whole. Work that runs goes on. A zone that is taken back is placed in at once. Zones, withdrawals and the reason for waiting are logged, dumped and counted.

The emulated store keeps the operator's records and compacts them.

--- a/chicorystep/control/workflow_tick.cc
+++ b/chicorystep/control/workflow_tick.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/evacuation/task_evacuation.h"
 #include "chicorystep/systems/workflows/task_orders.h"
 #include "chicorystep/systems/workflows/task_placement.h"
 #include "chicorystep/systems/workflows/task_reports.h"
@@ -52,6 +53,7 @@
   ApplyWorkerListings(world, inbox, time);
   ApplyOrderResults(world, inbox, time);
   ExpireWorkers(world, time);
+  WithdrawEvacuatedStarts(world, time.now);
 
   HandleCalls(world, inbox, time, outbox);
   EndCalls(world, inbox, time, outbox);
--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -86,6 +86,11 @@
   json["entry"] = world.self.id.value;
   json["config_version"] = world.config ? world.config->version.value : 0;
   json["stopping"] = world.stopping;
+  json["evacuated_zones"] = PlainJson::array();
+  for (const auto& [zone, since] : world.evacuations.zones) {
+    json["evacuated_zones"].push_back(
+        {{"zone", zone.value}, {"read_ms_ago", AgeMillis(since, now)}});
+  }
   json["holding"] = DumpHolding(world.holding, now);
   json["streams"] = PlainJson::object();
   for (const auto& [stream, position] : world.streams) {
--- a/chicorystep/standin/emulated_store.cc
+++ b/chicorystep/standin/emulated_store.cc
@@ -41,6 +41,37 @@
   }
 }
 
+// The end of the operator's stream.
+Offset OperatorEnd(const EmulatedStore& store) {
+  return Offset(store.configs.size() + store.evacuations.size());
+}
+
+void ReadOperator(const EmulatedStore& store,
+                  const std::optional<Offset>& from,
+                  StreamRead& read) {
+  const Offset end = OperatorEnd(store);
+  read.next = end;
+  if (from && *from < store.operator_first) {
+    read.compacted = true;
+    return;
+  }
+  if (!store.configs.empty() && (!from || *from < end)) {
+    read.config = store.configs.back();
+  }
+  if (from) {
+    for (const auto& [offset, change] : store.evacuations) {
+      if (offset >= *from) {
+        read.evacuations.push_back(change);
+      }
+    }
+    return;
+  }
+  for (const Zone& zone : store.evacuated) {
+    read.evacuations.push_back({.zone = zone, .evacuated = true});
+  }
+  read.evacuations_complete = true;
+}
+
 void ReadWorkers(const EmulatedStore& store,
                  const std::optional<Offset>& from,
                  StreamRead& read) {
@@ -132,7 +163,7 @@
   StreamRead result{.stream = read.stream, .ok = true};
   std::size_t end = store.journal.records.size();
   if (read.stream == FollowedStream::kConfig) {
-    end = store.configs.size();
+    end = OperatorEnd(store).value;
   } else if (read.stream == FollowedStream::kWorkers) {
     end = store.listings.size();
   } else if (read.stream == FollowedStream::kProgress) {
@@ -144,10 +175,7 @@
   ++store.reads;
   switch (read.stream) {
     case FollowedStream::kConfig:
-      if (!store.configs.empty() && (!read.from || read.from->value < end)) {
-        result.config = store.configs.back();
-      }
-      result.next = Offset(end);
+      ReadOperator(store, read.from, result);
       break;
     case FollowedStream::kWorkers:
       ReadWorkers(store, read.from, result);
@@ -173,10 +201,22 @@
   }
 }
 
+void SetEvacuated(EmulatedStore& store, const Zone& zone, bool evacuated) {
+  store.evacuations.emplace_back(
+      OperatorEnd(store),
+      EvacuationChange{.zone = zone, .evacuated = evacuated});
+  if (evacuated) {
+    store.evacuated.insert(zone);
+  } else {
+    store.evacuated.erase(zone);
+  }
+}
+
 void Compact(EmulatedStore& store) {
   for (EmulatedLog* log : {&store.journal, &store.progress}) {
     log->first = Offset(log->records.size());
   }
+  store.operator_first = OperatorEnd(store);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/standin/emulated_store.h
+++ b/chicorystep/standin/emulated_store.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,13 @@
   EmulatedLog journal;
   EmulatedLog progress;
   std::vector<WorkflowConfig> configs;
+  // All changes of evacuated zones in order, with the end of the operator's
+  // stream as it was before each, and the zones that are evacuated.
+  std::vector<std::pair<Offset, EvacuationChange>> evacuations;
+  std::set<Zone> evacuated;
+  // Reads of the operator's stream from an offset before this one are answered
+  // as compacted.
+  Offset operator_first;
   // All changes of worker listings in order; a change without a value ends the
   // listing.
   std::vector<std::pair<WorkerId, std::optional<WorkerListing>>> listings;
@@ -77,8 +85,11 @@
 void List(EmulatedStore& store, const WorkerListing& listing);
 void Unlist(EmulatedStore& store, const WorkerId& worker);
 
-// Compacts the journal and the progress stream: only the newest record of each
-// key can be read from then on.
+// Evacuates a zone or takes it back, by a record of the operator.
+void SetEvacuated(EmulatedStore& store, const Zone& zone, bool evacuated);
+
+// Compacts the streams of the journal, the progress and the operator: only the
+// newest record of each key can be read from then on.
 void Compact(EmulatedStore& store);
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflows/task_candidates.cc
+++ b/chicorystep/systems/workflows/task_candidates.cc
@@ -220,6 +220,9 @@
   if (worker.listing.draining) {
     return WorkerRejection::kDraining;
   }
+  if (IsEvacuated(world.evacuations, worker.listing.zone)) {
+    return WorkerRejection::kEvacuated;
+  }
   if (!worker.fenced) {
     return WorkerRejection::kUnread;
   }
--- a/chicorystep/systems/workflows/task_orders.cc
+++ b/chicorystep/systems/workflows/task_orders.cc
@@ -159,16 +159,23 @@
                     kOrdersInFlight, kMaxOrdersInFlight);
 }
 
-// Sends the queued orders of tasks that have no order in flight. A worker that
-// is recorded as unresponsive is sent no start, because a start carries a
-// lease; nor is one of which it is not known which incarnation answers, as its
-// clock is not known either.
+// Whether starts may be sent to the worker now. A worker that is recorded as
+// unresponsive is sent none, because a start carries a lease; nor is one of
+// which it is not known which incarnation answers, as its clock is not known
+// either, or one in an evacuated zone.
+bool MaySendStarts(const WorkflowWorld& world, const TaskWorker& worker) {
+  return !worker.recorded_unresponsive && worker.fenced &&
+         !IsEvacuated(world.evacuations, worker.listing.zone);
+}
+
+// Sends the queued orders of tasks that have no order in flight.
 void SendQueued(WorkflowWorld& world,
                 TaskWorker& worker,
                 TimePoint now,
                 WorkflowOutbox& outbox) {
   std::deque<WorkerOrder> deferred;
   const std::size_t window = OrderWindow(worker);
+  const bool may_start = MaySendStarts(world, worker);
   while (!worker.orders.empty()) {
     WorkerOrder order = std::move(worker.orders.front());
     worker.orders.pop_front();
@@ -179,8 +186,7 @@
     }
     if (worker.orders_in_flight.size() >= window ||
         worker.orders_in_flight.contains(order.task) ||
-        (order.kind == OrderKind::kStart &&
-         (worker.recorded_unresponsive || !worker.fenced))) {
+        (order.kind == OrderKind::kStart && !may_start)) {
       deferred.push_back(std::move(order));
       continue;
     }
--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/evacuation/task_evacuation.h"
 #include "chicorystep/systems/workflows/task_unresponsive_workers.h"
 #include "chicorystep/systems/workflows/workflow_previous_holders.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
@@ -420,6 +421,7 @@
     if (read.config) {
       ApplyConfig(world, *read.config);
     }
+    ApplyEvacuations(world, read, time.now);
     if (read.stream == FollowedStream::kProgress) {
       ApplyProgressLoad(world, read);
       continue;
--- a/chicorystep/tables/task_waits.h
+++ b/chicorystep/tables/task_waits.h
@@ -14,6 +14,8 @@
   kNone,
   kUnlisted,
   kDraining,
+  // The operator has evacuated its zone.
+  kEvacuated,
   // It has not answered this holder yet.
   kUnread,
   // It has restarted, or another process answers at its address, and the
@@ -30,15 +32,11 @@
 };
 template <>
 inline constexpr std::array kEnumNames<WorkerRejection> = {
-    std::string_view("none"),
-    std::string_view("unlisted"),
-    std::string_view("draining"),
-    std::string_view("unread"),
-    std::string_view("listing_outdated"),
-    std::string_view("unanswered"),
-    std::string_view("answer_overdue"),
-    std::string_view("excluded"),
-    std::string_view("orphaned_runs"),
+    std::string_view("none"),       std::string_view("unlisted"),
+    std::string_view("draining"),   std::string_view("evacuated"),
+    std::string_view("unread"),     std::string_view("listing_outdated"),
+    std::string_view("unanswered"), std::string_view("answer_overdue"),
+    std::string_view("excluded"),   std::string_view("orphaned_runs"),
 };
 
 // What a workflow waits for that has a task without a run.
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -14,6 +14,7 @@
 #include "chicorystep/core/outcome.h"
 #include "chicorystep/core/table.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/evacuations.h"
 #include "chicorystep/tables/task_workers.h"
 #include "chicorystep/tables/workflow_config.h"
 #include "chicorystep/tables/workflows.h"
@@ -48,6 +49,7 @@
 
 // Streams of the platform's log that an entry reads.
 enum class FollowedStream : std::uint8_t {
+  // Written by the operator: the configuration and the evacuated zones.
   kConfig,
   // Holds what every entry needs of each workflow, and the claims to the holder
   // role.
@@ -168,6 +170,10 @@
   std::vector<std::pair<Offset, JournalRecord>> journal;
   // The newest configuration among the records, if any.
   std::optional<WorkflowConfig> config;
+  // Changes of evacuated zones in the order of the stream.
+  std::vector<EvacuationChange> evacuations;
+  // `evacuations` contains every evacuated zone, not only the changes.
+  bool evacuations_complete = false;
   // Worker listings in the order of the stream; an empty listing means that the
   // worker has left.
   std::vector<std::pair<WorkerId, std::optional<WorkerListing>>> workers;
@@ -481,6 +487,7 @@
 struct WorkflowWorld {
   WorkflowSelf self;
   std::optional<WorkflowConfig> config;
+  Evacuations evacuations;
   std::map<FollowedStream, StreamPosition> streams;
   Table<WorkflowId, Workflow> workflows;
   std::map<WorkflowId, EarlyCancel> early_cancels;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE platform_codec
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -147,6 +148,55 @@
   BOOST_TEST(!DecodeConfig(R"({"Routes":[]})").has_value());
 }
 
+// A record of the operator, and the change of evacuated zones that it is.
+struct EvacuationRecordCase {
+  std::string name;
+  KeyedValue record;
+  bool is_evacuation;
+  std::optional<EvacuationChange> change;
+};
+
+const std::vector<EvacuationRecordCase> kEvacuationRecordCases = {
+    {"a zone", {"evacuate/z-1", "{}"}, true, {{Zone("z-1"), true}}},
+    {"a zone that is taken back",
+     {"evacuate/z-1", std::nullopt},
+     true,
+     {{Zone("z-1"), false}}},
+    {"a value that is no object",
+     {"evacuate/z-1", "?"},
+     true,
+     {{Zone("z-1"), true}}},
+    {"a name with a slash",
+     {"evacuate/a/b", "{}"},
+     true,
+     {{Zone("a/b"), true}}},
+    {"a name beyond ASCII",
+     {"evacuate/f\xc3\xa8s", "{}"},
+     true,
+     {{Zone("f\xc3\xa8s"), true}}},
+    {"no zone", {"evacuate/", "{}"}, true, std::nullopt},
+    {"no zone, removed", {"evacuate/", std::nullopt}, true, std::nullopt},
+    {"a line break", {"evacuate/a\nb", "{}"}, true, std::nullopt},
+    {"another key", {"evacuated", "{}"}, false, std::nullopt},
+    {"the configuration", {"config", "{}"}, false, std::nullopt},
+};
+
+BOOST_AUTO_TEST_CASE(keys_of_the_operator_name_the_evacuated_zones) {
+  for (const EvacuationRecordCase& sample : kEvacuationRecordCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      BOOST_TEST(IsEvacuationKey(sample.record.key) == sample.is_evacuation);
+      if (!sample.is_evacuation) {
+        continue;
+      }
+      const auto change = DecodeEvacuation(sample.record);
+      BOOST_TEST(change.has_value() == sample.change.has_value());
+      if (change && sample.change) {
+        BOOST_TEST((change.value() == *sample.change));
+      }
+    }
+  }
+}
+
 // A task name on the wire and whether it can be decoded.
 struct NameCase {
   std::string text;
--- a/tests/platform_odd_entries_test.cc
+++ b/tests/platform_odd_entries_test.cc
@@ -150,6 +150,30 @@
              boost::test_tools::per_element());
 }
 
+// Records of the operator, newest last, and the zones that they evacuate.
+BOOST_AUTO_TEST_CASE(evacuations_are_followed_past_odd_records) {
+  const std::vector<KeyedValue> records = {
+      {"evacuate/", "{}"},    {"evacuate/a", "{}"},
+      {"evacuate/b", "\xff"}, {"evacuate/a", std::nullopt},
+      {"config", "?"},        {"other/a", "{}"},
+  };
+  FakeStore fake;
+  fake.answer = [&](const ServedRequest&) {
+    const std::string end(1, static_cast<char>(records.size()));
+    return ServedResponse{.body = std::string(7, '\0') + end +
+                                  std::string(8, '\0') +
+                                  EncodeLogRecords(records)};
+  };
+  const StreamRead read = fake.Read(
+      ReadStream{.stream = FollowedStream::kConfig, .from = Offset(0)});
+  BOOST_TEST(read.ok);
+  BOOST_TEST(read.at_end);
+  BOOST_TEST(!read.evacuations_complete);
+  const std::vector<EvacuationChange> changes = {
+      {Zone("a"), true}, {Zone("b"), true}, {Zone("a"), false}};
+  BOOST_TEST((read.evacuations == changes));
+}
+
 // Keys at which a page of the newest records may end.
 const std::vector<std::string> kPageKeys = {
     "plain", "with space",         "a&b=c",   "a#b",
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -71,7 +71,9 @@
   // kept under its first task.
   std::map<TaskKey, std::set<RunNumber>> failed_runs;
   std::vector<std::string> violations;
+  // When and where each task was started.
   std::vector<TimePoint> start_times;
+  std::vector<WorkerId> start_workers;
   // When the first and the newest task of each workflow started.
   std::map<WorkflowId, TimePoint> started;
   std::map<WorkflowId, TimePoint> last_started;
@@ -146,6 +148,7 @@
     if (worker.running.size() > before) {
       ++this->starts;
       this->start_times.push_back(this->now);
+      this->start_workers.push_back(worker.listing.id);
       this->started.try_emplace(order.task.workflow, this->now);
       this->last_started[order.task.workflow] = this->now;
       if (!HasFreeCapacity(worker, Capacity{})) {
