Choose preemption victims by what they free

Cause: victims were taken in the order of their loss until a task fitted. Those that a later, larger one made superfluous were stopped all the same, many small tasks were stopped where one large one cost less, and a gang was priced in full on each of its workers, whatever else of it the unit could use. Work about to end by itself was stopped too, and units that could no longer be of worth still preempted.

Work that is expected to end while the unit can wait is left to end, and its room reserved; guaranteed units wait for none. Units that cannot be of worth stop nothing unless guaranteed.

--- a/chicorystep/core/units.h
+++ b/chicorystep/core/units.h
@@ -13,6 +13,8 @@
 using Millicores = Quantity<struct MillicoresTag, std::int64_t>;
 using Mebibytes = Quantity<struct MebibytesTag, std::int64_t>;
 using Bytes = Quantity<struct BytesTag, std::int64_t>;
+// Milliseconds of work of one processor core.
+using CoreMillis = Quantity<struct CoreMillisTag, std::int64_t>;
 // The number of requests that an executor runs concurrently.
 using Slots = Quantity<struct SlotsTag, std::int64_t>;
 using Connections = Quantity<struct ConnectionsTag, std::int64_t>;
--- /dev/null
+++ b/chicorystep/systems/workflows/preemption/task_preemption.h
@@ -0,0 +1,18 @@
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_PREEMPTION_TASK_PREEMPTION_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_PREEMPTION_TASK_PREEMPTION_H_
+
+#include "chicorystep/systems/workflows/task_candidates.h"
+
+namespace chicorystep {
+
+// Stops less urgent work with the least loss and reserves its capacity for the
+// unit. Work that is expected to end by itself early enough is left to end. A
+// unit within its workspace's guarantee waits for no such work, and may also
+// stop equally urgent work that exceeds the guarantees of other workspaces; no
+// other unit stops anything once it cannot be of worth. Does nothing if
+// stopping all of it would not free enough capacity.
+void PreemptForUnit(TaskPlacementPass& pass, const PlacementUnit& unit);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_PREEMPTION_TASK_PREEMPTION_H_
--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/preemption/task_preemption.h"
 #include "chicorystep/systems/workflows/task_candidates.h"
-#include "chicorystep/systems/workflows/task_preemption.h"
 #include "chicorystep/systems/workflows/task_worker_clock.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
 
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -477,6 +477,14 @@
   TimePoint read{};
 };
 
+// What this process has preempted since its start.
+struct PreemptionTotals {
+  std::uint64_t tasks_stopped = 0;
+  std::uint64_t tasks_wanted = 0;
+  // Work that was stopped and is not saved.
+  CoreMillis loss;
+};
+
 // All control state of the workflow scheduler in one entry process.
 struct WorkflowWorld {
   WorkflowSelf self;
@@ -486,6 +494,7 @@
   std::map<WorkflowId, EarlyCancel> early_cancels;
   Holding holding;
   Scheduling scheduling;
+  PreemptionTotals preempted;
   CallerLane callers;
   StoreAnswer store_answer;
   // Calls that wait until the journal has been read again.
--- a/tests/platform_metrics_test.cc
+++ b/tests/platform_metrics_test.cc
@@ -144,5 +144,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(preemption_is_counted_over_several_updates) {
+  Metrics metrics;
+  RegisterMetrics(metrics);
+  WorkflowWorld world;
+  for (const std::int64_t loss : {1500, 2500}) {
+    world.preempted = {
+        .tasks_stopped = 3, .tasks_wanted = 2, .loss = CoreMillis(loss)};
+    SetGauges(metrics, world, true, kNow);
+  }
+  for (const char* line :
+       {R"(chicorystep_preempted_tasks_total{tasks="stopped"} 3)",
+        R"(chicorystep_preempted_tasks_total{tasks="wanted"} 2)",
+        "chicorystep_preempted_core_seconds_total 2.5"}) {
+    BOOST_TEST(HasLine(metrics, line), line);
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -427,6 +427,66 @@
   }
 }
 
+// A full worker when an urgent task arrives that needs all of it, and whether
+// the running task is stopped at once. The urgent task's estimate is 1 s and
+// its objective 3 s.
+struct PatienceCase {
+  std::string name;
+  Duration estimate;
+  Duration ran;
+  // Since when the urgent workflow is accepted.
+  Duration waited;
+  bool guaranteed;
+  bool long_running;
+  bool stopped;
+};
+
+const std::vector<PatienceCase> kPatienceCases = {
+    {"work that ends early enough is left to end", seconds(2),
+     milliseconds(1500), Duration(), false, false, false},
+    {"work that ends later is stopped", seconds(5), seconds(2), Duration(),
+     false, false, true},
+    {"work is stopped if there is no time left to wait", seconds(2),
+     milliseconds(1500), milliseconds(1200), false, false, true},
+    {"work that has run longer than estimated may still take a quarter",
+     seconds(8), seconds(12), Duration(), false, false, true},
+    {"a guaranteed task waits for nothing", seconds(2), milliseconds(1500),
+     Duration(), true, false, true},
+    {"work that has no end is stopped", seconds(2), milliseconds(1500),
+     Duration(), false, true, true},
+    {"a task that can no longer be of worth stops nothing", seconds(5),
+     seconds(1), seconds(9), false, false, false},
+    {"a guaranteed task that can no longer be of worth does", seconds(5),
+     seconds(1), seconds(9), true, false, true},
+};
+
+// Pattern: bursts of urgent users on a cell that is full of short work.
+BOOST_AUTO_TEST_CASE(work_that_ends_in_time_is_left_to_end) {
+  for (const PatienceCase& sample : kPatienceCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 1);
+      StepSpec bulk = MakeStep(1, 8);
+      bulk.estimate = sample.estimate;
+      bulk.long_running = sample.long_running;
+      const WorkflowId running = AddWorkflow(world, 1, 2, bulk);
+      RunPlacement(world, kNow);
+      BeginRunning(world, running, kNow.now - sample.ran);
+      const WorkflowId urgent = AddWorkflow(world, 2, 0, MakeStep(1, 8));
+      Workflow& workflow = *world.workflows.find(urgent);
+      workflow.accepted = kNow.wall - UnixMillis(WholeMillis(sample.waited));
+      if (!sample.guaranteed) {
+        workflow.terms.workspace = Workspace("other");
+      }
+      // Bulk work that also waits does not get the room instead.
+      const WorkflowId waiting = AddWorkflow(world, 3, 2, MakeStep(1, 8));
+      RunPlacement(world, kNow);
+      BOOST_TEST((CountTasks(world, running, TaskState::kStopping) == 1) ==
+                 sample.stopped);
+      BOOST_TEST(CountTasks(world, waiting, TaskState::kPlaced) == 0U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(urgent_gangs_stay_in_one_rack_when_they_preempt) {
   WorkflowWorld world = MakeWorld(2, 2);
   const WorkflowId bulk = AddWorkflow(world, 1, 2, MakeStep(4, 8));
