Let guaranteed gangs wait for one rack no longer than they may

Cause: a gang that runs slower across racks waited for one rack for up to 10 s while the service was busy, also within its workspace's guarantee, which promises its begin 2.9 to 3.4 s after the acceptance.

Change: such a gang is placed across racks after 1.5 s.

--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -225,6 +225,8 @@
     // taken all but one.
     int per_rack;
     std::size_t placed;
+    std::uint32_t priority = 1;
+    std::string workspace = "team";
   };
   const std::vector<WaitCase> cases = {
       {"just arrived, half of the service is in use", Duration(), 2, 0},
@@ -232,6 +234,11 @@
       {"just arrived, two thirds are in use", Duration(), 3, 0},
       {"has waited for 9 s, two thirds are in use", seconds(9), 3, 0},
       {"has waited past the time-out", seconds(11), 3, 2},
+      {"guaranteed and just arrived", Duration(), 3, 0, 0},
+      {"guaranteed and has waited for a second", seconds(1), 3, 0, 0},
+      {"guaranteed and has waited for 1.5 s", milliseconds(1500), 3, 2, 0},
+      {"urgent beyond a guarantee and has waited for 9 s", seconds(9), 3, 0, 0,
+       "other"},
   };
   for (const WaitCase& sample : cases) {
     BOOST_TEST_CONTEXT(sample.name) {
@@ -243,7 +250,8 @@
       }
       StepSpec step = MakeStep(2, 8, true);
       step.same_rack = true;
-      const WorkflowId id = AddWorkflow(world, 1, 1, step);
+      const WorkflowId id = AddWorkflow(world, 1, sample.priority, step);
+      world.workflows.find(id)->terms.workspace = Workspace(sample.workspace);
       world.workflows.find(id)->runs[0].ready_since = kNow.now - sample.waited;
       RunPlacement(world, kNow);
       BOOST_TEST(CountTasks(world, id, TaskState::kPlaced) == sample.placed);
