--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -421,6 +421,14 @@
   TimePoint began = kDistantPast;
 };
 
+// The workers on which an urgent unit is to run once the work that was stopped
+// for it has ended, one for each of its tasks.
+struct UnitReservation {
+  std::vector<WorkerId> workers;
+  Capacity need;
+  TimePoint since{};
+};
+
 // Tables that only the holder maintains.
 struct Scheduling {
   Table<WorkerId, TaskWorker> workers;
@@ -463,6 +471,9 @@
   // A change may allow a placement that was not possible before.
   bool placement_due = false;
   TimePoint next_placement{};
+  // Keyed by the first task of the unit; kept from the preemption until the
+  // unit is placed.
+  std::map<TaskKey, UnitReservation> reservations;
   // Position in `workers` at which the next tick begins to send orders. Set
   // when a tick has sent as many orders as one tick may.
   std::size_t next_worker = 0;
@@ -483,6 +494,14 @@
   TimePoint read{};
 };
 
+// What this process has preempted since its start.
+struct PreemptionTotals {
+  std::uint64_t tasks_stopped = 0;
+  std::uint64_t tasks_wanted = 0;
+  // Work that was stopped and is not saved.
+  CoreMillis loss;
+};
+
 // All control state of the workflow scheduler in one entry process.
 struct WorkflowWorld {
   WorkflowSelf self;
@@ -493,6 +512,7 @@
   std::map<WorkflowId, EarlyCancel> early_cancels;
   Holding holding;
   Scheduling scheduling;
+  PreemptionTotals preempted;
   CallerLane callers;
   StoreAnswer store_answer;
   // Calls that wait until the journal has been read again.
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -225,6 +225,8 @@
     // taken all but one.
     int per_rack;
     std::size_t placed;
+    std::uint32_t priority = 1;
+    std::string workspace = "team";
   };
   const std::vector<WaitCase> cases = {
       {"just arrived, half of the service is in use", Duration(), 2, 0},
@@ -232,6 +234,11 @@
       {"just arrived, two thirds are in use", Duration(), 3, 0},
       {"has waited for 9 s, two thirds are in use", seconds(9), 3, 0},
       {"has waited past the time-out", seconds(11), 3, 2},
+      {"guaranteed and just arrived", Duration(), 3, 0, 0},
+      {"guaranteed and has waited for a second", seconds(1), 3, 0, 0},
+      {"guaranteed and has waited for 1.2 s", milliseconds(1200), 3, 2, 0},
+      {"urgent beyond a guarantee and has waited for 9 s", seconds(9), 3, 0, 0,
+       "other"},
   };
   for (const WaitCase& sample : cases) {
     BOOST_TEST_CONTEXT(sample.name) {
@@ -243,7 +250,8 @@
       }
       StepSpec step = MakeStep(2, 8, true);
       step.same_rack = true;
-      const WorkflowId id = AddWorkflow(world, 1, 1, step);
+      const WorkflowId id = AddWorkflow(world, 1, sample.priority, step);
+      world.workflows.find(id)->terms.workspace = Workspace(sample.workspace);
       world.workflows.find(id)->runs[0].ready_since = kNow.now - sample.waited;
       RunPlacement(world, kNow);
       BOOST_TEST(CountTasks(world, id, TaskState::kPlaced) == sample.placed);
@@ -427,6 +435,145 @@
   }
 }
 
+// A full worker when an urgent task arrives that needs all of it, and whether
+// the running task is stopped at once. The urgent task's estimate is 1 s and
+// its objective 3 s.
+struct PatienceCase {
+  std::string name;
+  Duration estimate;
+  Duration ran;
+  // Since when the urgent workflow is accepted.
+  Duration waited;
+  bool guaranteed;
+  bool long_running;
+  bool stopped;
+};
+
+const std::vector<PatienceCase> kPatienceCases = {
+    {"work that ends early enough is left to end", seconds(2),
+     milliseconds(1500), Duration(), false, false, false},
+    {"work that ends later is stopped", seconds(5), seconds(2), Duration(),
+     false, false, true},
+    {"work is stopped if there is no time left to wait", seconds(2),
+     milliseconds(1500), milliseconds(1200), false, false, true},
+    {"work that has run longer than estimated may still take a quarter",
+     seconds(8), seconds(12), Duration(), false, false, true},
+    {"a guaranteed task waits for nothing", seconds(2), milliseconds(1500),
+     Duration(), true, false, true},
+    {"work that has no end is stopped", seconds(2), milliseconds(1500),
+     Duration(), false, true, true},
+    {"a task that can no longer be of worth stops nothing", seconds(5),
+     seconds(1), seconds(9), false, false, false},
+    {"a guaranteed task that can no longer be of worth does", seconds(5),
+     seconds(1), seconds(9), true, false, true},
+};
+
+// Pattern: bursts of urgent users on a cell that is full of short work.
+BOOST_AUTO_TEST_CASE(work_that_ends_in_time_is_left_to_end) {
+  for (const PatienceCase& sample : kPatienceCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 1);
+      StepSpec bulk = MakeStep(1, 8);
+      bulk.estimate = sample.estimate;
+      bulk.long_running = sample.long_running;
+      const WorkflowId running = AddWorkflow(world, 1, 2, bulk);
+      RunPlacement(world, kNow);
+      BeginRunning(world, running, kNow.now - sample.ran);
+      const WorkflowId urgent = AddWorkflow(world, 2, 0, MakeStep(1, 8));
+      Workflow& workflow = *world.workflows.find(urgent);
+      workflow.accepted = kNow.wall - UnixMillis(WholeMillis(sample.waited));
+      if (!sample.guaranteed) {
+        workflow.terms.workspace = Workspace("other");
+      }
+      // Bulk work that also waits does not get the room instead.
+      const WorkflowId waiting = AddWorkflow(world, 3, 2, MakeStep(1, 8));
+      RunPlacement(world, kNow);
+      BOOST_TEST((CountTasks(world, running, TaskState::kStopping) == 1) ==
+                 sample.stopped);
+      BOOST_TEST(CountTasks(world, waiting, TaskState::kPlaced) == 0U);
+    }
+  }
+}
+
+// Urgent work that arrives on a full cell of two racks while bulk work is being
+// stopped for an urgent gang, and how many bulk tasks are stopped in all. Each
+// bulk task takes a whole worker; the gang needs one rack of two workers.
+struct NewcomerCase {
+  std::string name;
+  std::uint32_t tasks;
+  // Whether the workspaces of the gang and of the newcomer are guaranteed
+  // their room.
+  bool gang_guaranteed;
+  bool newcomer_guaranteed;
+  // How many tasks of the bulk work run that may be stopped; urgent work of the
+  // gang's workspace takes the other workers.
+  std::uint32_t bulk;
+  std::size_t stopped;
+  // Whether the gang and the newcomer are placed once the stops have ended.
+  bool gang_placed;
+  bool newcomer_placed;
+};
+
+const std::vector<NewcomerCase> kNewcomerCases = {
+    {"a guaranteed newcomer does not take the room of the gang", 1, false, true,
+     4, 3, true, true},
+    {"as much as there is is stopped for both", 2, false, true, 4, 4, true,
+     true},
+    {"a guaranteed newcomer that has nothing else takes it", 1, false, true, 2,
+     2, false, true},
+    {"another newcomer does not", 1, true, false, 2, 2, true, false},
+};
+
+// Pattern: a burst of urgent gangs, of which each pass places some.
+BOOST_AUTO_TEST_CASE(room_stays_with_the_gang_that_it_was_freed_for) {
+  for (const NewcomerCase& sample : kNewcomerCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(2, 2);
+      StepSpec bulk_step = MakeStep(sample.bulk, 8);
+      bulk_step.estimate = seconds(60);
+      const WorkflowId bulk = AddWorkflow(world, 1, 2, bulk_step);
+      RunPlacement(world, kNow);
+      BeginRunning(world, bulk, kNow.now - seconds(1));
+      for (TaskWorker& worker : world.scheduling.workers.rows) {
+        worker.free = Capacity{};
+      }
+      StepSpec step = MakeStep(2, 8, true);
+      step.same_rack = true;
+      const WorkflowId gang = AddWorkflow(world, 2, 0, step);
+      if (!sample.gang_guaranteed) {
+        world.workflows.find(gang)->terms.workspace = Workspace("other");
+      }
+      RunPlacement(world, kNow);
+      BOOST_TEST(CountTasks(world, bulk, TaskState::kStopping) == 2U);
+      const WorkflowId newcomer =
+          AddWorkflow(world, 3, 0, MakeStep(sample.tasks, 8, true));
+      if (!sample.newcomer_guaranteed) {
+        world.workflows.find(newcomer)->terms.workspace = Workspace("other");
+      }
+      for (const int after_ms : {10, 20, 30}) {
+        RunPlacement(world,
+                     WorkflowTime{.now = kNow.now + milliseconds(after_ms),
+                                  .wall = kNow.wall});
+      }
+      BOOST_TEST(CountTasks(world, bulk, TaskState::kStopping) ==
+                 sample.stopped);
+      const auto tasks = world.workflows.find(bulk)->runs[0].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].state == TaskState::kStopping) {
+          const TaskKey key{bulk, Occurrence(0), StepIndex(0), TaskIndex(i)};
+          ReturnToWaiting(world, key, FindTask(world, key), kNow.now);
+        }
+      }
+      RunPlacement(world, WorkflowTime{.now = kNow.now + milliseconds(300),
+                                       .wall = kNow.wall});
+      BOOST_TEST((CountTasks(world, gang, TaskState::kPlaced) == 2) ==
+                 sample.gang_placed);
+      BOOST_TEST((CountTasks(world, newcomer, TaskState::kPlaced) ==
+                  sample.tasks) == sample.newcomer_placed);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(urgent_gangs_stay_in_one_rack_when_they_preempt) {
   WorkflowWorld world = MakeWorld(2, 2);
   const WorkflowId bulk = AddWorkflow(world, 1, 2, MakeStep(4, 8));
