Record the program that a step runs

The platform's jobs may name what the tasks of a step run, and tasks that run the same behave alike. The name was dropped when a job was read.

It is read into the step as its program and recorded with the acceptance of the workflow, under "prog". Records without it, and bodies without it, are read as before. workflow_record_test and platform_codec_test hold.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -62,6 +62,9 @@
   flag("spec", step.speculative);
   flag("long", step.long_running);
   flag("fill", step.fills_idle);
+  if (!step.program.empty()) {
+    json["prog"] = step.program;
+  }
   if (!step.required_label.empty()) {
     json["label"] = step.required_label;
   }
@@ -88,6 +91,7 @@
   step.speculative = json.value("spec", false);
   step.long_running = json.value("long", false);
   step.fills_idle = json.value("fill", false);
+  step.program = json.value("prog", std::string());
   step.required_label = json.value("label", std::string());
   step.data_rack = Rack(json.value("near", std::string()));
   if (const auto after = json.find("after"); after != json.end()) {
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -65,6 +65,9 @@
   bool long_running = false;
   // Uses only processor time that other tasks leave idle.
   bool fills_idle = false;
+  // What the tasks run, as the caller names it; tasks of one program behave
+  // alike. Empty if the caller names none.
+  std::string program;
   // A label that the worker must have; empty accepts any worker.
   std::string required_label;
   // The rack that holds the step's data; empty for no preference.
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -28,7 +28,7 @@
     {"every field",
      R"({"Spec":"x","Steps":[{"Count":1},{"Count":3,"Cpu":1,"MemMb":2,"Gpu":4,
         "EstimateMs":5,"DependsOn":[0],"SavesProgress":true,"Gang":true,
-        "SameRack":true,"Requires":"a","Affinity":"r1","MaxPerServer":2,
+        "SameRack":true,"Image":"scorer","Requires":"a","Affinity":"r1","MaxPerServer":2,
         "Speculative":true,"LongRunning":true,"Fills":false}],
         "Times":3,"StartTimeMs":1700000000000,"IntervalMs":500})",
      true},
@@ -73,6 +73,7 @@
   BOOST_TEST(step.need.accelerators.value == 4);
   BOOST_TEST(step.need.processors.value == 1);
   BOOST_TEST(step.need.memory.value == 2);
+  BOOST_TEST(step.program == "scorer");
   BOOST_TEST((step.estimate == milliseconds(5)));
   BOOST_TEST((step.depends_on == std::vector{StepIndex(0)}));
   BOOST_TEST((step.gang && step.same_rack && step.saves_progress &&
--- a/tests/workflow_record_test.cc
+++ b/tests/workflow_record_test.cc
@@ -27,6 +27,12 @@
                         .entry = std::move(entry)};
 }
 
+AcceptedRecord AcceptedWithProgram(std::string program) {
+  AcceptedRecord record = Accepted(EntryId("e"));
+  record.spec.steps[0].program = std::move(program);
+  return record;
+}
+
 CancelRecord Cancel(Workspace workspace) {
   return CancelRecord{.id = WorkflowId("1f"),
                       .workspace = std::move(workspace)};
@@ -58,6 +64,10 @@
      R"({"at":5,"by":"e","ma":3,"new":[1],"p":"x","pr":1,"r":"bulk",)"
      R"("s":"svc","st":1.5,"steps":[{"n":2}],"ta":1000,"w":"team"})",
      Accepted(EntryId("e"))},
+    {"an acceptance names the program of a step", Writer::kThisBuild, "a-1f",
+     R"({"at":5,"by":"e","ma":3,"p":"x","pr":1,"r":"bulk","s":"svc","st":1.5,)"
+     R"("steps":[{"n":2,"prog":"scorer"}],"ta":1000,"w":"team"})",
+     AcceptedWithProgram("scorer")},
     {"a cancel names the workspace of its caller", Writer::kThisBuild, "c-1f",
      R"({"w":"team"})", Cancel(Workspace("team"))},
     {"a cancel on an open route", Writer::kThisBuild, "c-1f", R"({"w":""})",
