Compare a task's speed with tasks of its kind

The share of the requested processors that a task uses was taken for the speed of its worker. A task that uses a quarter of its request, such as one that waits for its accelerator, was stopped a second after each start and never ended, and its worker was excluded again and again.

The holder now keeps the share that tasks of each kind (program, or route, step and request) use on each worker. The speed of a run is relative to the median of the other workers. While no other worker is known, it is relative to the request as before, but such a speed counts only until the task has been moved once, and only if another worker has room for it. No task is moved more than three times.

--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -23,6 +23,9 @@
   // How long the task works before it ends by itself, at a worker speed of 1.
   Duration work{};
   bool gang = false;
+  // The share of the requested processors that the run uses at a worker speed
+  // of 1.
+  double use = 1.0;
   // When a stop order takes effect; kNever without a stop order.
   TimePoint stops_at = kNever;
 };
--- /dev/null
+++ b/chicorystep/systems/workflows/interference/task_kinds.h
@@ -0,0 +1,32 @@
+#ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_INTERFERENCE_TASK_KINDS_H_
+#define CHICORYSTEP_SYSTEMS_WORKFLOWS_INTERFERENCE_TASK_KINDS_H_
+
+#include <optional>
+
+#include "chicorystep/tables/task_interference.h"
+#include "chicorystep/tables/workflows.h"
+
+namespace chicorystep {
+
+// The kind of the tasks of one step.
+[[nodiscard]] TaskKind KindOf(const Workflow& workflow, StepIndex step);
+
+// Records the share of the requested processors that a task of the kind uses on
+// the worker, in place of the last one there.
+void RecordUse(Interference& interference,
+               const TaskKind& kind,
+               const WorkerId& worker,
+               double use,
+               TimePoint now);
+
+// The share of the requested processors that tasks of the kind use on workers
+// other than `worker`: the median over those workers. Empty if none of them has
+// reported one lately.
+[[nodiscard]] std::optional<double> UsualUse(const Interference& interference,
+                                             const TaskKind& kind,
+                                             const WorkerId& worker,
+                                             TimePoint now);
+
+}  // namespace chicorystep
+
+#endif  // CHICORYSTEP_SYSTEMS_WORKFLOWS_INTERFERENCE_TASK_KINDS_H_
--- a/chicorystep/systems/workflows/task_speed.cc
+++ b/chicorystep/systems/workflows/task_speed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/interference/task_kinds.h"
+#include "chicorystep/systems/workflows/task_candidates.h"
 #include "chicorystep/systems/workflows/task_worker_exclusion.h"
 
 namespace chicorystep {
@@ -19,6 +21,13 @@
 // Healthy workers run at 0.6 of the full speed and above, slow ones at 0.3 and
 // below.
 constexpr double kMinHealthySpeed = 0.45;
+// A kind that uses less than this share of its request everywhere says nothing
+// of its worker.
+constexpr double kMinTellingUse = 0.05;
+// How often a task is moved off slow workers, and how often if its speed was
+// judged by its request alone, which it may not need.
+constexpr std::uint32_t kMaxMoves = 3;
+constexpr std::uint32_t kMaxUncomparedMoves = 1;
 
 // Whether the task runs in another rack than its data or the rest of its gang,
 // which slows it down on any worker.
@@ -52,6 +61,53 @@
   return fastest;
 }
 
+// Records how much the run uses, unless it is a member of a gang and waits for
+// others that use more.
+void RecordOwnUse(WorkflowWorld& world,
+                  const TaskRef& ref,
+                  const TaskKind& kind,
+                  TimePoint now) {
+  const auto uses_more = [&](const Task& member) {
+    return now - member.measured > kSpeedMaxAge || member.use > ref.task->use;
+  };
+  if (!ref.spec->gang ||
+      std::none_of(ref.run->tasks.begin(), ref.run->tasks.end(), uses_more)) {
+    RecordUse(world.scheduling.interference, kind, ref.task->worker,
+              ref.task->use, now);
+  }
+}
+
+// Whether a worker other than the task's own may be given the task now.
+bool MayRunElsewhere(const WorkflowWorld& world,
+                     const TaskRef& ref,
+                     TimePoint now) {
+  const auto& rows = world.scheduling.workers.rows;
+  return std::any_of(rows.begin(), rows.end(), [&](const TaskWorker& worker) {
+    return worker.listing.id != ref.task->worker &&
+           MeetsRequirements(worker.listing, *ref.workflow, *ref.spec) &&
+           (ref.task->compared || Holds(worker.free, ref.spec->need)) &&
+           FindRejection(world, worker, now) == WorkerRejection::kNone;
+  });
+}
+
+// Whether the speed of the task tells something of its worker. Without a
+// comparison it does only until the task has been moved, since the task may use
+// as little everywhere.
+bool TellsOfWorker(const WorkflowWorld& world,
+                   const TaskRef& ref,
+                   TimePoint now) {
+  return ref.task->compared || (ref.task->moves < kMaxUncomparedMoves &&
+                                MayRunElsewhere(world, ref, now));
+}
+
+// Whether the slow task may be moved off its worker.
+bool MayMove(const WorkflowWorld& world, const TaskRef& ref, TimePoint now) {
+  return ref.task->state == TaskState::kRunning &&
+         (ref.workflow->terms.priority == 0 || ref.spec->saves_progress) &&
+         ref.task->moves < kMaxMoves && TellsOfWorker(world, ref, now) &&
+         MayRunElsewhere(world, ref, now);
+}
+
 // Whether the task is expected to end clearly sooner if it is restarted on
 // another worker.
 bool EndsSoonerElsewhere(const WorkflowWorld& world,
@@ -69,7 +125,7 @@
 
 }  // namespace
 
-bool UpdateSpeed(const WorkflowWorld& world,
+bool UpdateSpeed(WorkflowWorld& world,
                  const TaskRef& ref,
                  const RunningReport& report,
                  TimePoint now) {
@@ -81,13 +137,20 @@
     return false;
   }
   const TimePoint from = std::max(task.measured, task.since);
-  task.speed = std::min(1.0, static_cast<double>(report.in_use->value) /
-                                 static_cast<double>(need));
+  task.use = std::min(1.0, static_cast<double>(report.in_use->value) /
+                               static_cast<double>(need));
+  const TaskKind kind = KindOf(*ref.workflow, ref.run->step);
+  const std::optional<double> usual =
+      UsualUse(world.scheduling.interference, kind, task.worker, now);
+  task.compared = usual.has_value();
+  const double full = usual.value_or(1.0);
+  task.speed = full < kMinTellingUse ? 1.0 : std::min(1.0, task.use / full);
   const bool restarted = task.measured < task.since && task.checkpoint.empty();
   task.worked = (restarted ? Duration() : task.worked) +
                 Duration(static_cast<Duration::rep>(
                     task.speed * static_cast<double>((now - from).count())));
   task.measured = now;
+  RecordOwnUse(world, ref, kind, now);
   return true;
 }
 
@@ -106,14 +169,16 @@
   if (any_healthy) {
     return;
   }
-  if (now >= worker->excluded_until && MayExcludeAnother(world, now)) {
+  const bool tells =
+      std::any_of(measured.begin(), measured.end(), [&](const TaskKey& key) {
+        return TellsOfWorker(world, FindTask(world, key), now);
+      });
+  if (tells && now >= worker->excluded_until && MayExcludeAnother(world, now)) {
     ExcludeFaultyWorker(*worker, "its tasks run slowly", now);
   }
   for (const TaskKey& key : measured) {
     const TaskRef ref = FindTask(world, key);
-    const bool may_move =
-        ref.workflow->terms.priority == 0 || ref.spec->saves_progress;
-    if (ref.task->state != TaskState::kRunning || !may_move ||
+    if (!MayMove(world, ref, now) ||
         !EndsSoonerElsewhere(world, ref, ComputeSpeed(ref, now))) {
       continue;
     }
@@ -122,8 +187,15 @@
          {"step", key.step.value},
          {"task", key.task.value},
          {"worker", id.value},
+         {"use", ref.task->use},
          {"speed", ref.task->speed},
+         {"compared", ref.task->compared},
          {"worked_ms", WholeMillis(ref.task->worked)}});
+    for (Task& task : ref.run->tasks) {
+      if (&task == ref.task || ref.spec->gang) {
+        ++task.moves;
+      }
+    }
     StopRun(world, key, ref, now);
   }
 }
--- a/chicorystep/systems/workflows/task_speed.h
+++ b/chicorystep/systems/workflows/task_speed.h
@@ -8,15 +8,17 @@
 
 namespace chicorystep {
 
-// Updates the run's measured speed; returns false if the report does not allow
-// a measurement.
-[[nodiscard]] bool UpdateSpeed(const WorkflowWorld& world,
+// Updates the run's measured speed, compared with tasks of its kind on other
+// workers, or with its request if none has been measured there; returns false
+// if the report does not allow a measurement.
+[[nodiscard]] bool UpdateSpeed(WorkflowWorld& world,
                                const TaskRef& ref,
                                const RunningReport& report,
                                TimePoint now);
 
 // If all `measured` tasks run slowly on the worker, excludes it from placement
-// and moves tasks off it that are urgent or save their progress.
+// and moves tasks off it that are urgent or save their progress. Each task is
+// moved a few times at most.
 void CheckWorkerSpeed(WorkflowWorld& world,
                       const WorkerId& id,
                       const std::vector<TaskKey>& measured,
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -14,6 +14,7 @@
 #include "chicorystep/core/outcome.h"
 #include "chicorystep/core/table.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/task_interference.h"
 #include "chicorystep/tables/task_workers.h"
 #include "chicorystep/tables/workflow_config.h"
 #include "chicorystep/tables/workflows.h"
@@ -418,6 +419,7 @@
 // Tables that only the holder maintains.
 struct Scheduling {
   Table<WorkerId, TaskWorker> workers;
+  Interference interference;
   // How often this holder has raised its fence for a worker. It counts over all
   // workers, so that one that is removed and added again gets no lower fence.
   std::uint32_t fence_raises = 0;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -163,12 +163,17 @@
   // The lease expiry in the start order of the newest run. Repeats carry the
   // same one, so that they do not prolong the wait for it.
   std::optional<WorkerClock> start_until;
-  // Speed of the run relative to a healthy worker, judged by the processors
-  // that it uses, with the time of the newest report and the work done until
-  // then.
+  // The share of the requested processors that the run uses, and its speed
+  // relative to a healthy worker, judged by how much tasks of its kind use
+  // elsewhere; with the time of the newest report and the work done until then.
+  double use = 1.0;
   double speed = 1.0;
   TimePoint measured{};
   Duration worked{};
+  // Whether `speed` is relative to tasks of its kind on other workers, and how
+  // often this process has moved the task off a slow worker.
+  bool compared = false;
+  std::uint32_t moves = 0;
 };
 
 // One run of one step for one occurrence.
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -28,6 +28,8 @@
     // each 16th task.
     Duration work = milliseconds(1000);
     Duration work_increment{};
+    // The share of the requested processors that the tasks use.
+    double use = 1.0;
     // How many runs of each task fail before one succeeds.
     std::uint32_t failing_runs = 0;
   };
@@ -214,6 +216,7 @@
       run.work = found->second.work +
                  found->second.work_increment * (order.task.task.value % 16);
       run.gang = step.gang;
+      run.use = found->second.use;
     }
     return run;
   }
