Keep tasks apart that slow each other down

Tasks on one worker share more than the capacity that they request, so some run slower beside others. Nothing noticed which.

The holder compares the processor use and the run time of each kind of task beside every other kind with those of the same kind without it, over several workers and with evidence that ages. A pair of kinds that is clearly slower is kept apart: the workers that are eligible anyway are ordered by it, after the data's rack, and before best fit while the service has room.

--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -50,6 +50,14 @@
           {"tasks", worker.tasks.size()}};
 }
 
+PlainJson DumpJudgedPair(const JudgedPair& pair, TimePoint now) {
+  return {{"slowed", pair.slowed.value},
+          {"by", pair.by.value},
+          {"speed", pair.speed},
+          {"evidence_runs", pair.evidence},
+          {"judged_ms_ago", AgeMillis(pair.since, now)}};
+}
+
 PlainJson DumpWorkflow(const WorkflowWorld& world,
                        const WorkflowId& id,
                        const Workflow& workflow,
@@ -111,6 +119,12 @@
       json["workers"].push_back(DumpWorker(world, worker, now));
     }
   }
+  json["interfering_pairs"] = PlainJson::array();
+  for (const auto& [kinds, pair] : world.scheduling.interference.judged) {
+    if (json["interfering_pairs"].size() < kMaxRows) {
+      json["interfering_pairs"].push_back(DumpJudgedPair(pair, now));
+    }
+  }
   // Text that is not UTF-8 is replaced rather than rejected.
   return json.dump(1, ' ', false, PlainJson::error_handler_t::replace);
 }
--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -115,7 +115,7 @@
       });
       for (const auto& [key, present] : worker.running) {
         const auto used = static_cast<std::int64_t>(
-            worker.speed * present.use *
+            worker.speed * present.speed_beside * present.use *
             static_cast<double>(present.need.processors.value));
         ended.running.push_back(RunningReport{
             .task = key, .run = present.run, .in_use = Millicores(used)});
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -26,6 +26,8 @@
   // The share of the requested processors that the run uses at a worker speed
   // of 1.
   double use = 1.0;
+  // Speed of the run beside the others on the worker, relative to a run alone.
+  double speed_beside = 1.0;
   // When a stop order takes effect; kNever without a stop order.
   TimePoint stops_at = kNever;
 };
--- a/chicorystep/systems/workflows/interference/task_kinds.cc
+++ b/chicorystep/systems/workflows/interference/task_kinds.cc
@@ -15,43 +15,62 @@
 constexpr std::size_t kMaxUses = 16;
 constexpr std::size_t kMaxKinds = 256;
 
-// Removes the kind whose newest share is the oldest.
+TaskKind NameKind(const Workflow& workflow, StepIndex step) {
+  const StepSpec& spec = workflow.spec.steps[step.value];
+  if (!spec.program.empty()) {
+    return TaskKind("program " + spec.program);
+  }
+  return TaskKind(fmt::format("{} {} {}/{}/{}", workflow.terms.route.value,
+                              step.value, spec.need.processors.value,
+                              spec.need.memory.value,
+                              spec.need.accelerators.value));
+}
+
 void DropOldestKind(Interference& interference) {
   const auto oldest = std::min_element(
       interference.kinds.rows.begin(), interference.kinds.rows.end(),
-      [](const KindRow& a, const KindRow& b) {
-        return a.uses.back().at < b.uses.back().at;
-      });
+      [](const KindRow& a, const KindRow& b) { return a.newest < b.newest; });
+  interference.numbers.erase(oldest->name);
   const auto position =
       static_cast<std::size_t>(oldest - interference.kinds.rows.begin());
-  const TaskKind kind = interference.kinds.keys[position];
-  interference.kinds.erase(kind);
+  const KindNumber number = interference.kinds.keys[position];
+  interference.kinds.erase(number);
 }
 
 }  // namespace
 
-TaskKind KindOf(const Workflow& workflow, StepIndex step) {
-  const StepSpec& spec = workflow.spec.steps[step.value];
-  if (!spec.program.empty()) {
-    return TaskKind("program " + spec.program);
+KindNumber ResolveKind(Interference& interference,
+                       const Workflow& workflow,
+                       StepRun& run,
+                       TimePoint now) {
+  if (KindRow* known = interference.kinds.find(run.kind)) {
+    known->newest = now;
+    return run.kind;
   }
-  return TaskKind(fmt::format("{} {} {}/{}/{}", workflow.terms.route.value,
-                              step.value, spec.need.processors.value,
-                              spec.need.memory.value,
-                              spec.need.accelerators.value));
+  const TaskKind name = NameKind(workflow, run.step);
+  if (const auto found = interference.numbers.find(name);
+      found != interference.numbers.end()) {
+    run.kind = found->second;
+    interference.kinds.find(run.kind)->newest = now;
+    return run.kind;
+  }
+  if (interference.kinds.size() >= kMaxKinds) {
+    DropOldestKind(interference);
+  }
+  run.kind = KindNumber(++interference.last_number.value);
+  interference.numbers.emplace(name, run.kind);
+  interference.kinds.insert(run.kind, KindRow{.name = name, .newest = now});
+  return run.kind;
 }
 
 void RecordUse(Interference& interference,
-               const TaskKind& kind,
+               KindNumber kind,
                const WorkerId& worker,
                double use,
                TimePoint now) {
   KindRow* row = interference.kinds.find(kind);
   if (row == nullptr) {
-    if (interference.kinds.size() >= kMaxKinds) {
-      DropOldestKind(interference);
-    }
-    row = &interference.kinds.insert(kind, KindRow{});
+    return;
   }
   std::erase_if(row->uses,
                 [&](const KindUse& known) { return known.worker == worker; });
@@ -62,7 +81,7 @@
 }
 
 std::optional<double> UsualUse(const Interference& interference,
-                               const TaskKind& kind,
+                               KindNumber kind,
                                const WorkerId& worker,
                                TimePoint now) {
   const KindRow* row = interference.kinds.find(kind);
--- a/chicorystep/systems/workflows/interference/task_kinds.h
+++ b/chicorystep/systems/workflows/interference/task_kinds.h
@@ -4,17 +4,21 @@
 #include <optional>
 
 #include "chicorystep/tables/task_interference.h"
-#include "chicorystep/tables/workflows.h"
 
 namespace chicorystep {
 
-// The kind of the tasks of one step.
-[[nodiscard]] TaskKind KindOf(const Workflow& workflow, StepIndex step);
+// Returns the number of the kind that the tasks of the step run belong to, and
+// adds the kind if it is new. Beyond a bound the kind that was seen least
+// recently is dropped.
+KindNumber ResolveKind(Interference& interference,
+                       const Workflow& workflow,
+                       StepRun& run,
+                       TimePoint now);
 
 // Records the share of the requested processors that a task of the kind uses on
 // the worker, in place of the last one there.
 void RecordUse(Interference& interference,
-               const TaskKind& kind,
+               KindNumber kind,
                const WorkerId& worker,
                double use,
                TimePoint now);
@@ -23,7 +27,7 @@
 // other than `worker`: the median over those workers. Empty if none of them has
 // reported one lately.
 [[nodiscard]] std::optional<double> UsualUse(const Interference& interference,
-                                             const TaskKind& kind,
+                                             KindNumber kind,
                                              const WorkerId& worker,
                                              TimePoint now);
 
--- a/chicorystep/systems/workflows/task_candidates.cc
+++ b/chicorystep/systems/workflows/task_candidates.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "chicorystep/systems/workflows/interference/preference.h"
+#include "chicorystep/systems/workflows/interference/task_kinds.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
@@ -75,6 +77,35 @@
   return counts;
 }
 
+// How a unit's tasks are kept apart from tasks that they slow down or that slow
+// them down.
+struct Apartness {
+  // The unit's kind is part of a judged pair.
+  bool applies = false;
+  // Workers without such tasks come before fuller ones. Otherwise whole workers
+  // are kept free for wide tasks first.
+  bool before_fit = false;
+  // The unit's tasks slow each other down.
+  bool among_themselves = false;
+};
+
+Apartness FindApartness(TaskPlacementPass& pass, const PlacementUnit& unit) {
+  Interference& interference = pass.world->scheduling.interference;
+  if (interference.judged.empty()) {
+    return {};
+  }
+  const KindNumber kind =
+      ResolveKind(interference, *unit.workflow, *unit.run, pass.time.now);
+  if (!IsInJudgedPair(interference, kind)) {
+    return {};
+  }
+  const bool room = !IsBusy(pass, unit.workflow->terms.service);
+  return Apartness{
+      .applies = true,
+      .before_fit = room,
+      .among_themselves = room && Disturbance(interference, kind, {kind}) > 0};
+}
+
 // Packs the tasks of the unit onto the candidates at `indices`, fullest worker
 // first (best fit), so that whole workers stay free for wide tasks. Of a
 // divisible unit it packs as many as fit. With `include_stopping`, capacity
@@ -82,6 +113,7 @@
 std::optional<std::vector<std::size_t>> Pack(
     const TaskPlacementPass& pass,
     const PlacementUnit& unit,
+    const Apartness& apartness,
     const std::vector<std::size_t>& indices,
     bool include_stopping) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
@@ -90,7 +122,9 @@
     Capacity free;
     std::uint32_t max_tasks;
     bool near_data;
+    int disturbance;
   };
+  const Interference& interference = pass.world->scheduling.interference;
   const std::map<WorkerId, std::uint32_t> tasks_there =
       spec.max_per_worker > 0 ? CountTasksByWorker(unit)
                               : std::map<WorkerId, std::uint32_t>();
@@ -111,27 +145,47 @@
         include_stopping ? candidate.free_after_stops
                          : Min(candidate.free_now, candidate.free_after_stops);
     if (max_tasks > 0 && Holds(free, spec.need)) {
-      usable.push_back(
-          Bin{.candidate = index,
-              .free = free,
-              .max_tasks = max_tasks,
-              .near_data = spec.data_rack.empty() ||
-                           candidate.worker->rack == spec.data_rack});
+      usable.push_back(Bin{
+          .candidate = index,
+          .free = free,
+          .max_tasks = max_tasks,
+          .near_data = spec.data_rack.empty() ||
+                       candidate.worker->rack == spec.data_rack,
+          .disturbance =
+              apartness.applies
+                  ? Disturbance(interference, unit.run->kind, candidate.kinds)
+                  : 0});
     }
   }
   std::stable_sort(
-      usable.begin(), usable.end(), [](const Bin& a, const Bin& b) {
-        return std::tuple(!a.near_data, a.free.accelerators, a.free.memory) <
-               std::tuple(!b.near_data, b.free.accelerators, b.free.memory);
+      usable.begin(), usable.end(), [&](const Bin& a, const Bin& b) {
+        const auto order = [&](const Bin& bin) {
+          return std::tuple(
+              !bin.near_data, apartness.before_fit ? bin.disturbance : 0,
+              bin.free.accelerators, bin.free.memory, bin.disturbance);
+        };
+        return order(a) < order(b);
       });
   std::vector<std::size_t> chosen;
-  for (Bin& bin : usable) {
-    while (bin.max_tasks > 0 && chosen.size() < unit.tasks.size() &&
-           Holds(bin.free, spec.need)) {
+  const auto fill = [&](Bin& bin, std::uint32_t most) {
+    const std::uint32_t wanted = std::min(most, bin.max_tasks);
+    for (std::uint32_t i = 0; i < wanted && chosen.size() < unit.tasks.size() &&
+                              Holds(bin.free, spec.need);
+         ++i) {
       bin.free = bin.free - spec.need;
       --bin.max_tasks;
       chosen.push_back(bin.candidate);
     }
+  };
+  if (apartness.among_themselves) {
+    for (Bin& bin : usable) {
+      if (bin.near_data && bin.disturbance == 0) {
+        fill(bin, 1);
+      }
+    }
+  }
+  for (Bin& bin : usable) {
+    fill(bin, bin.max_tasks);
   }
   if (chosen.empty() ||
       (chosen.size() < unit.tasks.size() && !unit.divisible)) {
@@ -191,11 +245,12 @@
 std::optional<std::vector<std::size_t>> SelectInOneRack(
     const TaskPlacementPass& pass,
     const PlacementUnit& unit,
+    const Apartness& apartness,
     bool include_stopping) {
   std::optional<std::vector<std::size_t>> best;
   Accelerators best_left{};
   for (const auto& [rack, members] : pass.racks) {
-    if (auto chosen = Pack(pass, unit, members, include_stopping)) {
+    if (auto chosen = Pack(pass, unit, apartness, members, include_stopping)) {
       Accelerators left{};
       for (const std::size_t index : members) {
         left += pass.candidates[index].free_now.accelerators;
@@ -326,17 +381,27 @@
     pass.racks[worker.rack].push_back(pass.candidates.size());
     pass.candidates.push_back(candidate);
   }
+  Interference& interference = world.scheduling.interference;
+  const bool needs_kinds = !interference.judged.empty();
   for (const WorkflowId& id : world.scheduling.open) {
-    const Workflow& workflow = *world.workflows.find(id);
-    for (const StepRun& run : workflow.runs) {
+    Workflow& workflow = *world.workflows.find(id);
+    for (StepRun& run : workflow.runs) {
       for (const Task& task : run.tasks) {
-        if (task.state != TaskState::kStopping) {
+        const bool stopping = task.state == TaskState::kStopping;
+        if (!stopping && !(needs_kinds && HoldsCapacity(task.state))) {
+          continue;
+        }
+        const auto row = world.scheduling.workers.index.find(task.worker);
+        if (row == world.scheduling.workers.index.end()) {
           continue;
         }
-        if (const auto row = world.scheduling.workers.index.find(task.worker);
-            row != world.scheduling.workers.index.end()) {
-          Capacity& free = pass.candidates[row->second].free_after_stops;
-          free = free + workflow.spec.steps[run.step.value].need;
+        CandidateWorker& candidate = pass.candidates[row->second];
+        if (stopping) {
+          candidate.free_after_stops = candidate.free_after_stops +
+                                       workflow.spec.steps[run.step.value].need;
+        } else {
+          candidate.kinds.push_back(
+              ResolveKind(interference, workflow, run, time.now));
         }
       }
     }
@@ -419,9 +484,11 @@
                     unit.divisible ? 1 : unit.tasks.size())) {
     return std::nullopt;
   }
-  auto chosen =
-      one_rack ? SelectInOneRack(pass, unit, include_stopping)
-               : Pack(pass, unit, ListAllCandidates(pass), include_stopping);
+  const Apartness apartness = FindApartness(pass, unit);
+  auto chosen = one_rack
+                    ? SelectInOneRack(pass, unit, apartness, include_stopping)
+                    : Pack(pass, unit, apartness, ListAllCandidates(pass),
+                           include_stopping);
   if (!chosen) {
     RecordMisfit(pass, unit, requirements);
   }
--- a/chicorystep/systems/workflows/task_candidates.h
+++ b/chicorystep/systems/workflows/task_candidates.h
@@ -23,6 +23,9 @@
   // reserved.
   Capacity free_after_stops;
   bool usable = false;
+  // The kinds of the tasks there, as long as some pair of kinds is judged to
+  // slow each other down.
+  std::vector<KindNumber> kinds;
 };
 
 // Whether a unit that is placed now can end within its objective, within three
--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -77,6 +77,7 @@
     }
     candidate.worker->tasks[key] = task.run;
     AllocateCapacity(pass, candidates[i], spec.need);
+    candidate.kinds.push_back(unit.run->kind);
     pass.world->scheduling.starts_to_record.push_back(
         AwaitedStart{.task = key,
                      .run = task.run,
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/interference/judgement.h"
+#include "chicorystep/systems/workflows/interference/observations.h"
 #include "chicorystep/systems/workflows/task_speed.h"
 #include "chicorystep/systems/workflows/task_worker_clock.h"
 #include "chicorystep/systems/workflows/task_worker_exclusion.h"
@@ -97,6 +99,7 @@
        {"state", std::string(EnumName(task.state))},
        {"saves", ref.spec->saves_progress},
        {"cancelled", ref.workflow->cancel_requested}});
+  ObserveEnd(world, end.task, ref, end.end, now);
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
@@ -201,6 +204,7 @@
   const WorkerId id = hold.worker;
   std::set<std::pair<TaskKey, RunNumber>> present;
   std::uint32_t orphaned = 0;
+  std::vector<TaskKey> running;
   std::vector<TaskKey> measured;
   const WorkerIncarnation reporter =
       world.scheduling.workers.find(id)->listing.incarnation;
@@ -259,11 +263,14 @@
     ref.task->last_running = now;
     ref.task->reported = true;
     ref.task->reported_by = reporter;
+    running.push_back(report.task);
     if (UpdateSpeed(world, ref, report, now)) {
       measured.push_back(report.task);
     }
   }
   world.scheduling.workers.find(id)->orphaned_runs = orphaned;
+  ObserveReport(world, running, measured, now);
+  JudgePairs(world.scheduling.interference, now);
   CheckWorkerSpeed(world, id, measured, now);
   // A run that the tables place on this worker but that the report omits has
   // never begun or no longer exists, provided that its start or stop was
--- a/chicorystep/systems/workflows/task_speed.cc
+++ b/chicorystep/systems/workflows/task_speed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chicorystep/core/logging.h"
+#include "chicorystep/systems/workflows/interference/preference.h"
 #include "chicorystep/systems/workflows/interference/task_kinds.h"
 #include "chicorystep/systems/workflows/task_candidates.h"
 #include "chicorystep/systems/workflows/task_worker_exclusion.h"
@@ -65,7 +66,7 @@
 // others that use more.
 void RecordOwnUse(WorkflowWorld& world,
                   const TaskRef& ref,
-                  const TaskKind& kind,
+                  KindNumber kind,
                   TimePoint now) {
   const auto uses_more = [&](const Task& member) {
     return now - member.measured > kSpeedMaxAge || member.use > ref.task->use;
@@ -77,6 +78,26 @@
   }
 }
 
+// Whether the task runs as fast on its worker as its neighbours there let
+// expect.
+bool IsHealthy(WorkflowWorld& world, const TaskRef& ref, TimePoint now) {
+  const Interference& interference = world.scheduling.interference;
+  double expected = 1.0;
+  if (const TaskWorker* worker =
+          world.scheduling.workers.find(ref.task->worker);
+      worker != nullptr && IsInJudgedPair(interference, ref.run->kind)) {
+    std::vector<KindNumber> others;
+    for (const auto& [key, run] : worker->tasks) {
+      const TaskRef other = FindTask(world, key);
+      if (other && other.task != ref.task) {
+        others.push_back(other.run->kind);
+      }
+    }
+    expected = ExpectedSpeed(interference, ref.run->kind, others);
+  }
+  return ComputeSpeed(ref, now) >= kMinHealthySpeed * expected;
+}
+
 // Whether a worker other than the task's own may be given the task now.
 bool MayRunElsewhere(const WorkflowWorld& world,
                      const TaskRef& ref,
@@ -139,7 +160,8 @@
   const TimePoint from = std::max(task.measured, task.since);
   task.use = std::min(1.0, static_cast<double>(report.in_use->value) /
                                static_cast<double>(need));
-  const TaskKind kind = KindOf(*ref.workflow, ref.run->step);
+  const KindNumber kind =
+      ResolveKind(world.scheduling.interference, *ref.workflow, *ref.run, now);
   const std::optional<double> usual =
       UsualUse(world.scheduling.interference, kind, task.worker, now);
   task.compared = usual.has_value();
@@ -163,7 +185,7 @@
   }
   const bool any_healthy =
       std::any_of(measured.begin(), measured.end(), [&](const TaskKey& key) {
-        return ComputeSpeed(FindTask(world, key), now) >= kMinHealthySpeed;
+        return IsHealthy(world, FindTask(world, key), now);
       });
   TaskWorker* worker = world.scheduling.workers.find(id);
   if (any_healthy) {
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -32,6 +32,8 @@
 using RunNumber = Id<struct RunNumberTag, std::uint32_t>;
 // Name by which accepted workflows refer to their route.
 using RouteName = Id<struct RouteNameTag, std::string>;
+// Number that this process gives a kind of task, from 1; not recorded.
+using KindNumber = Id<struct KindNumberTag, std::uint32_t>;
 // Start time of a worker's process in Unix milliseconds, which identifies its
 // incarnation.
 using WorkerIncarnation = Id<struct WorkerIncarnationTag, std::uint64_t>;
@@ -182,6 +184,8 @@
   StepIndex step;
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  // The kind that its tasks belong to, once it was needed; not recorded.
+  KindNumber kind;
   // Since when this process has considered its tasks ready to run; not
   // recorded.
   TimePoint ready_since = kNever;
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -38,6 +38,8 @@
   // Positions in `workers` at which the workers were added.
   std::map<WorkerId, std::size_t> positions;
   std::map<WorkflowId, Submitted> submitted;
+  // The speed of tasks of the first program beside tasks of the second.
+  std::map<std::pair<std::string, std::string>, double> speeds_beside;
   Duration stop_grace = milliseconds(300);
   Duration longest_lease = milliseconds(10'000);
   std::uint64_t starts = 0;
@@ -173,6 +175,7 @@
                  !row.second.acknowledged;
         });
       }
+      this->SetSpeedsBeside(worker);
       const auto running = worker.running;
       for (const auto& [key, seen] : running) {
         const auto present = worker.running.find(key);
@@ -221,6 +224,26 @@
     return run;
   }
 
+  [[nodiscard]] const std::string& ProgramOf(const TaskKey& key) const {
+    return this->submitted.at(key.workflow).spec.steps[key.step.value].program;
+  }
+
+  void SetSpeedsBeside(EmulatedWorker& worker) const {
+    for (auto& [key, run] : worker.running) {
+      run.speed_beside = 1.0;
+      for (const auto& [other, other_run] : worker.running) {
+        if (this->speeds_beside.empty() || other == key) {
+          continue;
+        }
+        const auto found = this->speeds_beside.find(
+            {this->ProgramOf(key), this->ProgramOf(other)});
+        if (found != this->speeds_beside.end()) {
+          run.speed_beside = std::min(run.speed_beside, found->second);
+        }
+      }
+    }
+  }
+
   // Checks the invariants that must hold when a worker starts a task.
   void CheckStart(const EmulatedWorker& worker, const WorkerOrder& order) {
     const bool takes_effect =
@@ -419,7 +442,7 @@
                this->now - run.working_since >= kFailingRunTime) {
       end(RunEnd::kFailed);
     } else if (static_cast<double>((this->now - run.working_since).count()) *
-                   worker.speed >=
+                   worker.speed * run.speed_beside >=
                static_cast<double>(run.work.count())) {
       end(run.run.value <= submission.failing_runs ? RunEnd::kFailed
                                                    : RunEnd::kDone);
