--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -15,6 +15,7 @@
 #include "chicorystep/core/table.h"
 #include "chicorystep/core/units.h"
 #include "chicorystep/tables/evacuations.h"
+#include "chicorystep/tables/task_interference.h"
 #include "chicorystep/tables/task_workers.h"
 #include "chicorystep/tables/workflow_config.h"
 #include "chicorystep/tables/workflows.h"
@@ -432,6 +433,7 @@
 // Tables that only the holder maintains.
 struct Scheduling {
   Table<WorkerId, TaskWorker> workers;
+  Interference interference;
   // How often this holder has raised its fence for a worker. It counts over all
   // workers, so that one that is removed and added again gets no lower fence.
   std::uint32_t fence_raises = 0;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -32,6 +32,8 @@
 using RunNumber = Id<struct RunNumberTag, std::uint32_t>;
 // Name by which accepted workflows refer to their route.
 using RouteName = Id<struct RouteNameTag, std::string>;
+// Number that this process gives a kind of task, from 1; not recorded.
+using KindNumber = Id<struct KindNumberTag, std::uint32_t>;
 // Start time of a worker's process in Unix milliseconds, which identifies its
 // incarnation.
 using WorkerIncarnation = Id<struct WorkerIncarnationTag, std::uint64_t>;
@@ -65,6 +67,9 @@
   bool long_running = false;
   // Uses only processor time that other tasks leave idle.
   bool fills_idle = false;
+  // What the tasks run, as the caller names it; tasks of one program behave
+  // alike. Empty if the caller names none.
+  std::string program;
   // A label that the worker must have; empty accepts any worker.
   std::string required_label;
   // The rack that holds the step's data; empty for no preference.
@@ -160,12 +165,17 @@
   // The lease expiry in the start order of the newest run. Repeats carry the
   // same one, so that they do not prolong the wait for it.
   std::optional<WorkerClock> start_until;
-  // Speed of the run relative to a healthy worker, judged by the processors
-  // that it uses, with the time of the newest report and the work done until
-  // then.
+  // The share of the requested processors that the run uses, and its speed
+  // relative to a healthy worker, judged by how much tasks of its kind use
+  // elsewhere; with the time of the newest report and the work done until then.
+  double use = 1.0;
   double speed = 1.0;
   TimePoint measured{};
   Duration worked{};
+  // Whether `speed` is relative to tasks of its kind on other workers, and how
+  // often this process has moved the task off a slow worker.
+  bool compared = false;
+  std::uint32_t moves = 0;
 };
 
 // One run of one step for one occurrence.
@@ -174,6 +184,8 @@
   StepIndex step;
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  // The kind that its tasks belong to, once it was needed; not recorded.
+  KindNumber kind;
   // Since when this process has considered its tasks ready to run; not
   // recorded.
   TimePoint ready_since = kNever;
