Separate the checks of a submission from its effects

An explanation of a placement has to give the answer that a submission would get, in the order in which a pass would take its tasks. These decisions were private and partly mixed with answers and queues.

RouteCall and CheckSubmission return what HandleCall and Submit decided; CollectUnitsInOrder returns the units of a pass in their order; AddStepRuns and IsOccurrenceDue begin an occurrence. No decision changes.

--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -31,8 +31,6 @@
 // or after this time without an answer: an earlier one could say nothing. A
 // start is usually answered within 100 ms.
 constexpr Duration kFirstReportDelay = milliseconds(250);
-// Only work of this priority may preempt other work.
-constexpr std::uint32_t kUrgentPriority = 0;
 
 bool IsPlacedBefore(const PlacementUnit& a, const PlacementUnit& b) {
   const auto order = [](const PlacementUnit& unit) {
@@ -227,6 +225,14 @@
 
 }  // namespace
 
+std::vector<PlacementUnit> CollectUnitsInOrder(WorkflowWorld& world,
+                                               const WorkflowTime& time) {
+  std::vector<PlacementUnit> units = CollectUnits(world, time);
+  MarkGuaranteed(world, units);
+  std::stable_sort(units.begin(), units.end(), IsPlacedBefore);
+  return units;
+}
+
 void PlaceTasks(WorkflowWorld& world, const WorkflowTime& time) {
   Scheduling& scheduling = world.scheduling;
   if (world.holding.state != HoldingState::kHolding || !world.config ||
@@ -241,12 +247,10 @@
   }
   scheduling.placement_due = false;
   scheduling.next_placement = time.now + kPlacementSpacing;
-  std::vector<PlacementUnit> units = CollectUnits(world, time);
+  std::vector<PlacementUnit> units = CollectUnitsInOrder(world, time);
   if (units.empty()) {
     return;
   }
-  MarkGuaranteed(world, units);
-  std::stable_sort(units.begin(), units.end(), IsPlacedBefore);
   TaskPlacementPass pass = BeginPass(world, time);
   std::size_t placed = 0;
   for (PlacementUnit& unit : units) {
--- a/chicorystep/systems/workflows/workflow_calls.cc
+++ b/chicorystep/systems/workflows/workflow_calls.cc
@@ -106,20 +106,24 @@
   return kind == CallKind::kSubmit || kind == CallKind::kCancel;
 }
 
-// Answers a call that cannot be served now. A write may repeat one that another
-// entry has appended without an answer. Such an append may be executed even
-// after a complete read of the journal, so its outcome is unknown here; a
+// The answer to a call that cannot be served now. A write may repeat one that
+// another entry has appended without an answer. Such an append may be executed
+// even after a complete read of the journal, so its outcome is unknown here; a
 // refusal would promise that the write never takes effect.
+CallAnswer MakeDecline(CallKind kind, std::string detail) {
+  return CallAnswer{
+      .result = IsWrite(kind) ? CallResult::kUnknown : CallResult::kRefused,
+      .detail = std::move(detail),
+      .retry_after = kRetryAfter};
+}
+
+// Answers a call that cannot be served now.
 void Decline(const PendingCall& pending,
              std::string detail,
              TimePoint now,
              WorkflowOutbox& outbox) {
-  Answer(pending,
-         CallAnswer{.result = IsWrite(pending.call.kind) ? CallResult::kUnknown
-                                                         : CallResult::kRefused,
-                    .detail = std::move(detail),
-                    .retry_after = kRetryAfter},
-         now, outbox);
+  Answer(pending, MakeDecline(pending.call.kind, std::move(detail)), now,
+         outbox);
 }
 
 std::int64_t CountWaiting(const WorkflowWorld& world, const RouteName& route) {
@@ -141,18 +145,25 @@
           journal->second.last_success < world.callers.unanswered_since);
 }
 
+// Why no write is queued now; nothing if one is.
+std::optional<std::string> FindWriteProblem(const WorkflowWorld& world) {
+  if (IsStoreUnresponsive(world)) {
+    return "the store does not answer";
+  }
+  if (world.callers.queued.size() >= kMaxQueuedCalls) {
+    return "too many callers wait for the store";
+  }
+  return std::nullopt;
+}
+
 // Queues `record` for an append on behalf of the caller, or declines the call.
 void QueueAppend(WorkflowWorld& world,
                  PendingCall pending,
                  JournalRecord record,
                  TimePoint now,
                  WorkflowOutbox& outbox) {
-  if (IsStoreUnresponsive(world)) {
-    Decline(pending, "the store does not answer", now, outbox);
-    return;
-  }
-  if (world.callers.queued.size() >= kMaxQueuedCalls) {
-    Decline(pending, "too many callers wait for the store", now, outbox);
+  if (auto problem = FindWriteProblem(world)) {
+    Decline(pending, std::move(*problem), now, outbox);
     return;
   }
   pending.record = std::move(record);
@@ -214,47 +225,6 @@
   return std::nullopt;
 }
 
-void Submit(WorkflowWorld& world,
-            const PendingCall& pending,
-            const WorkflowRoute& route,
-            const WorkflowTime& time,
-            WorkflowOutbox& outbox) {
-  if (!pending.call.spec) {
-    Answer(pending,
-           CallAnswer{.result = CallResult::kMalformed,
-                      .detail = pending.call.malformed},
-           time.now, outbox);
-    return;
-  }
-  if (const Workflow* known = world.workflows.find(pending.workflow)) {
-    Answer(pending,
-           CallAnswer{.detail = "known already, accepted by " +
-                                known->accepted_by.value},
-           time.now, outbox);
-    return;
-  }
-  AcceptedRecord record{
-      .id = pending.workflow,
-      .spec = *pending.call.spec,
-      .terms = WorkflowTerms{.route = route.name,
-                             .workspace = pending.workspace,
-                             .service = route.service,
-                             .priority = route.priority,
-                             .max_attempts = route.max_attempts,
-                             .target = route.target,
-                             .stretch = route.stretch},
-      .accepted = time.wall,
-      .entry = world.self.id};
-  if (auto problem = FindSizeProblem(record)) {
-    Answer(pending,
-           CallAnswer{.result = CallResult::kMalformed,
-                      .detail = std::move(*problem)},
-           time.now, outbox);
-    return;
-  }
-  QueueAppend(world, pending, std::move(record), time.now, outbox);
-}
-
 void HandleCall(WorkflowWorld& world,
                 const WorkflowCall& call,
                 const WorkflowTime& time,
@@ -263,25 +233,17 @@
                       .workflow = FindNamedWorkflow(call.path),
                       .arrived = time.now};
   pending.deadline = CallDeadline(pending);
-  if (!world.config) {
-    Decline(pending, "no configuration yet", time.now, outbox);
-    return;
-  }
-  pending.config_version = world.config->version;
-  if (const auto stream = world.streams.find(FollowedStream::kConfig);
-      stream != world.streams.end()) {
-    pending.config_age = time.now - stream->second.fresh_as_of;
-  }
-  const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
-  if ((route == nullptr || !route->open) &&
-      !IsFresh(world, FollowedStream::kConfig,
-               world.self.revoke_bound - kRevokeMargin, time.now)) {
-    Decline(pending, "the configuration may be out of date", time.now, outbox);
-    return;
+  if (world.config) {
+    pending.config_version = world.config->version;
+    if (const auto stream = world.streams.find(FollowedStream::kConfig);
+        stream != world.streams.end()) {
+      pending.config_age = time.now - stream->second.fresh_as_of;
+    }
   }
+  const RoutedCall routed = RouteCall(world, call, time.now);
+  const WorkflowRoute* route = routed.route;
   if (route == nullptr) {
-    Answer(pending, CallAnswer{.result = CallResult::kNoRoute}, time.now,
-           outbox);
+    Answer(pending, routed.refusal, time.now, outbox);
     return;
   }
   if (!route->open) {
@@ -304,17 +266,18 @@
     return;
   }
   pending.workflow = WorkflowId(call.path.substr(route->path_prefix.size()));
-  if (!IsWorkflowId(pending.workflow.value)) {
-    Answer(pending,
-           call.kind == CallKind::kSubmit
-               ? CallAnswer{.result = CallResult::kMalformed,
-                            .detail = "the id is not 16 hexadecimal digits"}
-               : CallAnswer{.result = CallResult::kNoWorkflow},
-           time.now, outbox);
-    return;
-  }
   if (call.kind == CallKind::kSubmit) {
-    Submit(world, pending, *route, time, outbox);
+    SubmissionCheck check =
+        CheckSubmission(world, call, *route, pending.workspace, time);
+    if (check.acceptance) {
+      QueueAppend(world, pending, std::move(*check.acceptance), time.now,
+                  outbox);
+    } else {
+      Answer(pending, std::move(check.answer), time.now, outbox);
+    }
+  } else if (!IsWorkflowId(pending.workflow.value)) {
+    Answer(pending, CallAnswer{.result = CallResult::kNoWorkflow}, time.now,
+           outbox);
   } else if (const Workflow* workflow =
                  world.workflows.find(pending.workflow)) {
     HandleKnownWorkflow(world, pending, *workflow, time.now, outbox);
@@ -471,6 +434,63 @@
   return best;
 }
 
+RoutedCall RouteCall(const WorkflowWorld& world,
+                     const WorkflowCall& call,
+                     TimePoint now) {
+  if (!world.config) {
+    return {.refusal = MakeDecline(call.kind, "no configuration yet")};
+  }
+  const WorkflowRoute* route = MatchRoute(*world.config, call.host, call.path);
+  if ((route == nullptr || !route->open) &&
+      !IsFresh(world, FollowedStream::kConfig,
+               world.self.revoke_bound - kRevokeMargin, now)) {
+    return {.refusal =
+                MakeDecline(call.kind, "the configuration may be out of date")};
+  }
+  return {.route = route, .refusal = {.result = CallResult::kNoRoute}};
+}
+
+SubmissionCheck CheckSubmission(const WorkflowWorld& world,
+                                const WorkflowCall& call,
+                                const WorkflowRoute& route,
+                                const Workspace& workspace,
+                                const WorkflowTime& time) {
+  const auto malformed = [](std::string detail) {
+    return SubmissionCheck{.answer = {.result = CallResult::kMalformed,
+                                      .detail = std::move(detail)}};
+  };
+  const WorkflowId id(call.path.substr(route.path_prefix.size()));
+  if (!IsWorkflowId(id.value)) {
+    return malformed("the id is not 16 hexadecimal digits");
+  }
+  if (!call.spec) {
+    return malformed(call.malformed);
+  }
+  if (const Workflow* known = world.workflows.find(id)) {
+    return {.answer = {.detail = "known already, accepted by " +
+                                 known->accepted_by.value}};
+  }
+  AcceptedRecord record{
+      .id = id,
+      .spec = *call.spec,
+      .terms = WorkflowTerms{.route = route.name,
+                             .workspace = workspace,
+                             .service = route.service,
+                             .priority = route.priority,
+                             .max_attempts = route.max_attempts,
+                             .target = route.target,
+                             .stretch = route.stretch},
+      .accepted = time.wall,
+      .entry = world.self.id};
+  if (auto problem = FindSizeProblem(record)) {
+    return malformed(std::move(*problem));
+  }
+  if (auto problem = FindWriteProblem(world)) {
+    return {.answer = MakeDecline(CallKind::kSubmit, std::move(*problem))};
+  }
+  return {.acceptance = std::move(record)};
+}
+
 void HandleCalls(WorkflowWorld& world,
                  const WorkflowInbox& inbox,
                  const WorkflowTime& time,
--- a/chicorystep/systems/workflows/workflow_calls.h
+++ b/chicorystep/systems/workflows/workflow_calls.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_CALLS_H_
 #define CHICORYSTEP_SYSTEMS_WORKFLOWS_WORKFLOW_CALLS_H_
 
+#include <optional>
 #include <string_view>
 
 #include "chicorystep/tables/workflow_world.h"
@@ -13,6 +14,28 @@
                                               std::string_view host,
                                               std::string_view path);
 
+// The route of a call, or the answer to a call without one.
+struct RoutedCall {
+  const WorkflowRoute* route = nullptr;
+  CallAnswer refusal;
+};
+// Finds the route of a call, whatever its key.
+[[nodiscard]] RoutedCall RouteCall(const WorkflowWorld& world,
+                                   const WorkflowCall& call,
+                                   TimePoint now);
+
+// The record that accepts a submission once it is appended, or else the answer.
+struct SubmissionCheck {
+  std::optional<AcceptedRecord> acceptance;
+  CallAnswer answer;
+};
+// Checks a submission on `route` on behalf of `workspace`.
+[[nodiscard]] SubmissionCheck CheckSubmission(const WorkflowWorld& world,
+                                              const WorkflowCall& call,
+                                              const WorkflowRoute& route,
+                                              const Workspace& workspace,
+                                              const WorkflowTime& time);
+
 // Answers the calls that the tables suffice for, and queues the others until an
 // append or a read ends.
 void HandleCalls(WorkflowWorld& world,
--- a/chicorystep/systems/workflows/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -85,18 +85,12 @@
     DropEndedOccurrences(workflow);
   }
   workflow.occurrences_deferred = false;
-  while (workflow.occurrences_begun < OccurrenceCount(workflow.spec) &&
-         DueAt(workflow.spec, workflow.occurrences_begun) <= time.wall) {
+  while (IsOccurrenceDue(workflow, time.wall)) {
     if (!HasRoomForOccurrence(workflow)) {
       workflow.occurrences_deferred = true;
       return;
     }
-    const Occurrence occurrence(workflow.occurrences_begun++);
-    for (std::uint32_t i = 0; i < workflow.spec.steps.size(); ++i) {
-      StepRun run{.occurrence = occurrence, .step = StepIndex(i)};
-      run.tasks.resize(workflow.spec.steps[i].count);
-      workflow.runs.push_back(std::move(run));
-    }
+    const Occurrence occurrence = AddStepRuns(workflow);
     world.scheduling.placement_due = true;
     if (workflow.spec.occurrences > 0) {
       Log(LogLevel::kInfo, "occurrence_due",
@@ -184,6 +178,21 @@
 
 }  // namespace
 
+Occurrence AddStepRuns(Workflow& workflow) {
+  const Occurrence occurrence(workflow.occurrences_begun++);
+  for (std::uint32_t i = 0; i < workflow.spec.steps.size(); ++i) {
+    StepRun run{.occurrence = occurrence, .step = StepIndex(i)};
+    run.tasks.resize(workflow.spec.steps[i].count);
+    workflow.runs.push_back(std::move(run));
+  }
+  return occurrence;
+}
+
+bool IsOccurrenceDue(const Workflow& workflow, UnixMillis now) {
+  return workflow.occurrences_begun < OccurrenceCount(workflow.spec) &&
+         DueAt(workflow.spec, workflow.occurrences_begun) <= now;
+}
+
 void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time) {
   if (world.holding.state != HoldingState::kHolding) {
     return;
--- a/chicorystep/systems/workflows/workflow_progress.h
+++ b/chicorystep/systems/workflows/workflow_progress.h
@@ -5,6 +5,13 @@
 
 namespace chicorystep {
 
+// Adds the runs of all steps for the workflow's next occurrence, which begins.
+// Returns its number.
+Occurrence AddStepRuns(Workflow& workflow);
+
+// Whether the workflow's next occurrence exists and is due at `now`.
+[[nodiscard]] bool IsOccurrenceDue(const Workflow& workflow, UnixMillis now);
+
 // Begins occurrences that are due, stops the tasks of workflows that are
 // cancelled or have failed, and ends workflows that have nothing left to run.
 void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time);
