--- a/chicorystep/programs/ctl.cc
+++ b/chicorystep/programs/ctl.cc
@@ -70,9 +70,9 @@
        {"admin", "json"},
        RunState},
       {"explain",
-       "job JOB | request ID",
-       "Print why a job waits, or why a request was refused",
-       {"entry", "admin", "workspace", "json"},
+       "job|request|placement NAME",
+       "Print why work waits or was refused, or where it would go",
+       {"entry", "admin", "workspace", "host", "path", "json"},
        RunExplain},
   };
   return commands;
@@ -86,7 +86,7 @@
       "Usage:\n  chicorystepctl COMMAND [OPTION...] [ARGUMENT...]\n\n"
       "Commands:\n");
   for (const CtlCommand& command : CtlCommands()) {
-    fmt::print("  {:<30}{}\n",
+    fmt::print("  {:<36}{}\n",
                fmt::format("{} {}", command.name, command.arguments),
                command.help);
   }
--- a/chicorystep/programs/ctl_work.cc
+++ b/chicorystep/programs/ctl_work.cc
@@ -194,6 +194,24 @@
   return ReportDocument(arguments, response);
 }
 
+// Reads a file, or standard input if its name is "-". Prints an error that
+// names `what` and returns nothing when it cannot be read.
+std::optional<std::string> ReadInput(const std::string& name,
+                                     std::string_view what) {
+  std::ostringstream text;
+  if (name == "-") {
+    text << std::cin.rdbuf();
+    return text.str();
+  }
+  const std::ifstream file(name, std::ios::binary);
+  if (!file) {
+    PrintError(fmt::format("{}: cannot read {}", what, name));
+    return std::nullopt;
+  }
+  text << file.rdbuf();
+  return text.str();
+}
+
 // Reads the body from --body, --body-file or standard input; empty when neither
 // option is given. Prints an error and returns nothing when it cannot be read.
 std::optional<std::string> ReadBody(const CtlArguments& arguments) {
@@ -205,19 +223,56 @@
   if (options.count("body-file") == 0) {
     return options.count("body") != 0 ? options["body"].as<std::string>() : "";
   }
-  const auto name = options["body-file"].as<std::string>();
-  std::ostringstream text;
-  if (name == "-") {
-    text << std::cin.rdbuf();
-    return text.str();
+  return ReadInput(options["body-file"].as<std::string>(), "--body-file");
+}
+
+// Prints the explanation of a placement and returns the exit code; fails when
+// the workflow would not be accepted.
+int ReportPlacement(const CtlArguments& arguments,
+                    const httplib::Result& response) {
+  if (response && response->status != 200) {
+    PrintError(
+        fmt::format("the process does not explain the placement (status {})",
+                    response->status));
+    return kCtlFailed;
   }
-  const std::ifstream file(name, std::ios::binary);
-  if (!file) {
-    PrintError(fmt::format("--body-file: cannot read {}", name));
-    return std::nullopt;
+  const int code = ReportDocument(arguments, response);
+  if (code != kCtlDone) {
+    return code;
   }
-  text << file.rdbuf();
-  return text.str();
+  const Json document = Json::parse(response->body, nullptr, false);
+  if (!document.is_object() || !document.contains("accepted")) {
+    PrintError("the process gave no explanation");
+    return kCtlFailed;
+  }
+  const std::string result = document.value("result", "");
+  if (document.value("accepted", false) || result == "ok") {
+    return kCtlDone;
+  }
+  PrintError(fmt::format("would not be accepted: {}: {}", result,
+                         document.value("detail", "")));
+  return result == "malformed" ? kCtlUsage : kCtlFailed;
+}
+
+int ExplainPlacementOf(const CtlArguments& arguments, const std::string& name) {
+  const auto& options = arguments.options;
+  if (options.count("host") == 0 || options.count("path") == 0) {
+    PrintError("explain placement needs --host and --path");
+    return kCtlUsage;
+  }
+  const auto workflow = ReadInput(name, "placement");
+  if (!workflow) {
+    return kCtlUsage;
+  }
+  httplib::Headers headers = {
+      {kCallHostHeader, options["host"].as<std::string>()},
+      {kCallPathHeader, options["path"].as<std::string>()}};
+  if (options.count("workspace") != 0) {
+    headers.emplace(kWorkspaceHeader, options["workspace"].as<std::string>());
+  }
+  return ReportPlacement(
+      arguments, ConnectTo(arguments, "admin")
+                     ->Post("/v1/explain", headers, *workflow, kJsonType));
 }
 
 // Polls a job and prints each change of its state until it has ended. Returns
@@ -327,11 +382,15 @@
 int RunExplain(const CtlArguments& arguments) {
   const std::string what =
       arguments.words.empty() ? "" : arguments.words.front();
-  if (arguments.words.size() != 2 || (what != "job" && what != "request")) {
-    PrintError("explain needs job JOB or request ID");
+  if (arguments.words.size() != 2 ||
+      (what != "job" && what != "request" && what != "placement")) {
+    PrintError("explain needs job JOB or request ID or placement FILE");
     return kCtlUsage;
   }
   const std::string& id = arguments.words.back();
+  if (what == "placement") {
+    return ExplainPlacementOf(arguments, id);
+  }
   if (what == "job") {
     return ReportDocument(arguments,
                           ConnectTo(arguments, "entry")
--- a/chicorystep/traffic/headers.h
+++ b/chicorystep/traffic/headers.h
@@ -10,6 +10,8 @@
 inline constexpr const char* kAttemptHeader = "Attempt";
 inline constexpr const char* kOutcomeHeader = "Outcome";
 inline constexpr const char* kBusySlotsHeader = "Busy-Slots";
+inline constexpr const char* kCallHostHeader = "Call-Host";
+inline constexpr const char* kCallPathHeader = "Call-Path";
 
 // Internal field into which a listener moves the Content-Type of a request, so
 // that the HTTP library does not parse the body.
--- a/completion/chicorystepctl.bash
+++ b/completion/chicorystepctl.bash
@@ -6,7 +6,7 @@
   local previous=${COMP_WORDS[COMP_CWORD - 1]}
   local commands="check publish show history rollback request submit job watch cancel state explain"
   local options="--log --entry --admin --author --dry-run --wait --wait-ms --workspace --id
-    --deadline-ms --body --body-file --pieces --accelerators --cores
+    --deadline-ms --body --body-file --host --path --pieces --accelerators --cores
     --memory-mib --adjacent --command --attach --json --version --help"
   local command="" i
   for ((i = 1; i < COMP_CWORD; ++i)); do
@@ -18,7 +18,8 @@
   case $previous in
     --body-file) mapfile -t COMPREPLY < <(compgen -f -- "$word") && return ;;
     --adjacent) mapfile -t COMPREPLY < <(compgen -W "none rack worker" -- "$word") && return ;;
-    explain) mapfile -t COMPREPLY < <(compgen -W "job request" -- "$word") && return ;;
+    placement) mapfile -t COMPREPLY < <(compgen -f -- "$word") && return ;;
+    explain) mapfile -t COMPREPLY < <(compgen -W "job request placement" -- "$word") && return ;;
   esac
   if [[ $word == -* ]]; then
     case $command in
@@ -29,7 +30,7 @@
       submit) options="--entry --workspace --id --pieces --accelerators --cores --memory-mib --adjacent --command --attach --json --help" ;;
       job | watch | cancel) options="--entry --workspace --json --help" ;;
       state) options="--admin --json --help" ;;
-      explain) options="--entry --admin --workspace --json --help" ;;
+      explain) options="--entry --admin --workspace --host --path --json --help" ;;
     esac
     mapfile -t COMPREPLY < <(compgen -W "$options" -- "$word")
   elif [[ $command == check || $command == publish ]]; then
