Test explanations behind units that take room, and of urgent and scheduled work

The table had no world in which a unit ahead takes room, no unit per task, and no occurrence that is not due.

--- a/tests/placement_explanation_test.cc
+++ b/tests/placement_explanation_test.cc
@@ -37,6 +37,8 @@
   // A preemption changes the world soon after the submission.
   bool may_preempt = false;
   bool accepted = true;
+  // Until the first of two occurrences; zero for no schedule.
+  Duration due_in{};
 };
 
 WorkflowWorld& WorldOf(Emulation& run, int entry) {
@@ -121,6 +123,30 @@
          },
      .count = CountWithoutRoom,
      .units_before = 2},
+    {.name = "room that other work takes before it",
+     .step = MakeStep(4, 1),
+     .placed = 2,
+     .waits_for = WaitReason::kFreeCapacity,
+     .prepare =
+         [](Emulation& run) {
+           Emulation::Submitted what{.work = seconds(60)};
+           what.spec.steps = {MakeStep(kAccelerators - 2, 1)};
+           run.Submit(run.Holder(), "normal", Emulation::MakeId(1), what);
+           // The pass that takes both comes after the submission.
+           WorldOf(run, run.Holder()).scheduling.next_placement =
+               run.now + milliseconds(60);
+           run.RunFor(milliseconds(30));
+         },
+     .workers = 1,
+     .units_before = 1},
+    {.name = "urgent tasks within the guarantee and beyond it",
+     .step = MakeStep(20, 1),
+     .placed = 20,
+     .path = "/urgent/" + kAsked.value},
+    {.name = "not due",
+     .step = MakeStep(1, 1),
+     .waits_for = WaitReason::kDueTime,
+     .due_in = seconds(30)},
     {.name = "urgent work that may preempt",
      .step = MakeStep(1, 8),
      .waits_for = WaitReason::kFreeCapacity,
@@ -228,13 +254,18 @@
      .accepted = false},
 };
 
-WorkflowCall MakeCall(const ExplanationCase& sample) {
+WorkflowCall MakeCall(const ExplanationCase& sample, const WorkflowTime& time) {
   WorkflowCall call{.kind = CallKind::kSubmit,
                     .host = "host",
                     .path = sample.path,
                     .key = ApiKey("key")};
   if (sample.step) {
     call.spec = WorkflowSpec{.steps = {*sample.step}};
+    if (sample.due_in > Duration()) {
+      call.spec->occurrences = 2;
+      call.spec->first_due = time.wall + UnixMillis(WholeMillis(sample.due_in));
+      call.spec->interval = seconds(1);
+    }
   } else {
     call.malformed = "not a workflow";
   }
@@ -283,7 +314,7 @@
       const WorkflowWorld& world = WorldOf(run, entry);
 
       const std::string before = DumpWorkflowWorld(world, run.now);
-      const WorkflowCall call = MakeCall(sample);
+      const WorkflowCall call = MakeCall(sample, run.Time());
       const PlacementExplanation explanation = ExplainPlacement(
           world,
           PlacementQuestion{.call = call, .workspace = Workspace("team")},
@@ -297,8 +328,8 @@
       BOOST_TEST(EnumName(explanation.waits_for) == EnumName(sample.waits_for));
       BOOST_TEST(explanation.may_preempt == sample.may_preempt);
       BOOST_TEST((explanation.holder.value.empty() != sample.started));
-      const bool decided =
-          sample.accepted && sample.started && sample.asks_holder;
+      const bool decided = sample.accepted && sample.started &&
+                           sample.asks_holder && sample.due_in == Duration();
       BOOST_REQUIRE(explanation.step.has_value() == decided);
       if (decided) {
         BOOST_TEST(explanation.step->placed.size() == sample.placed);
@@ -348,7 +379,7 @@
       run.AddEntries(1);
       BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
       PlacementQuestion question{
-          .call = MakeCall(ExplanationCase{.step = MakeStep(1, 1)}),
+          .call = MakeCall(ExplanationCase{.step = MakeStep(1, 1)}, run.Time()),
           .body = sample.body};
       question.call.path = sample.path;
       BOOST_TEST(
