Copy no list of tasks into each urgent unit

AddUnits copied the unit with all waiting tasks of the step for each of them, so a step of n urgent tasks copied and kept n^2 task numbers in every pass, as in every explanation.

The list is moved out before the copies.

--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -159,7 +159,8 @@
     return;
   }
   // Urgent tasks are counted against the guarantee one by one.
-  for (const TaskIndex task : unit.tasks) {
+  // The copies are made without the list of all tasks.
+  for (const TaskIndex task : std::exchange(unit.tasks, {})) {
     PlacementUnit single = unit;
     single.tasks = {task};
     units.push_back(std::move(single));
