Allow for start and report when an urgent unit waits

Cause: a unit that left work to end by itself waited until its deadline less its own run and a stop, so that the records, the start and the report of its end made it late.

--- a/chicorystep/systems/workflows/preemption/task_preemption.cc
+++ b/chicorystep/systems/workflows/preemption/task_preemption.cc
@@ -22,6 +22,9 @@
 constexpr std::int64_t kAcceleratorCores = 8;
 // Approximate work that a task loses when it resumes from its checkpoint.
 constexpr std::int64_t kRestoreMillis = 300;
+// Time from the end of a stop to the start of a run, and from the end of a run
+// to its report.
+constexpr Duration kStartAndReportTime = milliseconds(300);
 // Added to the cost of each stopped task: a stop costs calls and another start,
 // so fewer victims are better.
 constexpr CoreMillis kStopCost{2000};
@@ -90,8 +93,9 @@
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
   const Duration until_deadline =
       milliseconds((unit.deadline - pass.time.wall).value);
-  return std::max(Duration(),
-                  until_deadline - spec.estimate - pass.world->self.stop_grace);
+  return std::max(Duration(), until_deadline - spec.estimate -
+                                  kStartAndReportTime -
+                                  pass.world->self.stop_grace);
 }
 
 // Whether running work may be stopped for the unit, apart from the guarantee of
