Explain placements with the room that is reserved for urgent units

Cause: reservations and judged pairs came with other parts, and an explanation ran its pass without them. Change: the copied tables hold both, and units take their reservations first.

--- a/chicorystep/systems/workflows/explain/placement_explanation.cc
+++ b/chicorystep/systems/workflows/explain/placement_explanation.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "chicorystep/systems/workflows/preemption/unit_reservations.h"
 #include "chicorystep/systems/workflows/task_candidates.h"
 #include "chicorystep/systems/workflows/task_placement.h"
 #include "chicorystep/systems/workflows/task_status.h"
@@ -59,6 +60,10 @@
     copy.workflows.insert(id, CopyWorkflow(*world.workflows.find(id)));
   }
   copy.scheduling.open = world.scheduling.open;
+  copy.scheduling.reservations = world.scheduling.reservations;
+  if (!world.scheduling.interference.judged.empty()) {
+    copy.scheduling.interference = world.scheduling.interference;
+  }
   const auto& workers = world.scheduling.workers;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     copy.scheduling.workers.insert(workers.keys[i],
@@ -98,6 +103,7 @@
 // that stop orders will free for it.
 void PlaceInCopy(TaskPlacementPass& pass, PlacementUnit& unit) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
+  const auto kept = TakeReservation(pass, unit);
   if (const auto chosen = SelectCandidates(pass, unit, false)) {
     for (std::size_t i = 0; i < chosen->size(); ++i) {
       Task& task = unit.run->tasks[unit.tasks[i].value];
@@ -109,7 +115,7 @@
         unit.tasks.begin(),
         unit.tasks.begin() + static_cast<std::ptrdiff_t>(chosen->size()));
   }
-  if (unit.tasks.empty()) {
+  if (unit.tasks.empty() || (kept && ReserveAgain(pass, unit, *kept))) {
     return;
   }
   if (const auto reserved = SelectCandidates(pass, unit, true)) {
@@ -149,6 +155,7 @@
   }
   StepRun& run = *first->run;
   TaskPlacementPass pass = BeginPass(copy, time);
+  ApplyReservations(pass, units);
   for (auto unit = units.begin(); unit != first; ++unit) {
     PlaceInCopy(pass, *unit);
   }
