Judge one kind of task at a time

All changed kinds were judged in one tick each second, and every pair in full. One kind is judged each 100 ms now, and the plain means rule out most pairs first. task_interference_test holds (4 cases).

--- a/chicorystep/systems/workflows/interference/judgement.cc
+++ b/chicorystep/systems/workflows/interference/judgement.cc
@@ -15,7 +15,8 @@
 
 using std::chrono::seconds;
 
-constexpr Duration kJudgementPeriod = seconds(1);
+// One kind is judged each time, so that no tick takes long.
+constexpr Duration kJudgementPeriod = std::chrono::milliseconds(100);
 // A run weighs half after this time, and is dropped after four times as long.
 constexpr Duration kHalfLife = seconds(60);
 constexpr Duration kMaxSampleAge = 4 * kHalfLife;
@@ -34,6 +35,9 @@
 // standard error of the median to that of the mean, of evenly spread values.
 constexpr double kDeviationToSpread = 1.15;
 constexpr double kMedianError = 1.75;
+// Pairs whose mean beside the other kind is above this, as a logarithm relative
+// to that without it, are not examined further.
+constexpr double kMaxMeanGain = -0.08;
 // A lower share of the requested processors counts as this.
 constexpr double kMinUse = 0.01;
 
@@ -214,6 +218,24 @@
                     .evidence = beside.weight};
 }
 
+// Whether the plain means of the runs leave it open that the pair may be
+// judged. Rules out most pairs at little cost.
+bool MayBeSlower(const KindRow& row, KindNumber by, Measure measure) {
+  double beside = 0;
+  double without = 0;
+  int beside_runs = 0;
+  int without_runs = 0;
+  for (const RunSample& sample : row.samples) {
+    const Contrast contrast = measure(sample, by);
+    beside += contrast.beside.value_or(0);
+    beside_runs += contrast.beside ? 1 : 0;
+    without += contrast.without.value_or(0);
+    without_runs += contrast.without ? 1 : 0;
+  }
+  return beside_runs > 0 && without_runs > 0 &&
+         beside / beside_runs < without / without_runs + kMaxMeanGain;
+}
+
 Comparison Judge(const KindRow& row,
                  KindNumber by,
                  bool judged,
@@ -255,6 +277,10 @@
     if (other == nullptr || interference.judged.contains(pair)) {
       continue;
     }
+    if (!MayBeSlower(row, by, MeasureUse) &&
+        !MayBeSlower(row, by, MeasurePace)) {
+      continue;
+    }
     if (const Comparison found = Judge(row, by, false, now); found.slower) {
       interference.judged[pair] = JudgedPair{.slowed = row.name,
                                              .by = other->name,
@@ -315,11 +341,17 @@
     }
   }
   ReviewJudged(interference, now);
-  for (std::size_t i = 0; i < interference.kinds.size(); ++i) {
-    KindRow& row = interference.kinds.rows[i];
+  // Begins with another kind each time, so that each gets its turn.
+  const std::size_t kinds = interference.kinds.size();
+  const auto turn =
+      static_cast<std::size_t>(now.time_since_epoch() / kJudgementPeriod);
+  for (std::size_t i = 0; i < kinds; ++i) {
+    const std::size_t position = (turn + i) % kinds;
+    KindRow& row = interference.kinds.rows[position];
     if (row.changed) {
       row.changed = false;
-      JudgeKind(interference, interference.kinds.keys[i], row, now);
+      JudgeKind(interference, interference.kinds.keys[position], row, now);
+      break;
     }
   }
 }
