--- a/chicorystep/core/ids.h
+++ b/chicorystep/core/ids.h
@@ -44,6 +44,8 @@
 using Attempt = Id<struct AttemptTag, std::uint32_t>;
 // A traffic thread's handle for one exchange, unique within this process.
 using ExchangeId = Id<struct ExchangeIdTag, std::uint64_t>;
+// A connection of a caller, unique within one process.
+using ConnectionId = Id<struct ConnectionIdTag, std::uint64_t>;
 
 using Stream = Id<struct StreamTag, std::string>;
 // The id that the writer gives a log record, so that a repeated append counts
