--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -237,6 +237,54 @@
   BOOST_TEST(loopback.Send(echo_request).status == 200);
 }
 
+// What a caller sends without reading, at once and then again and again while
+// its connection is open.
+struct StallingCase {
+  std::string name;
+  std::string begin;
+  std::string rest;
+  int repeats = 0;
+  milliseconds pause{};
+};
+
+const std::vector<StallingCase> kStallingCases = {
+    {.name = "nothing"},
+    {.name = "part of a head", .begin = "POST / HTTP/1.1\r\nHost: h"},
+    {.name = "part of a body",
+     .begin = "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"},
+    {.name = "a head that trickles in",
+     .begin = "POST /",
+     .rest = "x",
+     .repeats = 1000,
+     .pause = milliseconds(10)},
+    {.name = "a body that trickles in",
+     .begin = "POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n",
+     .rest = "x",
+     .repeats = 999,
+     .pause = milliseconds(10)},
+    {.name = "requests whose answers are not read",
+     .rest = "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" +
+             std::string(900, 'x'),
+     .repeats = 1'000'000},
+};
+
+BOOST_AUTO_TEST_CASE(connections_that_stall_are_closed) {
+  for (const StallingCase& sample : kStallingCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Loopback loopback;
+      testing::RawConnection caller(loopback.address);
+      bool open = caller.Send(sample.begin);
+      for (int i = 0; open && i < sample.repeats; ++i) {
+        std::this_thread::sleep_for(sample.pause);
+        open = caller.Send(sample.rest);
+      }
+      BOOST_TEST((sample.repeats == 0 || !open));
+      (void)caller.ReadToEnd();
+      BOOST_TEST(caller.HasEnded());
+    }
+  }
+}
+
 // A server that answers its first request, ends the connection of the second
 // without an answer, and answers all later requests with 503.
 struct BreakingServer {
