Show that crowds inside the limits exhaust an entry

Each connection of chicorystep-entry may hold a body of the largest size, its copy and an answer, and a thread until its time-out.

--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -230,5 +230,87 @@
   }
 }
 
+// The bound on the memory of an entry, its limit on bodies and its threads.
+constexpr std::int64_t kEntryMemoryMb = 96;
+constexpr std::size_t kEntryMaxBody = 2 << 20;
+constexpr int kEntryThreads = 48;
+constexpr std::size_t kEntryClients = 64;
+
+std::string MakeEntryHead(const std::string& length) {
+  return fmt::format(
+      "POST /v1/requests/echo HTTP/1.1\r\nHost: h\r\n{}: id\r\n{}: w1\r\n"
+      "{}\r\n\r\n",
+      kRequestIdHeader, kWorkspaceHeader, length);
+}
+
+std::string MakeEntryBody(std::size_t size, std::size_t missing) {
+  return MakeEntryHead(fmt::format("Content-Length: {}", size)) +
+         std::string(size - missing, 'x');
+}
+
+// Chunks of `size` bytes that add up to `total`, without the last chunk.
+std::string MakeEntryChunks(std::size_t total, std::size_t size) {
+  std::string text = MakeEntryHead("Transfer-Encoding: chunked");
+  for (std::size_t sent = 0; sent < total; sent += size) {
+    text += fmt::format("{:x}\r\n{}\r\n", size, std::string(size, 'x'));
+  }
+  return text;
+}
+
+struct EntryCrowdCase {
+  std::string name;
+  std::size_t piece;
+  std::string (*make_request)();
+};
+
+const std::vector<EntryCrowdCase> kEntryCrowdCases = {
+    {"whole bodies whose answers are not read", 64 << 10,
+     [] { return MakeEntryBody(1 << 20, 0); }},
+    {"unfinished bodies", 16 << 10,
+     [] { return MakeEntryBody(kEntryMaxBody, 1); }},
+    {"unfinished, in large chunks", 64 << 10,
+     [] { return MakeEntryChunks(kEntryMaxBody - (64 << 10), 64 << 10); }},
+    {"unfinished, in chunks of four bytes", 64 << 10,
+     [] { return MakeEntryChunks(kEntryMaxBody - 4, 4); }},
+    {"connections that send nothing", 1, [] { return std::string(); }},
+};
+
+// The same for the entry with the product's own interface.
+BOOST_AUTO_TEST_CASE(an_entry_outlives_crowds_inside_the_limits) {
+  for (const EntryCrowdCase& sample : kEntryCrowdCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Cluster cluster(1, 1, 0);
+      cluster.caller_threads = kEntryThreads;
+      cluster.caller_settings =
+          fmt::format("max_body = {}B\nread_timeout = 60s\n", kEntryMaxBody);
+      BOOST_TEST_REQUIRE(cluster.Publish(kTables) == 0);
+      cluster.StartAll();
+      BOOST_TEST_REQUIRE(Eventually([&] { return cluster.AllReady(); }));
+      int calls = 0;
+      const auto is_served = [&] {
+        const auto answer = cluster.Caller(0)->Post(
+            "/v1/requests/echo", CallHeaders(fmt::format("call-{}", ++calls)),
+            "hello", "text/plain");
+        return answer && answer->status == 200;
+      };
+      BOOST_TEST_REQUIRE(Eventually(is_served));
+      const pid_t entry = cluster.entries[0]->Pid();
+      const Bytes calm = PeakMemory(entry);
+      const Address callers(cluster.addresses[0].callers);
+      ClientCrowd crowd(callers, kEntryClients);
+      BOOST_TEST(
+          crowd.SendAll(sample.make_request(), sample.piece, kSendLimit));
+      BOOST_TEST(AwaitReading(callers, kSendLimit));
+      BOOST_TEST(Eventually(is_served, kSendLimit));
+      BOOST_TEST(!cluster.entries[0]->HasEnded());
+      const Bytes peak = PeakMemory(entry);
+      BOOST_TEST(peak.value <= kEntryMemoryMb << 20);
+      BOOST_TEST_MESSAGE(fmt::format("{}: {} KiB in calm, {} KiB at most",
+                                     sample.name, calm.value >> 10,
+                                     peak.value >> 10));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::testing
