Keep an entry within its memory whatever its callers send

Each thread held a body, its copy and an answer without a common limit, and a connection that stalled kept its thread until its time-out, so that ordinary callers waited for a minute.

The caller server accounts for all requests and answers against the new setting callers.max_received, by default 1 GiB. Connections that give way are shut down. When callers wait for a thread, connections without progress for a second give theirs up. A request without room is refused as not run, an operation on a job with an unknown outcome.

--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -167,7 +167,9 @@
                         .read_timeout = settings.read_timeout,
                         .receive_timeout = settings.receive_timeout,
                         .max_head = settings.max_head,
-                        .max_body = settings.max_body});
+                        .max_body = settings.max_body,
+                        .max_received = settings.max_received,
+                        .closes_stalled = true});
   AddCallerRoutes(process.callers->Routes(), process.caller_context);
 
   process.peers = std::make_unique<Peers>(
--- a/chicorystep/settings/entry_settings.cc
+++ b/chicorystep/settings/entry_settings.cc
@@ -202,6 +202,7 @@
                     milliseconds(1)),
       BytesField("callers", "max_head", &S::max_head),
       BytesField("callers", "max_body", &S::max_body),
+      BytesField("callers", "max_received", &S::max_received),
       CountField("callers", "max_waiting", &S::max_waiting_requests, 1,
                  10'000'000),
       DurationField("callers", "max_deadline", &S::max_deadline,
--- a/chicorystep/settings/entry_settings.h
+++ b/chicorystep/settings/entry_settings.h
@@ -46,6 +46,7 @@
   Duration receive_timeout = std::chrono::seconds(60);
   Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
+  Bytes max_received{1 << 30};
   std::int64_t max_waiting_requests = 10'000;
   Duration max_deadline = std::chrono::hours(1);
 
--- a/chicorystep/systems/intake/received_bytes.cc
+++ b/chicorystep/systems/intake/received_bytes.cc
@@ -62,14 +62,16 @@
 }
 
 // Returns the connection to close in favour of `spared`, or nothing if all
-// others are being served.
+// others are being served or have made progress since `stalled_since`.
 std::optional<ConnectionId> FindLeastActive(const ReceivedBytes& account,
                                             ConnectionId spared,
-                                            ClosingReason reason) {
+                                            ClosingReason reason,
+                                            TimePoint stalled_since = kNever) {
   std::optional<ConnectionId> least;
   std::tuple<int, bool, TimePoint> least_rank;
   for (const auto& [id, row] : account.connections) {
-    if (id == spared || row.stage == ConnectionStage::kServing) {
+    if (id == spared || row.stage == ConnectionStage::kServing ||
+        row.progressed > stalled_since) {
       continue;
     }
     const std::tuple rank(RankStage(row.stage, reason),
@@ -172,6 +174,22 @@
   }
 }
 
+std::vector<ConnectionId> CloseStalled(ReceivedBytes& account,
+                                       std::size_t count,
+                                       TimePoint stalled_since) {
+  std::vector<ConnectionId> closed;
+  while (closed.size() < count) {
+    const auto least = FindLeastActive(
+        account, ConnectionId(), ClosingReason::kConnections, stalled_since);
+    if (!least) {
+      break;
+    }
+    CloseConnection(account, *least, ClosingReason::kConnections);
+    closed.push_back(*least);
+  }
+  return closed;
+}
+
 void CloseConnection(ReceivedBytes& account, ConnectionId id) {
   if (const auto found = account.connections.find(id);
       found != account.connections.end()) {
--- a/chicorystep/systems/intake/received_bytes.h
+++ b/chicorystep/systems/intake/received_bytes.h
@@ -33,6 +33,13 @@
                 ConnectionStage stage,
                 TimePoint now);
 
+// Closes up to `count` connections that have made no progress since
+// `stalled_since`, so that others can be served: idle ones first, then
+// unfinished requests. Returns the closed ones.
+[[nodiscard]] std::vector<ConnectionId> CloseStalled(ReceivedBytes& account,
+                                                     std::size_t count,
+                                                     TimePoint stalled_since);
+
 // Removes a connection, if it is in the account.
 void CloseConnection(ReceivedBytes& account, ConnectionId id);
 // The same for a connection that this process closes, which is counted.
--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -11,6 +11,7 @@
 #include "chicorystep/encoding/caller_messages.h"
 #include "chicorystep/settings/values.h"
 #include "chicorystep/traffic/executor_attempt.h"
+#include "chicorystep/traffic/guarded_server.h"
 #include "chicorystep/traffic/headers.h"
 
 namespace chicorystep {
@@ -162,6 +163,13 @@
                  Duration{}};
 }
 
+// The refusal of a request for which there is no memory.
+Refusal MakeRoomRefusal(Execution execution) {
+  return Refusal{execution, Reason::kOverloaded,
+                 "too many requests wait for their answers",
+                 std::chrono::seconds(1)};
+}
+
 // Answers a request with a refusal and records it for operators.
 void RefuseRequest(CallerContext& context,
                    const RequestMessage& message,
@@ -210,6 +218,10 @@
 void HandleRequest(CallerContext& context,
                    const httplib::Request& request,
                    httplib::Response& response) {
+  if (!BeginServingRequest()) {
+    WriteRefusal(response, MakeRoomRefusal(Execution::kNotRun));
+    return;
+  }
   const auto header = ParseCallHeader(request, context.settings.max_deadline);
   if (!header) {
     WriteRefusal(response, header.error());
@@ -267,6 +279,11 @@
 void HandleSubmit(CallerContext& context,
                   const httplib::Request& request,
                   httplib::Response& response) {
+  if (!BeginServingRequest()) {
+    // Another entry may have accepted an earlier attempt.
+    WriteRefusal(response, MakeRoomRefusal(Execution::kUnknown));
+    return;
+  }
   const auto header = ParseCallHeader(request, context.settings.max_deadline);
   if (!header) {
     WriteRefusal(response, header.error());
@@ -296,6 +313,10 @@
                JobOperationKind kind,
                const httplib::Request& request,
                httplib::Response& response) {
+  if (!BeginServingRequest()) {
+    WriteRefusal(response, MakeRoomRefusal(Execution::kUnknown));
+    return;
+  }
   const Workspace workspace(request.get_header_value(kWorkspaceHeader));
   if (!IsName(workspace.value)) {
     WriteRefusal(response, Refusal{Execution::kNotRun, Reason::kBadRequest,
--- a/chicorystep/traffic/guarded_server.cc
+++ b/chicorystep/traffic/guarded_server.cc
@@ -1,5 +1,6 @@
 #include "chicorystep/traffic/guarded_server.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/eventfd.h>
@@ -30,6 +31,10 @@
 // connection.
 thread_local bool response_closes = false;
 
+class GuardedStream;
+// The stream of the connection that this thread serves.
+thread_local GuardedStream* served_stream = nullptr;
+
 int MillisecondsUntil(Clock::time_point end) {
   const auto left =
       std::chrono::ceil<std::chrono::milliseconds>(end - Clock::now());
@@ -51,8 +56,28 @@
 // enforces the time and size limits of a request.
 class GuardedStream final : public httplib::Stream {
  public:
-  GuardedStream(socket_t connection, const HttpServerOptions& server_options)
-      : connection_socket(connection), options(server_options) {}
+  GuardedStream(socket_t connection,
+                const HttpServerOptions& server_options,
+                SharedAccount& shared_account)
+      : connection_socket(connection),
+        options(server_options),
+        account(shared_account),
+        id(this->account.Open(connection, PeerAddress(connection))) {}
+  GuardedStream(const GuardedStream&) = delete;
+  GuardedStream& operator=(const GuardedStream&) = delete;
+  ~GuardedStream() override { this->account.Close(this->id); }
+
+  // Accounts for the end of the previous answer.
+  void AwaitRequest() {
+    this->request_size = 0;
+    this->answer_size = 0;
+    (void)this->Hold(ConnectionStage::kIdle);
+  }
+  // Accounts for a request that was received whole. Returns false if there is
+  // no room for it.
+  [[nodiscard]] bool BeginServing() {
+    return this->Hold(ConnectionStage::kServing);
+  }
 
   // Restarts the limits; the next byte read is the first of a new request.
   void BeginRequest() {
@@ -101,6 +126,16 @@
   ssize_t Fill();
   // Counts a byte of the head; returns false when the head exceeds its limit.
   [[nodiscard]] bool CountHeadByte(char byte);
+  static Address PeerAddress(socket_t socket);
+  // Accounts for the memory that the library and the handler take: the buffer
+  // of the body, which may be twice its size, its copy, the answer and its
+  // copy.
+  [[nodiscard]] bool Hold(ConnectionStage stage) {
+    return this->account.Hold(
+        this->id, stage,
+        Bytes(static_cast<std::int64_t>(sizeof(*this) + 3 * this->request_size +
+                                        2 * this->answer_size)));
+  }
   // Marks the connection as failed. Returns -1, the library's error value.
   ssize_t Fail() {
     this->broken = true;
@@ -109,6 +144,10 @@
 
   socket_t connection_socket;
   const HttpServerOptions& options;
+  SharedAccount& account;
+  const ConnectionId id;
+  std::size_t request_size = 0;
+  std::size_t answer_size = 0;
   std::array<char, kBufferSize> buffer{};
   std::size_t begin = 0;
   std::size_t end = 0;
@@ -139,6 +178,14 @@
   this->begin = 0;
   this->end = received > 0 ? static_cast<std::size_t>(received) : 0;
   this->broken |= received <= 0;
+  if (received > 0) {
+    this->request_size += static_cast<std::size_t>(received);
+    if (!this->Hold(ConnectionStage::kReceiving)) {
+      // The caller is not at fault, so that the library must not answer.
+      ::shutdown(this->connection_socket, SHUT_RDWR);
+      return this->Fail();
+    }
+  }
   return received;
 }
 
@@ -176,7 +223,24 @@
   }
 }
 
+Address GuardedStream::PeerAddress(socket_t socket) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  if (::getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0 &&
+      peer.sin_family == AF_INET) {
+    ::inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+  }
+  return Address(text.data());
+}
+
 ssize_t GuardedStream::write(const char* source, size_t size) {
+  // The library passes the rest of the answer again after a partial write.
+  this->answer_size = std::max(this->answer_size, size);
+  if (!this->Hold(ConnectionStage::kAnswering)) {
+    ::shutdown(this->connection_socket, SHUT_RDWR);
+    return this->Fail();
+  }
   if (!this->is_writable()) {
     return this->Fail();
   }
@@ -221,7 +285,9 @@
 }  // namespace
 
 GuardedServer::GuardedServer(const HttpServerOptions& server_options)
-    : options(server_options), stop_event(::eventfd(0, EFD_CLOEXEC)) {
+    : options(server_options),
+      account(server_options.max_received),
+      stop_event(::eventfd(0, EFD_CLOEXEC)) {
   this->set_logger(
       [](const httplib::Request&, const httplib::Response& response) {
         response_closes = response.get_header_value("Connection") == "close";
@@ -248,9 +314,11 @@
 }
 
 void GuardedServer::ServeConnection(socket_t socket) {
-  GuardedStream stream(socket, this->options);
+  GuardedStream stream(socket, this->options, this->account);
+  served_stream = &stream;
   for (std::int64_t left = this->options.keep_alive_requests; left > 0;
        --left) {
+    stream.AwaitRequest();
     if (!stream.HasBufferedBytes() && !this->AwaitRequest(socket)) {
       return;
     }
@@ -267,8 +335,13 @@
 
 bool GuardedServer::process_and_close_socket(socket_t socket) {
   this->ServeConnection(socket);
+  served_stream = nullptr;
   CloseGracefully(socket);
   return true;
 }
 
+bool BeginServingRequest() {
+  return served_stream == nullptr || served_stream->BeginServing();
+}
+
 }  // namespace chicorystep::impl
--- a/chicorystep/traffic/guarded_server.h
+++ b/chicorystep/traffic/guarded_server.h
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include "chicorystep/traffic/http_server.h"
+#include "chicorystep/traffic/shared_account.h"
 
 namespace chicorystep::impl {
 
@@ -12,6 +13,8 @@
 //   library polls every 10 ms.
 // - The time to receive a request and the size of its head are limited.
 // - A caller that has shut down its sending side still gets its answer.
+// - Requests and answers are accounted for, and connections that stall give
+// way.
 // - Multipart and form bodies are passed on unparsed.
 class GuardedServer final : public httplib::Server {
  public:
@@ -20,6 +23,8 @@
   GuardedServer& operator=(const GuardedServer&) = delete;
   ~GuardedServer() override;
 
+  [[nodiscard]] SharedAccount& Account() noexcept { return this->account; }
+
   // Closes the idle connections. Thread-safe.
   void CloseIdleConnections() const;
 
@@ -32,11 +37,16 @@
   [[nodiscard]] bool AwaitRequest(socket_t socket) const;
 
   HttpServerOptions options;
+  SharedAccount account;
   // An eventfd that becomes readable when the server stops; it is never read,
   // so it stays readable for every connection.
   int stop_event;
 };
 
+// Accounts for the request that the calling thread has received whole. Returns
+// false if there is no room for it, in which case it has to be refused.
+[[nodiscard]] bool BeginServingRequest();
+
 }  // namespace chicorystep::impl
 
 #endif  // CHICORYSTEP_TRAFFIC_GUARDED_SERVER_H_
--- a/chicorystep/traffic/http_server.cc
+++ b/chicorystep/traffic/http_server.cc
@@ -2,7 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <atomic>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "chicorystep/settings/values.h"
 #include "chicorystep/traffic/guarded_server.h"
@@ -17,14 +20,54 @@
 
 inline constexpr auto kStartPollInterval = std::chrono::milliseconds(1);
 
+// How often connections that wait for a thread are looked for while no new one
+// arrives, in seconds.
+inline constexpr time_t kIdleInterval = 1;
+
+// The library's pool, in which stalled connections give their threads to those
+// that wait.
+class SharedThreadPool final : public httplib::ThreadPool {
+ public:
+  SharedThreadPool(std::size_t size, SharedAccount& shared_account)
+      : httplib::ThreadPool(size), threads(size), account(shared_account) {}
+
+  void enqueue(std::function<void()> serve) override {
+    ++this->connections;
+    httplib::ThreadPool::enqueue([this, serve = std::move(serve)] {
+      serve();
+      --this->connections;
+    });
+    this->FreeThreads();
+  }
+  void on_idle() override { this->FreeThreads(); }
+
+ private:
+  void FreeThreads() {
+    if (const std::size_t open = this->connections; open > this->threads) {
+      this->account.FreeThreads(open - this->threads);
+    }
+  }
+
+  std::size_t threads;
+  SharedAccount& account;
+  std::atomic<std::size_t> connections = 0;
+};
+
 }  // namespace impl
 
 HttpServer::HttpServer(const HttpServerOptions& options)
     : server(std::make_unique<impl::GuardedServer>(options)) {
   const auto threads = static_cast<std::size_t>(options.threads);
-  this->server->new_task_queue = [threads] {
-    return new httplib::ThreadPool(threads);
-  };
+  if (options.closes_stalled) {
+    this->server->new_task_queue = [this, threads] {
+      return new impl::SharedThreadPool(threads, this->server->Account());
+    };
+    this->server->set_idle_interval(impl::kIdleInterval);
+  } else {
+    this->server->new_task_queue = [threads] {
+      return new httplib::ThreadPool(threads);
+    };
+  }
   this->server->set_tcp_nodelay(true);
   this->server->set_payload_max_length(
       static_cast<std::size_t>(options.max_body.value));
--- a/chicorystep/traffic/http_server.h
+++ b/chicorystep/traffic/http_server.h
@@ -31,6 +31,11 @@
   // Maximum size of the request line and all header fields of a request.
   Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
+  // Limit on the memory of all requests and answers together.
+  Bytes max_received{1 << 30};
+  // Whether connections that stall are closed when others wait for a thread.
+  // Handlers must then begin with `BeginServingRequest`.
+  bool closes_stalled = false;
 };
 
 namespace impl {
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -281,8 +281,9 @@
     BOOST_TEST_CONTEXT(sample.name) {
       Cluster cluster(1, 1, 0);
       cluster.caller_threads = kEntryThreads;
-      cluster.caller_settings =
-          fmt::format("max_body = {}B\nread_timeout = 60s\n", kEntryMaxBody);
+      cluster.caller_settings = fmt::format(
+          "max_body = {}B\nread_timeout = 60s\nmax_received = 32MiB\n",
+          kEntryMaxBody);
       BOOST_TEST_REQUIRE(cluster.Publish(kTables) == 0);
       cluster.StartAll();
       BOOST_TEST_REQUIRE(Eventually([&] { return cluster.AllReady(); }));
