Wait until connections that give way have freed their memory

The account of an entry released a connection's bytes when it was told to give way, before its thread had freed them. The thread that needs the room now waits for those it has cut off. The entry shows its account as gauges, and the admin server ends before the callers' server that it reads. The property test draws stalls, too.

--- a/chicorystep/programs/entry.cc
+++ b/chicorystep/programs/entry.cc
@@ -83,7 +83,8 @@
             [this] { this->StopServing(); }),
         caller_context{this->control,  this->dispatcher, this->executors,
                        this->settings, this->refusals,   this->metrics},
-        admin_context{this->control, this->metrics, this->refusals} {}
+        admin_context{this->control, this->metrics, this->refusals,
+                      [this] { return this->callers->Received(); }} {}
 
   void DispatchOutbox(Outbox&& outbox);
   // Stops the callers' listener first, while the control loop still ends the
@@ -99,12 +100,13 @@
   ControlLoop control;
   CallerContext caller_context;
   AdminContext admin_context;
-  std::unique_ptr<HttpServer> admin;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<LogClient> log;
   std::unique_ptr<InstanceListClient> instances;
   std::unique_ptr<WorkerClient> workers;
   std::unique_ptr<HttpServer> callers;
+  // Shows what the callers occupy, so it ends before them.
+  std::unique_ptr<HttpServer> admin;
   std::jthread stop_thread;
 };
 
--- a/chicorystep/traffic/admin_server.cc
+++ b/chicorystep/traffic/admin_server.cc
@@ -36,6 +36,9 @@
     SetGauges(context.metrics, world, now);
     set->set_value();
   });
+  if (context.received) {
+    SetReceivedGauges(context.metrics, context.received());
+  }
   // On time-out the last gauge values are served, so a control thread that does
   // not respond shows as gauges that no longer change.
   (void)done.wait_for(kDumpTimeout);
--- a/chicorystep/traffic/admin_server.h
+++ b/chicorystep/traffic/admin_server.h
@@ -2,6 +2,7 @@
 #define CHICORYSTEP_TRAFFIC_ADMIN_SERVER_H_
 
 #include <httplib.h>
+#include <functional>
 
 #include "chicorystep/control/loop.h"
 #include "chicorystep/traffic/metrics.h"
@@ -14,6 +15,8 @@
   ControlLoop& loop;
   Metrics& metrics;
   RecentRefusals& refusals;
+  // Returns what the callers occupy; empty if there are none.
+  std::function<ReceivedBytes()> received;
 };
 
 // Adds the operators' routes to `server`: /healthz, /readyz, /metrics,
--- a/chicorystep/traffic/http_server.cc
+++ b/chicorystep/traffic/http_server.cc
@@ -82,6 +82,10 @@
   this->Stop();
 }
 
+ReceivedBytes HttpServer::Received() const {
+  return this->server->Account().Copy();
+}
+
 httplib::Server& HttpServer::Routes() noexcept {
   return *this->server;
 }
--- a/chicorystep/traffic/http_server.h
+++ b/chicorystep/traffic/http_server.h
@@ -12,6 +12,7 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/received_bytes.h"
 
 namespace chicorystep {
 
@@ -60,6 +61,9 @@
 
   [[nodiscard]] std::uint16_t Port() const noexcept { return this->port; }
 
+  // What the requests and answers of all connections occupy. Thread-safe.
+  [[nodiscard]] ReceivedBytes Received() const;
+
   // Stops accepting connections, closes idle ones, and returns when the
   // exchanges in flight have finished.
   void Stop();
--- a/chicorystep/traffic/metrics.cc
+++ b/chicorystep/traffic/metrics.cc
@@ -136,11 +136,42 @@
            .Register(metrics.registry)
            .Add({}, impl::TimeBuckets());
   impl::RegisterGauges(metrics);
+  const auto add_gauge = [&](const char* name, const char* help) {
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(
+        metrics.registry);
+  };
+  metrics.received_bytes = &add_gauge("chicorystep_received_bytes",
+                                      "Memory of callers' requests and answers")
+                                ->Add({});
+  metrics.caller_connections =
+      &add_gauge("chicorystep_caller_connections",
+                 "Callers' connections that have a thread")
+           ->Add({});
+  metrics.calls_declined =
+      &add_gauge("chicorystep_calls_declined",
+                 "Whole requests refused for want of memory since the start")
+           ->Add({});
+  metrics.callers_closed =
+      add_gauge("chicorystep_callers_closed",
+                "Callers' connections cut off since the start, by reason");
   metrics.worker_messages =
       impl::AddCounter(metrics.registry, "chicorystep_worker_messages_total",
                        "Messages sent to workers");
 }
 
+void SetReceivedGauges(Metrics& metrics, const ReceivedBytes& account) {
+  metrics.received_bytes->Set(static_cast<double>(account.held.value));
+  metrics.caller_connections->Set(
+      static_cast<double>(account.connections.size()));
+  metrics.calls_declined->Set(static_cast<double>(account.declined));
+  for (std::size_t i = 0; i < account.closed.size(); ++i) {
+    metrics.callers_closed
+        ->Add(
+            {{"reason", std::string(EnumName(static_cast<ClosingReason>(i)))}})
+        .Set(static_cast<double>(account.closed[i]));
+  }
+}
+
 void CountOutbox(Metrics& metrics, const Outbox& outbox) {
   metrics.ticks->Increment();
   metrics.attempts->Increment(static_cast<double>(outbox.attempts.size()));
--- a/chicorystep/traffic/metrics.h
+++ b/chicorystep/traffic/metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/registry.h>
 
 #include "chicorystep/tables/messages.h"
+#include "chicorystep/tables/received_bytes.h"
 #include "chicorystep/tables/world.h"
 
 namespace chicorystep {
@@ -37,6 +38,13 @@
   prometheus::Gauge* workers_responsive = nullptr;
   prometheus::Gauge* free_accelerators = nullptr;
   prometheus::Family<prometheus::Gauge>* jobs = nullptr;
+
+  // Updated from the account of received bytes on each scrape.
+  prometheus::Gauge* received_bytes = nullptr;
+  prometheus::Gauge* caller_connections = nullptr;
+  prometheus::Gauge* calls_declined = nullptr;
+  // Labelled by reason.
+  prometheus::Family<prometheus::Gauge>* callers_closed = nullptr;
 };
 
 void RegisterMetrics(Metrics& metrics);
@@ -47,6 +55,9 @@
 // Updates the gauges from the control state.
 void SetGauges(Metrics& metrics, const World& world, TimePoint now);
 
+// Updates the gauges from the account of received bytes.
+void SetReceivedGauges(Metrics& metrics, const ReceivedBytes& account);
+
 }  // namespace chicorystep
 
 #endif  // CHICORYSTEP_TRAFFIC_METRICS_H_
--- a/chicorystep/traffic/shared_account.cc
+++ b/chicorystep/traffic/shared_account.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 
@@ -38,18 +39,26 @@
 }
 
 bool SharedAccount::Hold(ConnectionId id, ConnectionStage stage, Bytes held) {
-  const std::scoped_lock lock(this->mutex);
+  std::unique_lock lock(this->mutex);
   const Admission admission = HoldBytes(this->account, id, stage, held, Now());
   this->ShutDown(admission.closes);
   this->account.declined +=
       !admission.admitted && stage == ConnectionStage::kServing ? 1 : 0;
-  return admission.admitted;
+  // Their threads still have to free the memory. No cycle of waits arises, as a
+  // connection that has given way admits and closes nothing any more.
+  this->closed.wait(lock, [&] {
+    return std::none_of(
+        admission.closes.begin(), admission.closes.end(),
+        [this](ConnectionId other) { return this->sockets.contains(other); });
+  });
+  return admission.admitted && this->account.connections.contains(id);
 }
 
 void SharedAccount::Close(ConnectionId id) {
   const std::scoped_lock lock(this->mutex);
   CloseConnection(this->account, id);
   this->sockets.erase(id);
+  this->closed.notify_all();
 }
 
 void SharedAccount::FreeThreads(std::size_t count) {
--- a/chicorystep/traffic/shared_account.h
+++ b/chicorystep/traffic/shared_account.h
@@ -1,6 +1,7 @@
 #ifndef CHICORYSTEP_TRAFFIC_SHARED_ACCOUNT_H_
 #define CHICORYSTEP_TRAFFIC_SHARED_ACCOUNT_H_
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
 
@@ -17,6 +18,7 @@
 
   ConnectionId Open(int socket, const Address& peer);
   // Accounts for what the connection holds. Returns false if there is no room.
+  // Waits until the connections that give way have freed their memory.
   [[nodiscard]] bool Hold(ConnectionId id, ConnectionStage stage, Bytes held);
   void Close(ConnectionId id);
   // Shuts up to `count` connections down that have made no progress lately.
@@ -28,6 +30,8 @@
   void ShutDown(const std::vector<ConnectionId>& ids);
 
   mutable std::mutex mutex;
+  // Notified when a connection is closed.
+  std::condition_variable closed;
   ReceivedBytes account;
   std::map<ConnectionId, int> sockets;
   ConnectionId last;
--- a/tests/received_bytes_test.cc
+++ b/tests/received_bytes_test.cc
@@ -24,7 +24,14 @@
 
 // One event of a connection.
 struct Event {
-  enum class Kind : std::uint8_t { kOpen, kHold, kEnter, kClose, kTimeOut };
+  enum class Kind : std::uint8_t {
+    kOpen,
+    kHold,
+    kEnter,
+    kClose,
+    kTimeOut,
+    kStall
+  };
   Kind kind = Kind::kOpen;
   ConnectionId id;
   ConnectionStage stage = ConnectionStage::kIdle;
@@ -33,7 +40,7 @@
 
 rc::Gen<Event> AnyEvent() {
   return rc::gen::map(
-      rc::gen::tuple(rc::gen::inRange(0, 5),
+      rc::gen::tuple(rc::gen::inRange(0, 6),
                      rc::gen::inRange<std::uint64_t>(1, kMaxId + 1),
                      rc::gen::inRange(0, 4),
                      rc::gen::inRange<std::int64_t>(0, kMemory / 2)),
@@ -70,6 +77,15 @@
     case Event::Kind::kTimeOut:
       CloseConnection(account, event.id, ClosingReason::kUnfinished);
       break;
+    case Event::Kind::kStall: {
+      const auto closed = CloseStalled(account, event.id.value,
+                                       now - milliseconds(event.size.value));
+      RC_ASSERT(closed.size() <= event.id.value);
+      for (const ConnectionId id : closed) {
+        RC_ASSERT(!account.connections.contains(id));
+      }
+      break;
+    }
   }
   for (const ConnectionId closed : admission.closes) {
     RC_ASSERT(closed != event.id);
