--- a/chicorystep/traffic/http_server.h
+++ b/chicorystep/traffic/http_server.h
@@ -12,6 +12,7 @@
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/core/units.h"
+#include "chicorystep/tables/received_bytes.h"
 
 namespace chicorystep {
 
@@ -31,6 +32,11 @@
   // Maximum size of the request line and all header fields of a request.
   Bytes max_head{32 << 10};
   Bytes max_body{8 << 20};
+  // Limit on the memory of all requests and answers together.
+  Bytes max_received{1 << 30};
+  // Whether connections that stall are closed when others wait for a thread.
+  // Handlers must then begin with `BeginServingRequest`.
+  bool closes_stalled = false;
 };
 
 namespace impl {
@@ -55,6 +61,9 @@
 
   [[nodiscard]] std::uint16_t Port() const noexcept { return this->port; }
 
+  // What the requests and answers of all connections occupy. Thread-safe.
+  [[nodiscard]] ReceivedBytes Received() const;
+
   // Stops accepting connections, closes idle ones, and returns when the
   // exchanges in flight have finished.
   void Stop();
