Stop work for urgent units at once

Cause: urgent units waited for work that was expected to end while they could still be in time.

Change: no unit waits for work to end.

--- a/chicorystep/systems/workflows/preemption/task_preemption.cc
+++ b/chicorystep/systems/workflows/preemption/task_preemption.cc
@@ -42,12 +42,8 @@
   // Work that would have to be repeated, with accelerators counted as
   // `kAcceleratorCores` cores.
   CoreMillis loss;
-  // When the last of the tasks is expected to end by itself.
-  Duration ends_in{};
   // The workspace of urgent work; empty for other work.
   std::optional<Workspace> urgent_of;
-  // Whether it may be stopped for the unit.
-  bool may_yield = false;
 };
 
 // Computes the work that is lost if the task is stopped now. A task that saves
@@ -63,41 +59,6 @@
   return CoreMillis(weight * repeated);
 }
 
-// Estimates how long the task still runs. Callers' estimates are rough, so at
-// least a quarter of the estimate is assumed to be left.
-Duration EstimateRemaining(const TaskPlacementPass& pass,
-                           const StepSpec& spec,
-                           const Task& task) {
-  if (spec.long_running) {
-    return Duration::max();
-  }
-  if (task.state != TaskState::kRunning) {
-    return spec.estimate;
-  }
-  const Duration left =
-      std::max(spec.estimate - (pass.time.now - task.since), spec.estimate / 4);
-  const double speed =
-      task.measured > task.since ? std::max(task.speed, 0.05) : 1.0;
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(left.count()) / speed));
-}
-
-// How long the unit may wait for other work to end by itself and still meet its
-// objective if that work has to be stopped after all. A guaranteed unit must
-// not wait for work that may run longer than expected.
-Duration ComputePatience(const TaskPlacementPass& pass,
-                         const PlacementUnit& unit) {
-  if (unit.guaranteed) {
-    return Duration();
-  }
-  const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
-  const Duration until_deadline =
-      milliseconds((unit.deadline - pass.time.wall).value);
-  return std::max(Duration(), until_deadline - spec.estimate -
-                                  kStartAndReportTime -
-                                  pass.world->self.stop_grace);
-}
-
 // Whether running work may be stopped for the unit, apart from the guarantee of
 // its own workspace.
 bool MayYield(const Workflow& workflow, const PlacementUnit& unit) {
@@ -118,7 +79,7 @@
   const auto& workspaces = pass.world->config->workspaces;
   std::map<Workspace, Accelerators> covered;
   std::erase_if(victims, [&](const Victim& victim) {
-    if (!victim.urgent_of || !victim.may_yield) {
+    if (!victim.urgent_of) {
       return false;
     }
     const auto workspace = workspaces.find(*victim.urgent_of);
@@ -133,21 +94,19 @@
   });
 }
 
-// Finds the work that may be stopped for the unit, and all other work that is
-// expected to end within `patience`.
+// Finds the work that may be stopped for the unit.
 std::vector<Victim> FindVictims(const TaskPlacementPass& pass,
-                                const PlacementUnit& unit,
-                                Duration patience) {
+                                const PlacementUnit& unit) {
   // Candidates have the order of the workers' rows.
   const auto& candidate_by_worker = pass.world->scheduling.workers.index;
   std::vector<Victim> victims;
   for (const WorkflowId& id : pass.world->scheduling.open) {
     Workflow& workflow = *pass.world->workflows.find(id);
-    // A victim of this workflow without tasks.
-    Victim blank{.may_yield = MayYield(workflow, unit)};
-    if (!blank.may_yield && patience == Duration()) {
+    if (!MayYield(workflow, unit)) {
       continue;
     }
+    // A victim of this workflow without tasks.
+    Victim blank;
     if (workflow.terms.priority == unit.workflow->terms.priority) {
       blank.urgent_of = workflow.terms.workspace;
     }
@@ -169,8 +128,6 @@
             TaskKey{id, run.occurrence, run.step, TaskIndex(i)});
         gang.candidates.push_back(candidate->second);
         gang.loss += ComputeLoss(pass, spec, task);
-        gang.ends_in =
-            std::max(gang.ends_in, EstimateRemaining(pass, spec, task));
         if (!spec.gang) {
           victims.push_back(std::exchange(gang, blank));
         }
@@ -183,17 +140,9 @@
   if (unit.guaranteed) {
     SpareGuaranteed(pass, victims);
   }
-  std::erase_if(victims, [patience](const Victim& victim) {
-    return !victim.may_yield && victim.ends_in > patience;
-  });
   return victims;
 }
 
-// Whether the victim is left to end by itself.
-bool IsLeftToEnd(const Victim& victim, Duration patience) {
-  return patience > Duration() && victim.ends_in <= patience;
-}
-
 // A plan's field with the candidate of each of its workers, and the index of
 // each of its victims among all.
 struct FieldOfCandidates {
@@ -202,14 +151,13 @@
   std::vector<std::size_t> victims;
 };
 
-// Makes the field of the candidates at `indices`. What is left to end counts as
-// free. Of a gang that also runs elsewhere, the whole cost counts.
+// Makes the field of the candidates at `indices`. Of a gang that also runs
+// elsewhere, the whole cost counts.
 FieldOfCandidates MakeField(const TaskPlacementPass& pass,
                             const PlacementUnit& unit,
                             const std::vector<Victim>& victims,
                             const std::vector<std::vector<std::size_t>>& there,
-                            const std::vector<std::size_t>& indices,
-                            Duration patience) {
+                            const std::vector<std::size_t>& indices) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
   FieldOfCandidates made;
   // Parts by victim.
@@ -230,10 +178,6 @@
     }
     // A gang with several tasks there is listed several times in a row.
     for (const std::size_t victim : there[index]) {
-      if (IsLeftToEnd(victims[victim], patience)) {
-        room.free = room.free + victims[victim].need;
-        continue;
-      }
       std::vector<VictimPart>& of_victim = parts[victim];
       if (of_victim.empty() ||
           of_victim.back().worker != made.candidates.size()) {
@@ -262,7 +206,6 @@
     const TaskPlacementPass& pass,
     const PlacementUnit& unit,
     const std::vector<Victim>& victims,
-    Duration patience,
     bool one_rack) {
   const StepSpec& spec = unit.workflow->spec.steps[unit.run->step.value];
   const PreemptionWant want{.need = spec.need, .tasks = unit.tasks.size()};
@@ -275,7 +218,7 @@
   std::optional<PreemptionChoice> best;
   const auto consider = [&](const std::vector<std::size_t>& indices) {
     const FieldOfCandidates made =
-        MakeField(pass, unit, victims, there, indices, patience);
+        MakeField(pass, unit, victims, there, indices);
     auto choice = ChooseVictims(made.field, want);
     if (!choice || (best && best->cost <= choice->cost)) {
       return;
@@ -315,9 +258,8 @@
     return true;
   }
   --pass.preemptions_left;
-  const Duration patience = ComputePatience(pass, unit);
-  const std::vector<Victim> victims = FindVictims(pass, unit, patience);
-  const auto choice = ChooseForUnit(pass, unit, victims, patience, one_rack);
+  const std::vector<Victim> victims = FindVictims(pass, unit);
+  const auto choice = ChooseForUnit(pass, unit, victims, one_rack);
   if (!choice) {
     RecordMisfit(pass, unit, requirements);
     return false;
