Correct the comment on preemption

Cause: it still said that work which ends early enough is left to end. Change: the comment follows. Result: comment only; the formatter's check passes over the tree.

--- a/chicorystep/systems/workflows/preemption/task_preemption.h
+++ b/chicorystep/systems/workflows/preemption/task_preemption.h
@@ -5,13 +5,12 @@
 
 namespace chicorystep {
 
-// Stops less urgent work with the least loss and reserves its capacity for the
-// unit. Work that is expected to end by itself early enough is left to end. A
-// unit within its workspace's guarantee waits for no such work, and may also
-// stop equally urgent work that exceeds the guarantees of other workspaces; no
-// other unit stops anything once it cannot be of worth. Returns false, and does
-// nothing, if it turns out that stopping all of it would not free enough
-// capacity.
+// Stops less urgent work with the least loss, also if it is about to end by
+// itself, and reserves its capacity for the unit. A unit within its workspace's
+// guarantee may also stop equally urgent work that exceeds the guarantees of
+// other workspaces; no other unit stops anything once it cannot be of worth.
+// Returns false, and does nothing, if it turns out that stopping all of it
+// would not free enough capacity.
 bool PreemptForUnit(TaskPlacementPass& pass, const PlacementUnit& unit);
 
 }  // namespace chicorystep
