Apply ends in the order of their numbers

Callers could see a task run again after it had succeeded (TWICE): an end counts as applied with all lower numbers, and a report that lists a later end first hid the earlier ones, which were then acknowledged unread.

Cause: the order of the list was taken for granted. The platform's pages leave it open; our stand-ins list the oldest end first.

Change: the ends of a report are sorted before they are applied.

--- a/chicorystep/standin/emulated_worker.cc
+++ b/chicorystep/standin/emulated_worker.cc
@@ -125,6 +125,9 @@
           worker.ended.begin(),
           worker.ended.begin() + std::min(std::ssize(worker.ended),
                                           std::ptrdiff_t{kEndsPerReport}));
+      if (worker.lists_newest_first) {
+        std::reverse(ended.ended.begin(), ended.ended.end());
+      }
       break;
   }
   return ended;
--- a/chicorystep/standin/emulated_worker.h
+++ b/chicorystep/standin/emulated_worker.h
@@ -49,6 +49,9 @@
   double speed = 1.0;
   // Every run fails soon after it has begun to work.
   bool fails_runs = false;
+  // Whether a report lists the newest of its ends first. The platform's pages
+  // leave the order open.
+  bool lists_newest_first = false;
   // Whether an acknowledged number also counts for ends that come later, which
   // the platform's pages leave open.
   bool keeps_acknowledgements = false;
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -155,7 +155,14 @@
   const WorkerId id = hold.worker;
   const EndNumber applied_before =
       world.scheduling.workers.find(id)->applied_ends;
-  for (const EndReport& end : hold.ended) {
+  // An end counts as applied with all lower numbers, and the platform's pages
+  // leave the order of the list open.
+  std::vector<EndReport> ends = hold.ended;
+  std::sort(ends.begin(), ends.end(),
+            [](const EndReport& a, const EndReport& b) {
+              return a.number < b.number;
+            });
+  for (const EndReport& end : ends) {
     TaskWorker* worker = world.scheduling.workers.find(id);
     if (end.number <= worker->applied_ends) {
       continue;
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -94,6 +94,12 @@
   // Processor time that an entry needs to send an order, and again to read its
   // answer. The next tick waits for it.
   Duration order_cost{};
+  // The longest additional time that an order, and again its answer, takes at
+  // random, so that they overtake others.
+  Duration order_jitter{};
+  // Holds per 1000 that are answered before the end of their wait each time
+  // that the worker looks for ends.
+  int early_answers = 0;
   // The most orders that one tick has sent.
   std::size_t most_orders_in_tick = 0;
   std::minstd_rand random{1};
@@ -444,9 +450,14 @@
                : this->order_timeout;
   }
 
-  [[nodiscard]] Duration DistanceTo(const WorkerId& worker) const {
+  [[nodiscard]] Duration DistanceTo(const WorkerId& worker) {
     const auto found = this->distances.find(worker);
-    return found == this->distances.end() ? kLatency : found->second;
+    const Duration distance =
+        found == this->distances.end() ? kLatency : found->second;
+    return this->order_jitter == Duration()
+               ? distance
+               : distance +
+                     Duration(this->random() % this->order_jitter.count());
   }
 
   void SendOrder(Entry& entry, const WorkerOrder& order) {
@@ -547,7 +558,8 @@
     ended.sent = sent;
     const bool waits = order.kind == OrderKind::kHold &&
                        ended.outcome == OrderOutcome::kDone &&
-                       ended.ended.empty() && this->now < until;
+                       ended.ended.empty() && this->now < until &&
+                       !this->DrawChance(this->early_answers);
     if (waits) {
       this->ScheduleAfter(kWorkerStep,
                           [this, &entry, order, sent, lost, incarnation, until,
--- a/tests/support/worker_fleet.h
+++ b/tests/support/worker_fleet.h
@@ -118,6 +118,10 @@
     return found == this->workers.end() ? nullptr : &*found;
   }
 
+  // Whether the end of one member of a gang that succeeds stands for those of
+  // the others, which are not listed.
+  bool lists_one_member_done = false;
+
   // Holds without a wait that workers have executed.
   std::uint64_t holds = 0;
 
@@ -412,6 +416,13 @@
         }
       }
       for (const TaskKey& member : members) {
+        if (how == RunEnd::kDone && this->lists_one_member_done &&
+            member != key) {
+          this->succeeded_tasks.insert(member);
+          worker.barred[member] = run;
+          worker.running.erase(member);
+          continue;
+        }
         const bool same_end = how == RunEnd::kDone || member == key ||
                               (how == RunEnd::kFailed && worker.fails_runs);
         this->FinishRun(worker, member, same_end ? how : RunEnd::kGangBroken);
