Remove parts of earlier progress that a later state no longer has

Callers could see tasks run again after they had succeeded (TWICE), if the holder ended between the record of a wide workflow's end and its announcement, or after a schedule had shrunk.

Cause: progress of more than 1,000 rows is stored in parts, and an append wrote only those that the present state needs. An ended workflow needs one, a schedule whose occurrences have ended fewer than before. The next holder loaded the old parts beside the new one: a state that had been running, and placements whose ends were acknowledged long ago.

Change: a workflow knows how many parts the stream may hold, also after a load; the append removes those that the new state lacks. A load takes the newest state of all parts, so that parts which earlier builds have left do no harm to an end.

--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -174,6 +174,7 @@
   for (Workflow& workflow : world.workflows.rows) {
     workflow.state = workflow.shown;
     workflow.runs.clear();
+    workflow.progress_parts = 0;
   }
   for (const auto& [offset, record] : read.journal) {
     const auto* progress = std::get_if<ProgressRecord>(&record);
@@ -193,9 +194,11 @@
       continue;
     }
     // The state that callers see may be newer than the progress.
-    workflow->state = std::max(progress->state, workflow->shown);
-    workflow->ended_at = progress->ended_at;
+    workflow->state = std::max(progress->state, workflow->state);
+    workflow->ended_at = std::max(workflow->ended_at, progress->ended_at);
     AddProgressPart(workflow->runs, progress->runs);
+    workflow->progress_parts =
+        std::max(workflow->progress_parts, progress->part + 1);
   }
   // Pages of the stream have the order of keys, not that of parts.
   for (Workflow& workflow : world.workflows.rows) {
--- a/chicorystep/systems/workflows/workflow_writes.cc
+++ b/chicorystep/systems/workflows/workflow_writes.cc
@@ -111,9 +111,11 @@
 
 // Queues the removal of all parts of the workflow's progress.
 void RemoveProgress(WorkflowWorld& world, const WorkflowId& id) {
-  const Workflow* workflow = world.workflows.find(id);
+  Workflow* workflow = world.workflows.find(id);
   const std::uint32_t parts =
-      workflow == nullptr ? 1 : CountProgressParts(workflow->runs);
+      workflow == nullptr
+          ? 1
+          : std::max(1U, std::exchange(workflow->progress_parts, 0));
   for (std::uint32_t part = 0; part < parts; ++part) {
     world.scheduling.progress_to_remove.push_back(
         ProgressRemovalRecord{.id = id, .part = part});
@@ -194,6 +196,27 @@
   }
 }
 
+// Adds the workflow's progress to an append, and the removal of the parts that
+// it no longer has: the next holder would take them for the newest state.
+void AddProgress(const Holding& holding,
+                 const WorkflowId& id,
+                 Workflow& workflow,
+                 UnixMillis wall,
+                 std::vector<JournalRecord>& records) {
+  const bool ended = IsTerminal(workflow.state);
+  records.push_back(
+      ProgressRecord{.id = id,
+                     .epoch = holding.own_epoch,
+                     .state = workflow.state,
+                     .ended_at = ended ? wall : UnixMillis{},
+                     .runs = ended ? std::vector<StepRun>() : workflow.runs});
+  const std::uint32_t parts = ended ? 1 : CountProgressParts(workflow.runs);
+  const std::uint32_t before = std::exchange(workflow.progress_parts, parts);
+  for (std::uint32_t part = parts; part < before; ++part) {
+    records.push_back(ProgressRemovalRecord{.id = id, .part = part});
+  }
+}
+
 // Begins an append of progress that has changed. No append of progress is in
 // flight, so every change taken so far is written.
 void WriteProgress(WorkflowWorld& world, const WorkflowTime& time) {
@@ -218,12 +241,7 @@
     for (const StepRun& run : workflow->runs) {
       tasks += std::ssize(run.tasks);
     }
-    records.push_back(ProgressRecord{
-        .id = id,
-        .epoch = world.holding.own_epoch,
-        .state = workflow->state,
-        .ended_at = IsTerminal(workflow->state) ? time.wall : UnixMillis{},
-        .runs = workflow->runs});
+    AddProgress(world.holding, id, *workflow, time.wall, records);
   }
   for (ProgressRemovalRecord& removal :
        std::exchange(scheduling.progress_to_remove, {})) {
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -253,6 +253,8 @@
   std::uint32_t occurrences_begun = 0;
   // An occurrence is due and begins once earlier ones have ended.
   bool occurrences_deferred = false;
+  // The number of parts of its progress that the stream may hold.
+  std::uint32_t progress_parts = 0;
 };
 
 // The records of the journal and of the progress stream.
@@ -311,8 +313,8 @@
 inline constexpr std::size_t kRowsPerProgressPart = 1000;
 
 // The number of parts in which the progress of `runs` is stored. It depends on
-// the number of tasks alone, so each append replaces all earlier parts.
-// Otherwise parts of an older state could remain in the stream.
+// the number of rows alone. An append replaces all earlier parts or removes
+// them, as parts of an older state must not remain in the stream.
 [[nodiscard]] inline std::uint32_t CountProgressParts(
     const std::vector<StepRun>& runs) {
   std::size_t rows = 0;
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -188,6 +188,75 @@
   }
 }
 
+// Progress whose number of parts shrinks, and when the holder is killed.
+struct ShrinkingProgressCase {
+  std::string name;
+  std::uint32_t tasks;
+  std::uint32_t occurrences;
+  // Killed once so few tasks have not succeeded.
+  std::size_t tasks_left;
+};
+
+const std::vector<ShrinkingProgressCase> kShrinkingProgressCases = {
+    {"a wide step, near its end", 1400, 0, 3},
+    {"a wide step, once all tasks have succeeded", 1400, 0, 0},
+    {"occurrences, near the end of the last one", 600, 4, 50},
+    {"occurrences, once all tasks have succeeded", 600, 4, 0},
+};
+
+// Guards against parts of earlier progress that stay in the stream when a
+// later state needs fewer: the next holder runs ended tasks again (TWICE).
+BOOST_AUTO_TEST_CASE(parts_of_earlier_progress_are_removed) {
+  for (const ShrinkingProgressCase& sample : kShrinkingProgressCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(4);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(2500)};
+      what.spec.steps = {StepSpec{
+          .count = sample.tasks,
+          .need = Capacity{Accelerators(0), Millicores(20), Mebibytes(16)},
+          .estimate = milliseconds(2500)}};
+      if (sample.occurrences > 0) {
+        what.spec.occurrences = sample.occurrences;
+        what.spec.first_due =
+            UnixMillis(Emulation::kWallClockStartMs - 100'000);
+        what.spec.interval = milliseconds(10);
+      }
+      const WorkflowId id = Emulation::MakeId(1);
+      run.Submit(0, "bulk", id, what);
+      const std::size_t all = std::size_t{sample.tasks} *
+                              std::max<std::size_t>(1, sample.occurrences);
+      // The end is recorded as progress first, and shown to callers after that.
+      const auto reached = [&] {
+        if (run.succeeded_tasks.size() + sample.tasks_left < all) {
+          return false;
+        }
+        const Workflow* workflow =
+            run.entries[static_cast<std::size_t>(run.Holder())]
+                ->world.workflows.find(id);
+        return sample.tasks_left > 0 ||
+               (IsTerminal(workflow->state) && !workflow->dirty);
+      };
+      BOOST_REQUIRE(run.RunFor(seconds(60), reached));
+      // Long enough for the append that is in flight.
+      run.RunFor(milliseconds(sample.tasks_left > 0 ? 200 : 6));
+      run.KillEntry(run.Holder());
+      BOOST_TEST(
+          run.RunFor(seconds(60), [&] { return run.AllWorkflowsEnded(); }));
+      BOOST_TEST(run.starts == all);
+      BOOST_TEST((run.FindTerminalState(id) == WorkflowState::kSucceeded));
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+      run.RunFor(seconds(5));
+      BOOST_TEST(run.store.progress.newest.size() == 1U);
+    }
+  }
+}
+
 // Tasks that all end while their worker is cut off.
 struct ManyEndsCase {
   std::string name;
