Begin occurrences and tasks as far as they can start

Cause: the bound of 2,000 rows held for each schedule, with nothing over all of them, and every accepted task had a row of 200 bytes from the begin. Each placement pass and each append went through all rows, so processor and memory followed what had been accepted, though at most 256 tasks could run at a time.

Change: due occurrences begin as long as at most 256 tasks over all schedules wait for nothing but a worker, and each schedule may have one occurrence that does. Their rows are bounded by what is placed. A task of a wide step gets its row when it is placed, beyond the first 64 of a step. A pass lists as many tasks of a step as it places. Schedules are kept by due time, so a tick costs nothing for those that are not due.

--- a/chicorystep/encoding/workflow_dump.cc
+++ b/chicorystep/encoding/workflow_dump.cc
@@ -67,6 +67,7 @@
     for (const Task& task : run.tasks) {
       ++counts[static_cast<std::size_t>(task.state)];
     }
+    counts[static_cast<std::size_t>(TaskState::kWaiting)] += run.untouched;
   }
   PlainJson tasks = PlainJson::object();
   for (std::size_t i = 0; i < counts.size(); ++i) {
--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -201,24 +201,31 @@
     others.push_back(std::move(entry));
   }
   const bool has_bitmap = section.is_first && run.done > 0;
-  return {run.occurrence.value, run.step.value, run.tasks.size(),
+  return {run.occurrence.value, run.step.value, CountTasks(run),
           has_bitmap ? EncodeDoneBitmap(run.tasks) : std::string(),
           std::move(others)};
 }
 
 StepRun StepRunFromPlainJson(const PlainJson& json) {
-  StepRun run{.occurrence = Occurrence(json.at(0).get<std::uint32_t>()),
-              .step = StepIndex(json.at(1).get<std::uint32_t>())};
-  run.tasks.resize(ReadTaskCount(json.at(2)));
+  StepRun run = MakeStepRun(Occurrence(json.at(0).get<std::uint32_t>()),
+                            StepIndex(json.at(1).get<std::uint32_t>()),
+                            ReadTaskCount(json.at(2)));
+  const std::uint32_t count = CountTasks(run);
   const auto done = json.at(3).get<std::string>();
-  for (std::size_t i = 0; i < run.tasks.size(); ++i) {
+  const auto in_bitmap =
+      static_cast<std::uint32_t>(std::min<std::size_t>(count, 4 * done.size()));
+  for (std::uint32_t i = 0; i < in_bitmap; ++i) {
     if (IsDoneInBitmap(done, i)) {
-      run.tasks[i].state = TaskState::kDone;
+      AddTaskRow(run, TaskIndex(i)).state = TaskState::kDone;
       ++run.done;
     }
   }
   for (const PlainJson& entry : json.at(4)) {
-    Task& task = run.tasks.at(entry.at(0).get<std::size_t>());
+    const auto index = entry.at(0).get<std::uint32_t>();
+    if (index >= count) {
+      throw std::runtime_error("no such task");
+    }
+    Task& task = AddTaskRow(run, TaskIndex(index));
     task.run = RunNumber(entry.at(1).get<std::uint32_t>());
     task.failures = entry.at(2).get<std::uint32_t>();
     task.worker = WorkerId(entry.at(3).get<std::string>());
--- a/chicorystep/systems/workflows/explain/placement_explanation.cc
+++ b/chicorystep/systems/workflows/explain/placement_explanation.cc
@@ -106,7 +106,7 @@
   const auto kept = TakeReservation(pass, unit);
   if (const auto chosen = SelectCandidates(pass, unit, false)) {
     for (std::size_t i = 0; i < chosen->size(); ++i) {
-      Task& task = unit.run->tasks[unit.tasks[i].value];
+      Task& task = AddTaskRow(*unit.run, unit.tasks[i]);
       task.state = TaskState::kPlaced;
       task.worker = pass.candidates[(*chosen)[i]].worker->listing.id;
       AllocateCapacity(pass, (*chosen)[i], spec.need);
@@ -161,7 +161,7 @@
   }
   StepExplanation explanation{
       .step = run.step,
-      .tasks = run.tasks.size(),
+      .tasks = CountTasks(run),
       .workers = CountWorkers(pass, *first),
       .units_before = static_cast<std::size_t>(first - units.begin()),
       .needs_one_rack = NeedsOneRack(pass, *first)};
--- a/chicorystep/systems/workflows/task_candidates.cc
+++ b/chicorystep/systems/workflows/task_candidates.cc
@@ -33,8 +33,11 @@
 // Since when no task of the unit has run although it is ready, whatever was
 // placed and did not start.
 TimePoint WaitingSince(const PlacementUnit& unit) {
-  return std::max(unit.run->ready_since,
-                  unit.run->tasks[unit.tasks.front().value].last_running);
+  const std::size_t first = unit.tasks.front().value;
+  return first < unit.run->tasks.size()
+             ? std::max(unit.run->ready_since,
+                        unit.run->tasks[first].last_running)
+             : unit.run->ready_since;
 }
 
 // Whether much of the service's accelerators, or of its processors if it has
--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -50,12 +50,14 @@
   // All members of a gang get the same run number.
   std::uint32_t newest = 0;
   for (const TaskIndex index : unit.tasks) {
-    newest = std::max(newest, unit.run->tasks[index.value].run.value);
+    if (index.value < unit.run->tasks.size()) {
+      newest = std::max(newest, unit.run->tasks[index.value].run.value);
+    }
   }
   MarkDirty(*pass.world, unit.id, *unit.workflow);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     CandidateWorker& candidate = pass.candidates[candidates[i]];
-    Task& task = unit.run->tasks[unit.tasks[i].value];
+    Task& task = AddTaskRow(*unit.run, unit.tasks[i]);
     task.state = TaskState::kPlaced;
     task.run = RunNumber((unit.divisible ? task.run.value : newest) + 1);
     task.worker = candidate.worker->listing.id;
@@ -133,6 +135,17 @@
   return placed;
 }
 
+// Lists the tasks of the step run that wait for a worker, up to `most`.
+std::vector<TaskIndex> ListWaitingTasks(const StepRun& run, std::size_t most) {
+  std::vector<TaskIndex> waiting;
+  for (std::uint32_t i = 0; i < CountTasks(run) && waiting.size() < most; ++i) {
+    if (i >= run.tasks.size() || run.tasks[i].state == TaskState::kWaiting) {
+      waiting.push_back(TaskIndex(i));
+    }
+  }
+  return waiting;
+}
+
 void AddUnits(const WorkflowId& id,
               Workflow& workflow,
               StepRun& run,
@@ -155,13 +168,10 @@
                         ? Lateness::kInfeasible
                         : Lateness::kLate;
   }
-  for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
-    if (run.tasks[i].state == TaskState::kWaiting) {
-      unit.tasks.push_back(TaskIndex(i));
-    }
-  }
+  unit.tasks = ListWaitingTasks(
+      run, spec.gang ? CountTasks(run) : kMaxTasksPlacedPerPass);
   if (spec.gang) {
-    if (unit.tasks.size() == run.tasks.size()) {
+    if (unit.tasks.size() == CountTasks(run)) {
       units.push_back(std::move(unit));
     }
     return;
@@ -192,7 +202,7 @@
       continue;
     }
     for (StepRun& run : workflow.runs) {
-      if (run.done < run.tasks.size() && DependenciesMet(workflow, run)) {
+      if (!IsDone(run) && DependenciesMet(workflow, run)) {
         if (run.ready_since == kNever) {
           run.ready_since = time.now;
         }
--- a/chicorystep/systems/workflows/task_status.cc
+++ b/chicorystep/systems/workflows/task_status.cc
@@ -169,19 +169,23 @@
     const bool waiting = task.state == TaskState::kWaiting;
     return std::tuple(waiting == step.gang, task.last_running);
   };
-  const Task* longest = nullptr;
-  for (const Task& task : run.tasks) {
+  // Stands for the tasks that have never been placed.
+  static const Task kUntouched;
+  const Task* longest = run.untouched > 0 ? &kUntouched : nullptr;
+  std::size_t index = run.tasks.size();
+  for (std::size_t i = 0; i < run.tasks.size(); ++i) {
+    const Task& task = run.tasks[i];
     if (task.state != TaskState::kDone && !IsKnownToRun(task, now) &&
         (longest == nullptr || order(task) < order(*longest))) {
       longest = &task;
+      index = i;
     }
   }
   if (longest == nullptr) {
     return std::nullopt;
   }
   StepWait wait{.key = TaskKey{id, run.occurrence, run.step,
-                               TaskIndex(static_cast<std::uint32_t>(
-                                   longest - run.tasks.data()))},
+                               TaskIndex(static_cast<std::uint32_t>(index))},
                 .task = longest,
                 .waited = now - std::max(std::min(run.ready_since, now),
                                          longest->last_running)};
@@ -291,7 +295,7 @@
     }
     const bool stands = !IsAnyTaskRunning(workflow, time.now);
     for (StepRun& run : workflow.runs) {
-      if (run.done == run.tasks.size() || !DependenciesMet(workflow, run)) {
+      if (IsDone(run) || !DependenciesMet(workflow, run)) {
         continue;
       }
       auto wait = FindStepWait(surveys, world, id, workflow, run, time.now);
--- a/chicorystep/systems/workflows/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -19,24 +19,19 @@
 // entries differ. The id is therefore kept longer than callers can query it.
 constexpr Duration kEvictionMargin = std::chrono::seconds(30);
 
-// Occurrences begin only while the rows of those that have begun stay within
-// this number, so that neither a tick nor an append grows with the schedule.
-// One occurrence at a time may be larger.
+// Due occurrences begin as long as no more tasks than this wait for a worker
+// over all schedules, so that rows, ticks and appends follow what can start
+// rather than what is due. A placement pass places as many.
+constexpr std::size_t kMaxStartableTasks = 256;
+// Rows of the open occurrences of all schedules, in addition to a number for
+// each task that is placed. It bounds occurrences with many steps.
 constexpr std::size_t kMaxOccurrenceRows = 2000;
+constexpr std::size_t kOccurrenceRowsPerPlacedTask = 64;
 
 std::uint32_t OccurrenceCount(const WorkflowSpec& spec) {
   return std::max<std::uint32_t>(1, spec.occurrences);
 }
 
-// When occurrence `index` may begin; workflows without a schedule may begin at
-// once.
-UnixMillis DueAt(const WorkflowSpec& spec, std::uint32_t index) {
-  if (spec.occurrences == 0) {
-    return UnixMillis();
-  }
-  return spec.first_due + UnixMillis(WholeMillis(spec.interval) * index);
-}
-
 // Drops the occurrences that have ended, but for the newest, which tells the
 // next holder how many have begun.
 void DropEndedOccurrences(Workflow& workflow) {
@@ -50,10 +45,8 @@
     const auto end = std::find_if(begin, runs.end(), [&](const StepRun& run) {
       return run.occurrence != begin->occurrence;
     });
-    const bool ended = begin->occurrence != newest &&
-                       std::all_of(begin, end, [](const StepRun& run) {
-                         return run.done == run.tasks.size();
-                       });
+    const bool ended =
+        begin->occurrence != newest && std::all_of(begin, end, IsDone);
     if (!ended) {
       kept = kept == begin ? end : std::move(begin, end, kept);
     }
@@ -62,34 +55,65 @@
   runs.erase(kept, runs.end());
 }
 
+// What the open occurrences of a workflow amount to.
+struct OpenOccurrences {
+  // Step runs and tasks, whether these have a row of their own or not.
+  std::size_t rows = 0;
+  std::size_t placed_tasks = 0;
+  // Tasks that wait for a worker and for nothing else.
+  std::size_t startable_tasks = 0;
+};
+
+OpenOccurrences CountOpenOccurrences(const Workflow& workflow) {
+  OpenOccurrences open;
+  for (const StepRun& run : workflow.runs) {
+    open.rows += 1 + CountTasks(run);
+    if (IsDone(run)) {
+      continue;
+    }
+    std::size_t placed = 0;
+    for (const Task& task : run.tasks) {
+      placed += HoldsCapacity(task.state) ? 1 : 0;
+    }
+    open.placed_tasks += placed;
+    if (DependenciesMet(workflow, run)) {
+      open.startable_tasks += CountTasks(run) - run.done - placed;
+    }
+  }
+  return open;
+}
+
 // Whether another occurrence may begin beside those that have not ended.
-bool HasRoomForOccurrence(const Workflow& workflow) {
-  std::size_t one = 0;
-  for (const StepSpec& step : workflow.spec.steps) {
-    one += 1 + step.count;
+// `sharing` schedules share what may begin over all of them. Each may have one
+// occurrence that waits for workers, whatever the others have.
+bool HasRoomForOccurrence(const Workflow& workflow, std::size_t sharing) {
+  if (std::all_of(workflow.runs.begin(), workflow.runs.end(), IsDone)) {
+    return true;
   }
-  std::size_t open = 0;
-  bool any_open = false;
-  for (const StepRun& run : workflow.runs) {
-    open += 1 + run.tasks.size();
-    any_open = any_open || run.done < run.tasks.size();
+  std::size_t rows = 0;
+  std::size_t startable = 0;
+  for (const StepSpec& step : workflow.spec.steps) {
+    rows += 1 + step.count;
+    startable += step.depends_on.empty() ? step.count : 0;
   }
-  return !any_open || open + one <= kMaxOccurrenceRows;
+  const OpenOccurrences open = CountOpenOccurrences(workflow);
+  return (open.startable_tasks == 0 ||
+          open.startable_tasks + startable <= kMaxStartableTasks / sharing) &&
+         open.rows + rows <=
+             kMaxOccurrenceRows / sharing +
+                 kOccurrenceRowsPerPlacedTask * open.placed_tasks;
 }
 
 void BeginOccurrences(WorkflowWorld& world,
                       const WorkflowId& id,
                       Workflow& workflow,
+                      std::size_t sharing,
                       const WorkflowTime& time) {
   if (workflow.spec.occurrences > 0) {
     DropEndedOccurrences(workflow);
   }
-  workflow.occurrences_deferred = false;
-  while (IsOccurrenceDue(workflow, time.wall)) {
-    if (!HasRoomForOccurrence(workflow)) {
-      workflow.occurrences_deferred = true;
-      return;
-    }
+  while (IsOccurrenceDue(workflow, time.wall) &&
+         HasRoomForOccurrence(workflow, sharing)) {
     const Occurrence occurrence = AddStepRuns(workflow);
     world.scheduling.placement_due = true;
     if (workflow.spec.occurrences > 0) {
@@ -121,9 +145,7 @@
 
 bool AllDone(const Workflow& workflow) {
   return workflow.occurrences_begun == OccurrenceCount(workflow.spec) &&
-         std::all_of(
-             workflow.runs.begin(), workflow.runs.end(),
-             [](const StepRun& run) { return run.done == run.tasks.size(); });
+         std::all_of(workflow.runs.begin(), workflow.runs.end(), IsDone);
 }
 
 void End(WorkflowWorld& world,
@@ -145,6 +167,7 @@
 void Advance(WorkflowWorld& world,
              const WorkflowId& id,
              Workflow& workflow,
+             std::size_t sharing,
              const WorkflowTime& time) {
   workflow.attempts_exhausted = HasExhaustedAttempts(workflow);
   if (workflow.cancel_requested || workflow.attempts_exhausted) {
@@ -159,7 +182,7 @@
     }
     return;
   }
-  BeginOccurrences(world, id, workflow, time);
+  BeginOccurrences(world, id, workflow, sharing, time);
   if (AllDone(workflow)) {
     End(world, id, workflow, WorkflowState::kSucceeded, time);
   }
@@ -167,30 +190,81 @@
 
 // Queues the workflows with an occurrence that has become due.
 void QueueDueOccurrences(WorkflowWorld& world, const WorkflowTime& time) {
-  for (const WorkflowId& id : world.scheduling.scheduled) {
-    Workflow* workflow = world.workflows.find(id);
-    if (!workflow->occurrences_deferred &&
-        DueAt(workflow->spec, workflow->occurrences_begun) <= time.wall) {
+  Scheduling& scheduling = world.scheduling;
+  while (!scheduling.scheduled.empty() &&
+         scheduling.scheduled.begin()->first <= time.wall) {
+    const auto next =
+        scheduling.scheduled.extract(scheduling.scheduled.begin());
+    const WorkflowId& id = next.value().second;
+    if (Workflow* workflow = world.workflows.find(id);
+        workflow != nullptr && scheduling.open.contains(id)) {
+      scheduling.deferred.insert(id);
       QueueAdvance(world, id, *workflow);
     }
   }
 }
 
+// Notes which of the workflows to be advanced have occurrences that are due, so
+// that they share what may begin.
+void NoteDueOccurrences(WorkflowWorld& world, const WorkflowTime& time) {
+  Scheduling& scheduling = world.scheduling;
+  for (const WorkflowId& id : scheduling.to_advance) {
+    const Workflow* workflow = world.workflows.find(id);
+    if (workflow != nullptr && workflow->spec.occurrences > 0 &&
+        scheduling.open.contains(id) && IsOccurrenceDue(*workflow, time.wall)) {
+      scheduling.deferred.insert(id);
+    }
+  }
+}
+
+// Notes when the workflow's next occurrence begins: when it is due, or, if it
+// is due already, as earlier ones go on.
+void ScheduleNextOccurrence(Scheduling& scheduling,
+                            const WorkflowId& id,
+                            const Workflow& workflow,
+                            const WorkflowTime& time) {
+  scheduling.deferred.erase(id);
+  if (workflow.occurrences_begun == OccurrenceCount(workflow.spec)) {
+    return;
+  }
+  if (IsOccurrenceDue(workflow, time.wall)) {
+    scheduling.deferred.insert(id);
+  } else {
+    scheduling.scheduled.emplace(
+        DueAt(workflow.spec, Occurrence(workflow.occurrences_begun)), id);
+  }
+}
+
+// Forgets the next occurrence of a workflow that ends.
+void CancelNextOccurrence(Scheduling& scheduling,
+                          const WorkflowId& id,
+                          const Workflow& workflow) {
+  scheduling.deferred.erase(id);
+  scheduling.scheduled.erase(
+      {DueAt(workflow.spec, Occurrence(workflow.occurrences_begun)), id});
+}
+
 }  // namespace
 
+UnixMillis DueAt(const WorkflowSpec& spec, Occurrence occurrence) {
+  return spec.occurrences == 0
+             ? UnixMillis()
+             : spec.first_due +
+                   UnixMillis(WholeMillis(spec.interval) * occurrence.value);
+}
+
 Occurrence AddStepRuns(Workflow& workflow) {
   const Occurrence occurrence(workflow.occurrences_begun++);
   for (std::uint32_t i = 0; i < workflow.spec.steps.size(); ++i) {
-    StepRun run{.occurrence = occurrence, .step = StepIndex(i)};
-    run.tasks.resize(workflow.spec.steps[i].count);
-    workflow.runs.push_back(std::move(run));
+    workflow.runs.push_back(
+        MakeStepRun(occurrence, StepIndex(i), workflow.spec.steps[i].count));
   }
   return occurrence;
 }
 
 bool IsOccurrenceDue(const Workflow& workflow, UnixMillis now) {
   return workflow.occurrences_begun < OccurrenceCount(workflow.spec) &&
-         DueAt(workflow.spec, workflow.occurrences_begun) <= now;
+         DueAt(workflow.spec, Occurrence(workflow.occurrences_begun)) <= now;
 }
 
 void AdvanceWorkflows(WorkflowWorld& world, const WorkflowTime& time) {
@@ -199,6 +273,9 @@
   }
   Scheduling& scheduling = world.scheduling;
   QueueDueOccurrences(world, time);
+  NoteDueOccurrences(world, time);
+  const std::size_t sharing =
+      std::max<std::size_t>(1, scheduling.deferred.size());
   for (const WorkflowId& id : std::exchange(scheduling.to_advance, {})) {
     Workflow* workflow = world.workflows.find(id);
     if (workflow == nullptr) {
@@ -208,14 +285,12 @@
     if (!scheduling.open.contains(id)) {
       continue;
     }
-    Advance(world, id, *workflow, time);
+    Advance(world, id, *workflow, sharing, time);
     if (IsTerminal(workflow->state)) {
       scheduling.open.erase(id);
-      scheduling.scheduled.erase(id);
-    } else if (workflow->occurrences_begun < OccurrenceCount(workflow->spec)) {
-      scheduling.scheduled.insert(id);
+      CancelNextOccurrence(scheduling, id, *workflow);
     } else {
-      scheduling.scheduled.erase(id);
+      ScheduleNextOccurrence(scheduling, id, *workflow, time);
     }
   }
 }
@@ -251,20 +326,14 @@
 
 TimePoint NextOccurrenceDue(const WorkflowWorld& world,
                             const WorkflowTime& time) {
-  TimePoint due = kNever;
   if (!world.scheduling.to_advance.empty()) {
     return time.now;
   }
-  for (const WorkflowId& id : world.scheduling.scheduled) {
-    const Workflow* workflow = world.workflows.find(id);
-    if (workflow->occurrences_deferred) {
-      continue;
-    }
-    const UnixMillis at = DueAt(workflow->spec, workflow->occurrences_begun);
-    due = std::min(
-        due, time.now + std::chrono::milliseconds(at.value - time.wall.value));
-  }
-  return due;
+  const auto& scheduled = world.scheduling.scheduled;
+  return scheduled.empty()
+             ? kNever
+             : time.now + std::chrono::milliseconds(
+                              scheduled.begin()->first.value - time.wall.value);
 }
 
 }  // namespace chicorystep
--- a/chicorystep/systems/workflows/workflow_progress.h
+++ b/chicorystep/systems/workflows/workflow_progress.h
@@ -5,6 +5,9 @@
 
 namespace chicorystep {
 
+// When an occurrence may begin; workflows without a schedule may begin at once.
+[[nodiscard]] UnixMillis DueAt(const WorkflowSpec& spec, Occurrence occurrence);
+
 // Adds the runs of all steps for the workflow's next occurrence, which begins.
 // Returns its number.
 Occurrence AddStepRuns(Workflow& workflow);
--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -133,7 +133,7 @@
   return std::all_of(
       record.runs.begin(), record.runs.end(), [&](const StepRun& run) {
         return run.step.value < spec.steps.size() &&
-               run.tasks.size() == spec.steps[run.step.value].count;
+               CountTasks(run) == spec.steps[run.step.value].count;
       });
 }
 
@@ -154,10 +154,10 @@
       runs.push_back(added);
       continue;
     }
-    for (std::size_t i = 0; i < added.tasks.size(); ++i) {
+    for (std::uint32_t i = 0; i < added.tasks.size(); ++i) {
       if (added.tasks[i].state != TaskState::kWaiting ||
           !added.tasks[i].run.empty()) {
-        run->tasks[i] = added.tasks[i];
+        AddTaskRow(*run, TaskIndex(i)) = added.tasks[i];
       }
     }
     run->done += added.done;
--- a/chicorystep/systems/workflows/workflow_tables.cc
+++ b/chicorystep/systems/workflows/workflow_tables.cc
@@ -170,7 +170,7 @@
   return std::all_of(
       spec.depends_on.begin(), spec.depends_on.end(), [&](StepIndex needed) {
         const StepRun* other = FindStepRun(workflow, run.occurrence, needed);
-        return other != nullptr && other->done == other->tasks.size();
+        return other != nullptr && IsDone(*other);
       });
 }
 
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -6,8 +6,10 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "chicorystep/core/ids.h"
@@ -439,8 +441,10 @@
   std::uint32_t fence_raises = 0;
   // Workflows that have not ended.
   std::unordered_set<WorkflowId> open;
-  // Open workflows with occurrences that are not due yet.
-  std::unordered_set<WorkflowId> scheduled;
+  // Open workflows with an occurrence that is not due yet, by its due time.
+  std::set<std::pair<UnixMillis, WorkflowId>> scheduled;
+  // Open workflows with occurrences that are due and wait for earlier ones.
+  std::unordered_set<WorkflowId> deferred;
   // Open workflows that were accepted, cancelled or changed since they were
   // last advanced.
   std::vector<WorkflowId> to_advance;
--- a/chicorystep/tables/workflows.h
+++ b/chicorystep/tables/workflows.h
@@ -182,7 +182,11 @@
 struct StepRun {
   Occurrence occurrence;
   StepIndex step;
+  // The first tasks of the step. A task of a wide step gets its row when it is
+  // placed, so that the rows follow what runs rather than what was accepted.
   std::vector<Task> tasks;
+  // The number of tasks after these, none of which has been placed yet.
+  std::uint32_t untouched = 0;
   std::uint32_t done = 0;
   // The kind that its tasks belong to, once it was needed; not recorded.
   KindNumber kind;
@@ -194,6 +198,40 @@
   Duration logged_waited{};
 };
 
+// Tasks of a step run that have a row from the begin.
+inline constexpr std::uint32_t kInitialTaskRows = 64;
+
+// Returns the run of a step of `tasks` tasks, none of which has been placed.
+[[nodiscard]] inline StepRun MakeStepRun(Occurrence occurrence,
+                                         StepIndex step,
+                                         std::uint32_t tasks) {
+  const std::uint32_t rows = std::min(tasks, kInitialTaskRows);
+  return StepRun{.occurrence = occurrence,
+                 .step = step,
+                 .tasks = std::vector<Task>(rows),
+                 .untouched = tasks - rows};
+}
+
+// The number of tasks of the step, with or without a row.
+[[nodiscard]] inline std::uint32_t CountTasks(const StepRun& run) noexcept {
+  return static_cast<std::uint32_t>(run.tasks.size()) + run.untouched;
+}
+
+[[nodiscard]] inline bool IsDone(const StepRun& run) noexcept {
+  return run.done == CountTasks(run);
+}
+
+// Returns the task's row, which is added if it has none. `index` must be less
+// than CountTasks(run).
+inline Task& AddTaskRow(StepRun& run, TaskIndex index) {
+  if (const std::size_t rows = std::size_t{index.value} + 1;
+      rows > run.tasks.size()) {
+    run.untouched -= static_cast<std::uint32_t>(rows - run.tasks.size());
+    run.tasks.resize(rows);
+  }
+  return run.tasks[index.value];
+}
+
 // The terms that a workflow takes from its route. They are recorded with its
 // acceptance, so that a later change or removal of the route does not affect
 // it.
@@ -251,8 +289,6 @@
   WorkflowState announced = WorkflowState::kQueued;
   // Occurrences whose steps have been added to `runs`.
   std::uint32_t occurrences_begun = 0;
-  // An occurrence is due and begins once earlier ones have ended.
-  bool occurrences_deferred = false;
   // The number of parts of its progress that the stream may hold.
   std::uint32_t progress_parts = 0;
 };
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -188,6 +188,105 @@
   }
 }
 
+// Rows of step runs and tasks that the holder has in memory, and the tasks of
+// these that are placed.
+struct HeldRows {
+  std::size_t rows = 0;
+  std::size_t placed = 0;
+};
+
+HeldRows CountHeldRows(const Emulation& run) {
+  HeldRows held;
+  if (run.Holder() < 0) {
+    return held;
+  }
+  const auto& world =
+      run.entries[static_cast<std::size_t>(run.Holder())]->world;
+  for (const Workflow& workflow : world.workflows.rows) {
+    for (const StepRun& step : workflow.runs) {
+      held.rows += 1 + step.tasks.size();
+      held.placed += static_cast<std::size_t>(std::count_if(
+          step.tasks.begin(), step.tasks.end(),
+          [](const Task& task) { return HoldsCapacity(task.state); }));
+    }
+  }
+  return held;
+}
+
+// Schedules whose occurrences are all due when they are submitted.
+struct ManySchedulesCase {
+  std::string name;
+  int schedules;
+  // Tasks of each of the two steps of an occurrence.
+  std::uint32_t tasks;
+  bool kill_holder;
+};
+
+const std::vector<ManySchedulesCase> kManySchedulesCases = {
+    {"one", 1, 1, false},
+    {"thirty", 30, 1, false},
+    {"hundreds", 300, 1, false},
+    {"hundreds, and the holder is killed while they run", 300, 1, true},
+    {"occurrences of thousands of tasks", 30, 5000, false},
+    {"the same, and the holder is killed while they run", 30, 5000, true},
+};
+
+// Pattern: many schedules that begin far in the past. Guards against memory and
+// ticks that follow what is due rather than what can start (review/7).
+BOOST_AUTO_TEST_CASE(schedules_share_what_can_start) {
+  constexpr int kWorkers = 16;
+  constexpr std::size_t kSlots = 8 * kWorkers;
+  // An occurrence that runs and one that waits, of each schedule, and a few for
+  // each task that can run.
+  constexpr std::size_t kRowsPerSchedule = 2 * 2 * (1 + kInitialTaskRows);
+  constexpr std::size_t kRowsPerSlot = 20;
+  for (const ManySchedulesCase& sample : kManySchedulesCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddWorkers(kWorkers);
+      run.AddEntries(3);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      Emulation::Submitted what{.work = milliseconds(200)};
+      what.spec.steps = {MakeStep(sample.tasks, 1), MakeStep(sample.tasks, 1)};
+      what.spec.steps[1].depends_on = {StepIndex(0)};
+      what.spec.occurrences = 20'000;
+      what.spec.first_due =
+          UnixMillis(Emulation::kWallClockStartMs - 20'000'000);
+      what.spec.interval = seconds(1);
+      for (int i = 1; i <= sample.schedules; ++i) {
+        run.Submit(i % 3, "bulk", Emulation::MakeId(i), what);
+      }
+      std::size_t most_rows = 0;
+      std::size_t most_placed = 0;
+      const auto observe = [&] {
+        const HeldRows held = CountHeldRows(run);
+        most_rows = std::max(most_rows, held.rows);
+        most_placed = std::max(most_placed, held.placed);
+        return false;
+      };
+      if (sample.kill_holder) {
+        run.RunFor(seconds(4), observe);
+        run.KillEntry(run.Holder());
+      }
+      run.RunFor(seconds(12), observe);
+      const std::size_t per_schedule =
+          std::min<std::size_t>(kRowsPerSchedule, 4 * (1 + sample.tasks));
+      BOOST_TEST(most_rows <=
+                 static_cast<std::size_t>(sample.schedules) * per_schedule +
+                     kSlots * kRowsPerSlot);
+      BOOST_TEST(most_placed == kSlots);
+      for (const std::string& violation : run.violations) {
+        BOOST_ERROR(violation);
+      }
+      BOOST_TEST_MESSAGE(sample.name << ": " << most_rows << " rows, "
+                                     << run.starts << " starts, "
+                                     << run.store.progress.records.size()
+                                     << " records of progress");
+    }
+  }
+}
+
 // Progress whose number of parts shrinks, and when the holder is killed.
 struct ShrinkingProgressCase {
   std::string name;
