Count an occurrence's objective from its due time

Of thirty schedules with equal due times the first by id got all starts, the others none, while the service was full; and an occurrence of a schedule that was accepted long ago came after all other work.

Cause: the deadline of an occurrence was counted from the acceptance of its schedule. All occurrences of a schedule thus had one deadline, counted as hopeless soon after the acceptance, and were ordered by the schedule's id.

Result: task_placement_test occurrences_are_placed_by_their_own_due_time failed before and passes; in workflow_volume_test schedules_share_what_can_start every one of 30 and of 300 schedules gets starts, before one did.

--- a/chicorystep/systems/workflows/task_placement.cc
+++ b/chicorystep/systems/workflows/task_placement.cc
@@ -13,6 +13,7 @@
 #include "chicorystep/systems/workflows/preemption/unit_reservations.h"
 #include "chicorystep/systems/workflows/task_candidates.h"
 #include "chicorystep/systems/workflows/task_worker_clock.h"
+#include "chicorystep/systems/workflows/workflow_progress.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
@@ -161,7 +162,10 @@
                   Duration(static_cast<Duration::rep>(
                       workflow.terms.stretch *
                       static_cast<double>(workflow.critical_path.count()))));
-  unit.deadline = workflow.accepted + UnixMillis(allowance);
+  const UnixMillis begin = workflow.spec.occurrences == 0
+                               ? workflow.accepted
+                               : DueAt(workflow.spec, run.occurrence);
+  unit.deadline = begin + UnixMillis(allowance);
   const UnixMillis end = time.wall + UnixMillis(WholeMillis(spec.estimate));
   if (end > unit.deadline) {
     unit.lateness = end > unit.deadline + UnixMillis(2 * allowance)
--- a/tests/task_placement_test.cc
+++ b/tests/task_placement_test.cc
@@ -628,5 +628,50 @@
   }
 }
 
+// An occurrence of a schedule that was accepted an hour ago, and a workflow
+// without a schedule, for which there is room for one task in all.
+struct OccurrenceOrderCase {
+  std::string name;
+  // Before now.
+  Duration due;
+  Duration other_accepted;
+  bool occurrence_first;
+};
+
+const std::vector<OccurrenceOrderCase> kOccurrenceOrderCases = {
+    {"due before the other was accepted", milliseconds(500), milliseconds(10),
+     true},
+    {"due after the other was accepted", milliseconds(10), milliseconds(500),
+     false},
+    {"overdue beyond its objective", seconds(100), milliseconds(10), false},
+};
+
+// Guards against an occurrence that comes after all other work because its
+// schedule was accepted long ago, and against one of several schedules that is
+// served alone (issue 52, measured with thirty schedules).
+BOOST_AUTO_TEST_CASE(occurrences_are_placed_by_their_own_due_time) {
+  for (const OccurrenceOrderCase& sample : kOccurrenceOrderCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld(1, 1);
+      const WorkflowId scheduled = AddWorkflow(world, 1, 2, MakeStep(1, 8));
+      const WorkflowId other = AddWorkflow(world, 2, 2, MakeStep(1, 8));
+      Workflow& schedule = *world.workflows.find(scheduled);
+      schedule.accepted = kNow.wall - UnixMillis(3'600'000);
+      schedule.spec.occurrences = 1000;
+      schedule.spec.interval = seconds(100);
+      schedule.runs[0].occurrence = Occurrence(36);
+      schedule.spec.first_due = kNow.wall - UnixMillis(3'600'000) -
+                                UnixMillis(WholeMillis(sample.due));
+      world.workflows.find(other)->accepted =
+          kNow.wall - UnixMillis(WholeMillis(sample.other_accepted));
+      RunPlacement(world, kNow);
+      BOOST_TEST(CountTasks(world, scheduled, TaskState::kPlaced) ==
+                 (sample.occurrence_first ? 1U : 0U));
+      BOOST_TEST(CountTasks(world, other, TaskState::kPlaced) ==
+                 (sample.occurrence_first ? 0U : 1U));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -232,7 +232,8 @@
 };
 
 // Pattern: many schedules that begin far in the past. Guards against memory and
-// ticks that follow what is due rather than what can start (review/7).
+// ticks that follow what is due rather than what can start (review/7), and
+// against one of several equal schedules that gets all workers.
 BOOST_AUTO_TEST_CASE(schedules_share_what_can_start) {
   constexpr int kWorkers = 16;
   constexpr std::size_t kSlots = 8 * kWorkers;
@@ -276,6 +277,14 @@
                  static_cast<std::size_t>(sample.schedules) * per_schedule +
                      kSlots * kRowsPerSlot);
       BOOST_TEST(most_placed == kSlots);
+      // Every schedule has been served, unless the others need all workers.
+      std::map<WorkflowId, std::size_t> ends;
+      for (const TaskKey& task : run.succeeded_tasks) {
+        ++ends[task.workflow];
+      }
+      if (sample.tasks == 1) {
+        BOOST_TEST(ends.size() == static_cast<std::size_t>(sample.schedules));
+      }
       for (const std::string& violation : run.violations) {
         BOOST_ERROR(violation);
       }
