Start gangs in time whatever the way to their workers

Cause: the number of orders in flight to a worker followed from its tasks alone, up to 32, and a gang was packed without regard to how many members a worker can start before the first ones have waited for the gang time-out.

Change: the holder measures how long each worker takes to answer. A worker is given at most as many members as it can start in half of the time-out, less the orders that are queued there; the others go elsewhere. After 2 s the gang is placed wherever it fits, since the time is an estimate. A gang that waits for this has waits_for=gang_starts.

No gang starts twice.

--- a/chicorystep/systems/workflows/explain/placement_explanation.cc
+++ b/chicorystep/systems/workflows/explain/placement_explanation.cc
@@ -28,6 +28,7 @@
                     .rack = worker.rack,
                     .free = worker.free,
                     .fenced = worker.fenced,
+                    .order_time = worker.order_time,
                     .answer_deadline = worker.answer_deadline,
                     .unanswered_holds = worker.unanswered_holds,
                     .recorded_unresponsive = worker.recorded_unresponsive,
--- a/chicorystep/systems/workflows/task_candidates.cc
+++ b/chicorystep/systems/workflows/task_candidates.cc
@@ -6,6 +6,7 @@
 
 #include "chicorystep/systems/workflows/interference/preference.h"
 #include "chicorystep/systems/workflows/interference/task_kinds.h"
+#include "chicorystep/systems/workflows/task_orders.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
@@ -21,6 +22,10 @@
 // seconds after its acceptance, and may still have to wait 0.9 s for stops and
 // 0.8 s for the records and starts of its tasks.
 constexpr Duration kGuaranteedSameRackTimeout = std::chrono::milliseconds(1200);
+// How long a gang waits for workers on which all its members can start before
+// those that come first have waited for the gang time-out. After that it is
+// placed wherever it fits, as the time of an order is only an estimate.
+constexpr Duration kLimitedStartsTimeout = std::chrono::seconds(2);
 // A service is busy while more than this share of it is in use, in percent. It
 // is above the half below which a workflow must not stand still, since
 // placements that have not started count as in use here.
@@ -40,6 +45,13 @@
              : unit.run->ready_since;
 }
 
+// Whether the unit's workers take no more of its members than can start there
+// in time.
+bool LimitsStarts(const TaskPlacementPass& pass, const PlacementUnit& unit) {
+  return unit.workflow->spec.steps[unit.run->step.value].gang &&
+         pass.time.now - WaitingSince(unit) < kLimitedStartsTimeout;
+}
+
 // Whether much of the service's accelerators, or of its processors if it has
 // none, is in use.
 bool IsBusy(TaskPlacementPass& pass, const Service& service) {
@@ -135,6 +147,7 @@
   const std::map<WorkerId, std::uint32_t> tasks_there =
       spec.max_per_worker > 0 ? CountTasksByWorker(unit)
                               : std::map<WorkerId, std::uint32_t>();
+  const bool limits_starts = LimitsStarts(pass, unit);
   std::vector<Bin> usable;
   for (const std::size_t index : indices) {
     const CandidateWorker& candidate = pass.candidates[index];
@@ -148,6 +161,10 @@
       max_tasks = std::min(max_tasks, spec.max_per_worker -
                                           std::min(there, spec.max_per_worker));
     }
+    if (limits_starts) {
+      max_tasks = static_cast<std::uint32_t>(std::min<std::size_t>(
+          max_tasks, CountGangStarts(pass.world->self, *candidate.worker)));
+    }
     const Capacity free =
         include_stopping ? candidate.free_after_stops
                          : Min(candidate.free_now, candidate.free_after_stops);
@@ -487,10 +504,11 @@
     return std::nullopt;
   }
   const bool one_rack = NeedsOneRack(pass, unit);
-  const FitRequirements requirements =
+  FitRequirements requirements =
       MakeRequirements(unit, one_rack,
                        include_stopping ? AvailableCapacity::kFreeAfterStops
                                         : AvailableCapacity::kFreeNow);
+  requirements.limited_starts = LimitsStarts(pass, unit);
   if (IsKnownMisfit(pass, requirements,
                     unit.divisible ? 1 : unit.tasks.size())) {
     return std::nullopt;
--- a/chicorystep/systems/workflows/task_candidates.h
+++ b/chicorystep/systems/workflows/task_candidates.h
@@ -69,6 +69,8 @@
   Capacity need;
   // The tasks must fit within one rack.
   bool one_rack = false;
+  // Workers take no more members of a gang than can start there in time.
+  bool limited_starts = false;
   AvailableCapacity available = AvailableCapacity::kFreeNow;
   // Set for work within its workspace's guarantee when capacity is freed by
   // preemption: it may then also stop urgent work of other workspaces.
--- a/chicorystep/systems/workflows/task_orders.cc
+++ b/chicorystep/systems/workflows/task_orders.cc
@@ -44,14 +44,20 @@
 // Healthy workers answer within this time beyond the hold's wait. No task is
 // placed on a worker that takes longer until it answers.
 constexpr Duration kHoldAnswerTimeout = milliseconds(700);
-// Concurrent orders per worker, each on its own connection. The members of a
-// gang wait for the one that starts last.
-constexpr std::size_t kOrdersInFlight = 8;
-// A worker with many tasks gets more, so that a gang of hundreds that is placed
-// there is started within the gang time-out even if each order takes as long as
-// the way between two regions and back.
-constexpr std::size_t kTasksPerOrderInFlight = 16;
-constexpr std::size_t kMaxOrdersInFlight = 32;
+// Concurrent orders per worker, each on its own connection, of which workers
+// accept 64. A worker gets more than the least number if its tasks would
+// otherwise take longer to start than the members of a gang wait.
+constexpr std::size_t kMinOrdersInFlight = 8;
+constexpr std::size_t kMaxOrdersInFlight = 48;
+// Assumed for a worker that has not answered yet: the way between two regions
+// and back.
+constexpr Duration kUnknownOrderTime = milliseconds(60);
+// The part of the gang time-out in which all tasks of a worker can be started.
+// The rest allows for the record of the placement, for repeated starts and for
+// the other workers of a gang, whose first members start earlier.
+constexpr int kGangTimeoutPerStartTime = 3;
+// The same for the number of members that a worker is given.
+constexpr int kGangTimeoutPerMostStartTime = 2;
 // Orders that one tick may send; the rest follows in the next ticks. Each costs
 // the traffic thread a connection or a write, and an append that follows must
 // not wait for thousands of them.
@@ -153,10 +159,20 @@
   outbox.orders.push_back(std::move(hold));
 }
 
+// How many orders can follow one another on one connection to the worker
+// within `time`; at least one.
+std::size_t CountRounds(const TaskWorker& worker, Duration time) {
+  const Duration order_time =
+      worker.order_time == Duration() ? kUnknownOrderTime : worker.order_time;
+  return static_cast<std::size_t>(std::max<std::int64_t>(1, time / order_time));
+}
+
 // The number of orders that may be in flight to the worker.
-std::size_t OrderWindow(const TaskWorker& worker) {
-  return std::clamp(worker.tasks.size() / kTasksPerOrderInFlight,
-                    kOrdersInFlight, kMaxOrdersInFlight);
+std::size_t OrderWindow(const WorkflowSelf& self, const TaskWorker& worker) {
+  const std::size_t rounds =
+      CountRounds(worker, self.gang_timeout / kGangTimeoutPerStartTime);
+  return std::clamp((worker.tasks.size() + rounds - 1) / rounds,
+                    kMinOrdersInFlight, kMaxOrdersInFlight);
 }
 
 // Whether starts may be sent to the worker now. A worker that is recorded as
@@ -174,7 +190,7 @@
                 TimePoint now,
                 WorkflowOutbox& outbox) {
   std::deque<WorkerOrder> deferred;
-  const std::size_t window = OrderWindow(worker);
+  const std::size_t window = OrderWindow(world.self, worker);
   const bool may_start = MaySendStarts(world, worker);
   while (!worker.orders.empty()) {
     WorkerOrder order = std::move(worker.orders.front());
@@ -255,6 +271,16 @@
 
 }  // namespace
 
+std::size_t CountGangStarts(const WorkflowSelf& self,
+                            const TaskWorker& worker) {
+  const std::size_t most =
+      kMaxOrdersInFlight *
+      CountRounds(worker, self.gang_timeout / kGangTimeoutPerMostStartTime);
+  const std::size_t ordered =
+      worker.orders.size() + worker.orders_in_flight.size();
+  return most - std::min(most, ordered);
+}
+
 void SendOrders(WorkflowWorld& world, TimePoint now, WorkflowOutbox& outbox) {
   if (!world.holding.may_order) {
     return;
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -353,6 +353,21 @@
   }
 }
 
+// Measures how long the worker takes to answer. Only the first hold to an
+// incarnation is sent without a wait for certain.
+void MeasureOrderTime(TaskWorker& worker, const OrderResult& result) {
+  constexpr int kWeightOfEarlier = 3;
+  const bool waits = result.kind == OrderKind::kHold && worker.fenced;
+  if (waits || !result.clock || result.answered < result.sent) {
+    return;
+  }
+  const Duration newest = std::max(Duration(1), result.answered - result.sent);
+  worker.order_time = worker.order_time == Duration()
+                          ? newest
+                          : (worker.order_time * kWeightOfEarlier + newest) /
+                                (kWeightOfEarlier + 1);
+}
+
 // Whether an answer reads an earlier time on the worker's clock than the
 // incarnation in the table can read, so that a later one has given it.
 bool ReadsRestartedClock(const TaskWorker& worker, const OrderResult& result) {
@@ -573,6 +588,7 @@
       // may be that of the earlier incarnation, whose clock is another.
       continue;
     }
+    MeasureOrderTime(*worker, result);
     if (ReadsRestartedClock(*worker, result)) {
       AskForIncarnation(world, *worker, time.now);
     } else {
--- a/chicorystep/systems/workflows/task_status.cc
+++ b/chicorystep/systems/workflows/task_status.cc
@@ -9,6 +9,7 @@
 
 #include "chicorystep/core/logging.h"
 #include "chicorystep/systems/workflows/task_candidates.h"
+#include "chicorystep/systems/workflows/task_orders.h"
 #include "chicorystep/systems/workflows/workflow_tables.h"
 
 namespace chicorystep {
@@ -33,21 +34,26 @@
   // Tasks for which usable workers have room, and for which others have it.
   std::size_t room = 0;
   std::size_t unusable_room = 0;
+  // Members of one gang that can start on usable workers in time.
+  std::size_t gang_starts = 0;
   // Workers with room on which nothing is placed now, by the reason.
   std::array<std::size_t, kEnumNames<WorkerRejection>.size()> rejected{};
 };
 
-// Room of one worker is counted up to this number of tasks.
-constexpr std::size_t kMaxCountedFits = 64;
-
-// The number of tasks of size `need` that fit in `free`, up to a limit.
-std::size_t CountFits(Capacity free, const Capacity& need) {
-  std::size_t fits = 0;
-  while (fits < kMaxCountedFits && Holds(free, need)) {
-    free = free - need;
-    ++fits;
-  }
-  return fits;
+// The number of tasks of size `need` that fit in `free`, up to `most`.
+std::size_t CountFits(const Capacity& free,
+                      const Capacity& need,
+                      std::size_t most) {
+  const auto limit = [&](std::int64_t available, std::int64_t each) {
+    if (each > 0) {
+      most = std::min(most, static_cast<std::size_t>(
+                                std::max<std::int64_t>(0, available / each)));
+    }
+  };
+  limit(free.accelerators.value, need.accelerators.value);
+  limit(free.processors.value, need.processors.value);
+  limit(free.memory.value, need.memory.value);
+  return Holds(free, need) ? most : 0;
 }
 
 // The surveys of one observation. Steps with the same requirements share one,
@@ -80,13 +86,15 @@
       continue;
     }
     ++survey.large_enough;
-    const std::size_t fits = CountFits(worker.free, step.need);
+    const std::size_t fits =
+        CountFits(worker.free, step.need, std::max(step.count, 1U));
     if (fits == 0) {
       continue;
     }
     const WorkerRejection rejection = FindRejection(world, worker, now);
     if (rejection == WorkerRejection::kNone) {
       survey.room += fits;
+      survey.gang_starts += std::min(fits, CountGangStarts(world.self, worker));
     } else {
       survey.unusable_room += fits;
       ++survey.rejected[static_cast<std::size_t>(rejection)];
@@ -110,6 +118,9 @@
                ? WaitReason::kUsableWorker
                : WaitReason::kFreeCapacity;
   }
+  if (step.gang && survey.gang_starts < wanted) {
+    return WaitReason::kGangStarts;
+  }
   if (step.max_per_worker > 0) {
     return WaitReason::kSpread;
   }
--- a/chicorystep/tables/task_waits.h
+++ b/chicorystep/tables/task_waits.h
@@ -58,6 +58,9 @@
   kUsableWorker,
   // A gang that runs slower across racks fits, but in no single rack.
   kOneRack,
+  // A gang fits, but on workers on which its members cannot all start before
+  // the first ones have waited too long for the others.
+  kGangStarts,
   // There is room, but the workers that have it run enough tasks of the step.
   kSpread,
   // There is room, but it is kept for other work, or the next placement pass is
@@ -88,6 +91,7 @@
     std::string_view("room"),
     std::string_view("usable_worker"),
     std::string_view("one_rack"),
+    std::string_view("gang_starts"),
     std::string_view("max_per_worker"),
     std::string_view("reservation"),
     std::string_view("gang_members"),
--- a/chicorystep/tables/task_workers.h
+++ b/chicorystep/tables/task_workers.h
@@ -210,6 +210,9 @@
   std::map<TaskKey, OrderKind> orders_in_flight;
   // Orders that have not been sent yet.
   std::deque<WorkerOrder> orders;
+  // Running average of the time from an order to its answer, without the wait
+  // of a hold; zero as long as no answer has come.
+  Duration order_time{};
   TimePoint next_hold{};
   // When the newest hold was sent.
   TimePoint hold_sent = kDistantPast;
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -44,6 +44,8 @@
   Duration status_retention = std::chrono::seconds(120);
   // Time that a run has to end after a stop order.
   Duration stop_grace = std::chrono::milliseconds(900);
+  // How long a worker keeps a member of a gang that waits for the others.
+  Duration gang_timeout = std::chrono::milliseconds(3000);
   // Upper bound on the time that a process takes to shut down.
   Duration stop_timeout = std::chrono::seconds(6);
   // Processor cores that this process may use; below 1 for a part of one core.
--- a/tests/workflow_load_test.cc
+++ b/tests/workflow_load_test.cc
@@ -123,18 +123,47 @@
   }
 }
 
-// A gang of small tasks that all fit on one worker.
+// Gangs of small tasks, hundreds of which fit on one worker.
 struct WideGangCase {
   std::string name;
   std::uint32_t members;
-  // How long an order to the worker takes each way.
-  Duration distance;
+  // How long an order to each worker takes one way.
+  std::vector<Duration> distances;
+  int gangs = 1;
+  // Before the gangs are submitted, so that distant workers can be used, too.
+  Duration settles{};
+  // Processor time of one order and of one answer.
+  Duration order_cost = std::chrono::microseconds(100);
+  Duration ends_within = seconds(8);
 };
 
+constexpr Duration kNear = milliseconds(4);
+constexpr Duration kOtherRegion = milliseconds(30);
+constexpr Duration kFar = milliseconds(100);
+// Each order takes half a second.
+constexpr Duration kSlow = milliseconds(250);
+
 const std::vector<WideGangCase> kWideGangCases = {
-    {"a near worker", 480, milliseconds(4)},
-    {"a worker in another region", 480, milliseconds(30)},
-    {"a smaller gang in another region", 200, milliseconds(30)},
+    {"a near worker", 480, {kNear}},
+    {"a worker in another region", 480, {kOtherRegion}},
+    {"a smaller gang in another region", 200, {kOtherRegion}},
+    {"as wide as a worker holds, in another region", 640, {kOtherRegion}},
+    {"a longer way", 480, {kFar}},
+    {"a slow worker beside a near one", 480, {kSlow, kNear}, 1, seconds(1)},
+    {"slow workers beside a near one",
+     480,
+     {kSlow, kSlow, kNear},
+     1,
+     seconds(1)},
+    {"the widest gang over distant workers", 1024, {kFar, kFar, kFar}},
+    {"gangs that start on the same workers", 240, {kFar, kFar, kFar, kFar}, 6},
+    {"the same on an eighth of a core",
+     240,
+     {kOtherRegion, kOtherRegion, kOtherRegion, kOtherRegion},
+     6,
+     Duration(),
+     std::chrono::microseconds(400)},
+    {"a slow worker alone, which can start a part in time", 160, {kSlow}},
 };
 
 // Pattern: the members that start first wait for the last one until the worker
@@ -143,21 +172,29 @@
   for (const WideGangCase& sample : kWideGangCases) {
     BOOST_TEST_CONTEXT(sample.name) {
       Emulation run;
-      run.order_cost = std::chrono::microseconds(100);
+      run.order_cost = sample.order_cost;
       run.store.configs.push_back(Emulation::MakeConfig(1));
-      run.AddWorkers(1);
-      run.distances[run.workers.front().listing.id] = sample.distance;
+      run.AddWorkers(static_cast<int>(sample.distances.size()));
+      for (std::size_t i = 0; i < sample.distances.size(); ++i) {
+        run.distances[run.workers[i].listing.id] = sample.distances[i];
+      }
       run.AddEntries(2);
       BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      run.RunFor(sample.settles);
       Emulation::Submitted gang{.work = milliseconds(500)};
       gang.spec.steps = {StepSpec{
           .count = sample.members,
           .need = Capacity{Accelerators(0), Millicores(50), Mebibytes(64)},
           .estimate = milliseconds(500),
           .gang = true}};
-      run.Submit(0, "normal", Emulation::MakeId(1), gang);
-      BOOST_TEST(
-          run.RunFor(seconds(8), [&] { return run.AllWorkflowsEnded(); }));
+      for (int i = 1; i <= sample.gangs; ++i) {
+        run.Submit(0, "normal", Emulation::MakeId(i), gang);
+      }
+      BOOST_TEST(run.RunFor(sample.ends_within,
+                            [&] { return run.AllWorkflowsEnded(); }));
+      // No gang has to start again.
+      BOOST_TEST(run.starts ==
+                 static_cast<std::uint64_t>(sample.gangs) * sample.members);
       for (const std::string& violation : run.violations) {
         BOOST_ERROR(violation);
       }
