Count the open occurrences of a schedule once in a tick

Cause: each occurrence that began counted the rows of all open ones again, which a schedule with hundreds of them does in one tick. Change: counted once, then added up. workflow_volume_test prints the bytes of progress for each start.

--- a/chicorystep/systems/workflows/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -55,26 +55,28 @@
   runs.erase(kept, runs.end());
 }
 
-// What the open occurrences of a workflow amount to.
-struct OpenOccurrences {
+// What the open occurrences of a workflow, or one that may begin, amount to.
+struct OccurrenceLoad {
   // Step runs and tasks, whether these have a row of their own or not.
   std::size_t rows = 0;
   std::size_t placed_tasks = 0;
   // Tasks that wait for a worker and for nothing else.
   std::size_t startable_tasks = 0;
+  // Step runs with tasks that have not succeeded.
+  std::size_t open_runs = 0;
 };
 
-OpenOccurrences CountOpenOccurrences(const Workflow& workflow) {
-  OpenOccurrences open;
+OccurrenceLoad CountOpenOccurrences(const Workflow& workflow) {
+  OccurrenceLoad open;
   for (const StepRun& run : workflow.runs) {
     open.rows += 1 + CountTasks(run);
     if (IsDone(run)) {
       continue;
     }
-    std::size_t placed = 0;
-    for (const Task& task : run.tasks) {
-      placed += HoldsCapacity(task.state) ? 1 : 0;
-    }
+    ++open.open_runs;
+    const auto placed = static_cast<std::size_t>(std::count_if(
+        run.tasks.begin(), run.tasks.end(),
+        [](const Task& task) { return HoldsCapacity(task.state); }));
     open.placed_tasks += placed;
     if (DependenciesMet(workflow, run)) {
       open.startable_tasks += CountTasks(run) - run.done - placed;
@@ -83,25 +85,31 @@
   return open;
 }
 
-// Whether another occurrence may begin beside those that have not ended.
+// What one occurrence amounts to when it begins.
+OccurrenceLoad CountNewOccurrence(const WorkflowSpec& spec) {
+  OccurrenceLoad one{.open_runs = spec.steps.size()};
+  for (const StepSpec& step : spec.steps) {
+    one.rows += 1 + step.count;
+    one.startable_tasks += step.depends_on.empty() ? step.count : 0;
+  }
+  return one;
+}
+
+// Whether an occurrence may begin beside the open ones of its schedule.
 // `sharing` schedules share what may begin over all of them. Each may have one
 // occurrence that waits for workers, whatever the others have.
-bool HasRoomForOccurrence(const Workflow& workflow, std::size_t sharing) {
-  if (std::all_of(workflow.runs.begin(), workflow.runs.end(), IsDone)) {
+bool HasRoomForOccurrence(const OccurrenceLoad& open,
+                          const OccurrenceLoad& one,
+                          std::size_t sharing) {
+  if (open.open_runs == 0) {
     return true;
   }
-  std::size_t rows = 0;
-  std::size_t startable = 0;
-  for (const StepSpec& step : workflow.spec.steps) {
-    rows += 1 + step.count;
-    startable += step.depends_on.empty() ? step.count : 0;
-  }
-  const OpenOccurrences open = CountOpenOccurrences(workflow);
-  return (open.startable_tasks == 0 ||
-          open.startable_tasks + startable <= kMaxStartableTasks / sharing) &&
-         open.rows + rows <=
-             kMaxOccurrenceRows / sharing +
-                 kOccurrenceRowsPerPlacedTask * open.placed_tasks;
+  const bool may_wait =
+      open.startable_tasks == 0 || open.startable_tasks + one.startable_tasks <=
+                                       kMaxStartableTasks / sharing;
+  return may_wait && open.rows + one.rows <=
+                         kMaxOccurrenceRows / sharing +
+                             kOccurrenceRowsPerPlacedTask * open.placed_tasks;
 }
 
 void BeginOccurrences(WorkflowWorld& world,
@@ -112,9 +120,17 @@
   if (workflow.spec.occurrences > 0) {
     DropEndedOccurrences(workflow);
   }
+  if (!IsOccurrenceDue(workflow, time.wall)) {
+    return;
+  }
+  OccurrenceLoad open = CountOpenOccurrences(workflow);
+  const OccurrenceLoad one = CountNewOccurrence(workflow.spec);
   while (IsOccurrenceDue(workflow, time.wall) &&
-         HasRoomForOccurrence(workflow, sharing)) {
+         HasRoomForOccurrence(open, one, sharing)) {
     const Occurrence occurrence = AddStepRuns(workflow);
+    open.rows += one.rows;
+    open.startable_tasks += one.startable_tasks;
+    open.open_runs += one.open_runs;
     world.scheduling.placement_due = true;
     if (workflow.spec.occurrences > 0) {
       Log(LogLevel::kInfo, "occurrence_due",
--- a/tests/workflow_volume_test.cc
+++ b/tests/workflow_volume_test.cc
@@ -288,10 +288,14 @@
       for (const std::string& violation : run.violations) {
         BOOST_ERROR(violation);
       }
+      std::size_t bytes = 0;
+      for (const KeyedValue& record : run.store.progress.records) {
+        bytes += record.key.size() + (record.value ? record.value->size() : 0);
+      }
       BOOST_TEST_MESSAGE(sample.name << ": " << most_rows << " rows, "
                                      << run.starts << " starts, "
-                                     << run.store.progress.records.size()
-                                     << " records of progress");
+                                     << bytes / run.starts
+                                     << " bytes of progress for each");
     }
   }
 }
