--- a/chicorystep/systems/workflows/task_status.cc
+++ b/chicorystep/systems/workflows/task_status.cc
@@ -181,8 +181,8 @@
     return std::tuple(waiting == step.gang, task.last_running);
   };
   // Stands for the tasks that have never been placed.
-  static const Task kUntouched;
-  const Task* longest = run.untouched > 0 ? &kUntouched : nullptr;
+  static const Task untouched;
+  const Task* longest = run.untouched > 0 ? &untouched : nullptr;
   std::size_t index = run.tasks.size();
   for (std::size_t i = 0; i < run.tasks.size(); ++i) {
     const Task& task = run.tasks[i];
