Defer only schedules

Cause: ScheduleNextOccurrence also noted workflows without a schedule as deferred, which would make the schedules share what may begin with them. A workflow without a schedule begins all at once and ends as soon as it is cancelled before, so no case that reaches this is known.

Change: only workflows with a schedule are noted.

Measured: workflow_load_test, workflow_volume_test and schedules_test pass.

--- a/chicorystep/systems/workflows/workflow_progress.cc
+++ b/chicorystep/systems/workflows/workflow_progress.cc
@@ -240,7 +240,8 @@
                             const Workflow& workflow,
                             const WorkflowTime& time) {
   scheduling.deferred.erase(id);
-  if (workflow.occurrences_begun == OccurrenceCount(workflow.spec)) {
+  if (workflow.spec.occurrences == 0 ||
+      workflow.occurrences_begun == workflow.spec.occurrences) {
     return;
   }
   if (IsOccurrenceDue(workflow, time.wall)) {
