Wait longer for reads that fail over a full link

The logs show it: 3,147 reads that failed again, all with received_bytes=0 and took_ms=1200, from the kill to the end.

Change: a read's time-out until its answer begins, counted from when its connection is open, doubles with each failure, up to 4.8 s; connections still have to open within 1.2 s, so a path that is cut is found as early as before. Reads of the configuration keep 1.2 s: they are short and show early that the store answers again. The decision is the system's (ReadStream.answer_timeout).

Measured: workflow_streams_test entries_that_restart_together_load_the_journal (30 entries on a shared link) without the change: not loaded after 200 s where the link needs 2.4 s or 4 s; with it 6.3 s and 7.9 s. platform_slow_link_test reads_wait_as_long_as_asked_for_their_answer is new.

--- a/chicorystep/systems/workflows/workflow_streams.cc
+++ b/chicorystep/systems/workflows/workflow_streams.cc
@@ -31,6 +31,8 @@
 constexpr Duration kWorkersPeriod = milliseconds(700);
 constexpr Duration kRetryDelayUnit = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(800);
+// The longest time-out until the answer to a read begins.
+constexpr Duration kMaxReadTimeout = 4 * kReadTimeout;
 
 void ApplyConfig(WorkflowWorld& world, const WorkflowConfig& config) {
   if (world.config && world.config->version >= config.version) {
@@ -304,6 +306,18 @@
   return false;
 }
 
+// How long to wait for the answer to the next read of the stream. Long answers
+// to many entries at once, after a restart or an outage, may fill the link
+// between two regions for several time-outs. Reads that gave up and began again
+// would then keep it full for good, so each waits longer than the one before.
+// The configuration is short and shows early that the store answers again.
+Duration AnswerTimeout(FollowedStream stream, const StreamPosition& position) {
+  return stream == FollowedStream::kConfig
+             ? kReadTimeout
+             : std::min(kMaxReadTimeout,
+                        kReadTimeout * (1 << std::min(position.failures, 4U)));
+}
+
 // After a longer gap between two successful reads, the holder's time-out
 // restarts, because the holder may have been unable to write in the same
 // period.
@@ -473,7 +487,9 @@
     if (position.read_in_flight || now < position.next_read) {
       continue;
     }
-    ReadStream read{.stream = stream, .from = position.next};
+    ReadStream read{.stream = stream,
+                    .from = position.next,
+                    .answer_timeout = AnswerTimeout(stream, position)};
     if (position.failures > 0) {
       // A read that waits for a record would confirm late that the store
       // answers again.
--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -188,11 +188,19 @@
 
 // A request to read one stream. When `from` is empty, the newest record of each
 // key is read.
+// Time-out of a request to read, in addition to its own wait. A slow store takes
+// a few hundred milliseconds; a longer gap usually means that the connection is
+// dead.
+inline constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
+
 struct ReadStream {
   FollowedStream stream = FollowedStream::kConfig;
   std::optional<Offset> from;
   // How long the platform may hold the read until a record is written.
   Duration wait{};
+  // Time-out of each of its requests in addition to `wait`, from the moment
+  // that a connection to the store is open until the answer begins.
+  Duration answer_timeout = kReadTimeout;
 };
 
 // The kinds of append that a process writes. Each has its own lane.
--- a/tests/platform_slow_link_test.cc
+++ b/tests/platform_slow_link_test.cc
@@ -95,6 +95,8 @@
       context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   BodyBuilder build_body = LogPage;
   std::size_t stall_after_bytes = std::string::npos;
+  // How long an answer takes to begin.
+  Duration delay{};
   HttpClient client{context};
   Store store{.client = &client};
 
@@ -131,7 +133,11 @@
                 connection->answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
                                      std::to_string(body.size()) + "\r\n\r\n" +
                                      body;
-                this->SendWindow(connection);
+                connection->timer.expires_after(this->delay);
+                connection->timer.async_wait(
+                    [this, connection](const std::error_code&) {
+                      this->SendWindow(connection);
+                    });
               });
           this->Accept();
         });
@@ -161,10 +167,13 @@
         });
   }
 
-  StreamRead Read(std::optional<Offset> from) {
+  StreamRead Read(std::optional<Offset> from,
+                  Duration answer_timeout = kReadTimeout) {
     std::optional<StreamRead> got;
     CarryOutRead(this->store,
-                 ReadStream{.stream = FollowedStream::kJournal, .from = from},
+                 ReadStream{.stream = FollowedStream::kJournal,
+                            .from = from,
+                            .answer_timeout = answer_timeout},
                  [&](const StreamRead& read) { got = read; });
     while (!got) {
       this->context.run_one();
@@ -215,5 +224,33 @@
   }
 }
 
+// A read whose answer begins late, and whether it succeeds.
+struct LateCase {
+  std::string name;
+  std::optional<Offset> from;
+  Duration answer_timeout;
+  bool ok;
+};
+
+const std::vector<LateCase> kLateCases = {
+    {"a load with the shortest time-out", {}, kReadTimeout, false},
+    {"a load with a longer one", {}, 2 * kReadTimeout, true},
+    {"a read with the shortest time-out", Offset(0), kReadTimeout, false},
+    {"a read with a longer one", Offset(0), 2 * kReadTimeout, true},
+};
+
+// Guards against reads that end before their own time-out on a link which
+// many answers fill (coeurs-armor-grown at 300 machines, no requests served).
+BOOST_AUTO_TEST_CASE(reads_wait_as_long_as_asked_for_their_answer) {
+  for (const LateCase& sample : kLateCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      SlowStore slow;
+      slow.build_body = sample.from ? LargestRecord : NewestPage;
+      slow.delay = kReadTimeout + milliseconds(500);
+      BOOST_TEST(slow.Read(sample.from, sample.answer_timeout).ok == sample.ok);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicorystep::platform
--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -71,6 +71,18 @@
   std::map<WorkerId, Duration> distances;
   // Whether the store serves the stream of progress, while it is up.
   bool progress_up = true;
+  // What the link that all entries share carries from the store in a second; no
+  // limit if zero. The answers to reads share it equally, and each arrives as a
+  // whole.
+  Bytes link_per_second;
+  struct Transfer {
+    Entry* entry = nullptr;
+    std::uint64_t incarnation = 0;
+    StreamRead read;
+    Bytes left;
+    TimePoint deadline{};
+  };
+  std::vector<Transfer> transfers;
   // Whether the store answers every append with 503, while it serves reads.
   bool rejects_appends = false;
   std::vector<std::unique_ptr<Entry>> entries;
@@ -282,6 +294,7 @@
       }
       if (this->now >= this->next_step) {
         this->StepWorkers();
+        this->StepLink();
         this->CheckStandstill();
         this->next_step = this->now + kWorkerStep;
       }
@@ -409,11 +422,45 @@
     }
     result.began = began;
     entry.received += result.received;
+    if (result.ok && this->link_per_second != Bytes()) {
+      const TimePoint deadline = began + read.wait + read.answer_timeout;
+      this->transfers.push_back(Transfer{.entry = &entry,
+                                         .incarnation = incarnation,
+                                         .read = std::move(result),
+                                         .left = result.received,
+                                         .deadline = deadline});
+      return;
+    }
     this->DeliverToEntry(
         entry, incarnation, result.ok ? kLatency : Duration(milliseconds(900)),
         [result](WorkflowInbox& inbox) { inbox.reads.push_back(result); });
   }
 
+  // Carries the answers on the link further. Those that nobody awaits any more
+  // are dropped.
+  void StepLink() {
+    const std::int64_t share =
+        this->link_per_second.value * kWorkerStep.count() /
+        Duration(seconds(1)).count() /
+        std::max<std::int64_t>(1, std::ssize(this->transfers));
+    std::erase_if(this->transfers, [&](Transfer& transfer) {
+      transfer.left -= Bytes(share);
+      const bool arrived = transfer.left <= Bytes();
+      if (!arrived && this->now < transfer.deadline) {
+        return false;
+      }
+      if (!arrived) {
+        transfer.read = StreamRead{.stream = transfer.read.stream,
+                                   .began = transfer.read.began};
+      }
+      this->DeliverToEntry(*transfer.entry, transfer.incarnation, Duration(),
+                           [read = transfer.read](WorkflowInbox& inbox) {
+                             inbox.reads.push_back(read);
+                           });
+      return true;
+    });
+  }
+
   void SendAppend(Entry& entry, const AppendJournal& append) {
     const bool served =
         this->progress_up || append.lane != AppendLane::kProgress;
--- a/tests/workflow_streams_test.cc
+++ b/tests/workflow_streams_test.cc
@@ -316,6 +316,57 @@
   }
 }
 
+// How long the link to the store needs for the journal if all entries load it.
+struct CommonLoadCase {
+  std::string name;
+  Duration time;
+};
+
+const std::vector<CommonLoadCase> kCommonLoadCases = {
+    {"within a time-out", milliseconds(600)},
+    {"twice a time-out", 2 * kReadTimeout},
+    {"over three time-outs", 3 * kReadTimeout + milliseconds(400)},
+};
+
+// Guards against entries that restart together and fill the link to the store
+// for good with reads that time out and begin again (coeurs-armor-grown at 300
+// machines, 60% of the entries killed: no requests served any more).
+BOOST_AUTO_TEST_CASE(entries_that_restart_together_load_the_journal) {
+  for (const CommonLoadCase& sample : kCommonLoadCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      constexpr int kEntries = 30;
+      Emulation run;
+      run.store.configs.push_back(Emulation::MakeConfig(1));
+      run.AddEntries(kEntries);
+      BOOST_REQUIRE(run.RunFor(seconds(5), [&] { return run.Holder() >= 0; }));
+      for (int number = 1; number <= 100; ++number) {
+        Emulation::Submitted what;
+        what.spec.payload = std::string(2000, 'p');
+        what.spec.steps = {MakeStep(1, 1)};
+        run.Submit(number % kEntries, "bulk", Emulation::MakeId(number), what);
+      }
+      run.RunFor(seconds(1));
+      const Bytes journal =
+          Read(run.store, ReadStream{.stream = FollowedStream::kJournal}, false)
+              ->received;
+      BOOST_REQUIRE(journal.value > 200'000);
+      run.link_per_second =
+          Bytes(kEntries * journal.value * 1000 / WholeMillis(sample.time));
+      for (int i = 0; i < kEntries; ++i) {
+        run.KillEntry(i);
+        run.StartEntry(i);
+      }
+      BOOST_TEST(run.RunFor(seconds(10), [&] {
+        return std::all_of(
+            run.entries.begin(), run.entries.end(), [&](const auto& entry) {
+              return IsFresh(entry->world, FollowedStream::kJournal, seconds(5),
+                             run.now);
+            });
+      }));
+    }
+  }
+}
+
 // Reads of the list of workers by a new holder, whether each contains all
 // workers, and how many workers the holder lists afterwards.
 struct ListCase {
