--- a/tests/support/emulation.h
+++ b/tests/support/emulation.h
@@ -426,7 +426,7 @@
       const TimePoint deadline = began + read.wait + read.answer_timeout;
       this->transfers.push_back(Transfer{.entry = &entry,
                                          .incarnation = incarnation,
-                                         .read = std::move(result),
+                                         .read = result,
                                          .left = result.received,
                                          .deadline = deadline});
       return;
