--- a/chicorystep/tables/workflow_world.h
+++ b/chicorystep/tables/workflow_world.h
@@ -188,9 +188,9 @@
 
 // A request to read one stream. When `from` is empty, the newest record of each
 // key is read.
-// Time-out of a request to read, in addition to its own wait. A slow store takes
-// a few hundred milliseconds; a longer gap usually means that the connection is
-// dead.
+// Time-out of a request to read, in addition to its own wait. A slow store
+// takes a few hundred milliseconds; a longer gap usually means that the
+// connection is dead.
 inline constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
 
 struct ReadStream {
