Count a success of any run of a task

Cause: ApplyEnd dropped, and acknowledged, an end as done unless the tables placed that very run on the reporting worker; a run whose start was carried out late, or that was given up while its worker was cut off, has none. Change: such an end makes the task done, which is recorded before the end is acknowledged, and a later run is stopped.

--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -68,8 +68,47 @@
          ref.task->run == end.run && ref.task->worker == worker.listing.id;
 }
 
-// Applies the end of a run. Ignored unless the tables place that run on this
-// worker.
+// Marks the task as done, and the rest of its gang if it belongs to one: a gang
+// has succeeded when one of its members has.
+void MarkSucceeded(WorkflowWorld& world,
+                   const TaskKey& key,
+                   const TaskRef& ref) {
+  for (std::uint32_t i = 0; i < ref.run->tasks.size(); ++i) {
+    Task& member = ref.run->tasks[i];
+    if ((&member != ref.task && !ref.spec->gang) ||
+        member.state == TaskState::kDone) {
+      continue;
+    }
+    TaskKey member_key = key;
+    member_key.task = TaskIndex(i);
+    ReleaseCapacity(world, member_key, *ref.spec, member);
+    member.state = TaskState::kDone;
+    member.order_pending = false;
+    ++ref.run->done;
+  }
+  MarkDirty(world, key.workflow, *ref.workflow);
+}
+
+// Applies an end that the tables do not place on the worker which reports it:
+// of a run that was given up, or of one whose start was carried out late. The
+// task has nevertheless run if the end is a success, so it is not started again
+// and its newest run is stopped.
+void ApplyUnplacedEnd(WorkflowWorld& world,
+                      TaskWorker& worker,
+                      const EndReport& end,
+                      const TaskRef& ref,
+                      TimePoint now) {
+  LogUnplacedEnd(worker, end, ref);
+  worker.unplaced_end = end.number;
+  if (!ref || ref.task->state == TaskState::kDone || end.end != RunEnd::kDone ||
+      ref.spec->long_running) {
+    return;
+  }
+  StopRun(world, end.task, ref, now);
+  MarkSucceeded(world, end.task, ref);
+}
+
+// Applies the end of a run.
 void ApplyEnd(WorkflowWorld& world,
               TaskWorker& worker,
               const EndReport& end,
@@ -78,8 +117,7 @@
   if (!ref || ref.task->run != end.run || !HoldsCapacity(ref.task->state) ||
       ref.task->worker != worker.listing.id) {
     if (!EndsSucceededMember(worker, end, ref)) {
-      LogUnplacedEnd(worker, end, ref);
-      worker.unplaced_end = end.number;
+      ApplyUnplacedEnd(world, worker, end, ref, now);
     }
     return;
   }
@@ -104,24 +142,11 @@
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
-  MarkDirty(world, end.task.workflow, *ref.workflow);
   if (end.end == RunEnd::kDone && !ref.spec->long_running) {
-    // A gang has succeeded when one of its members has.
-    for (std::uint32_t i = 0; i < ref.run->tasks.size(); ++i) {
-      Task& member = ref.run->tasks[i];
-      if ((&member != &task && !ref.spec->gang) ||
-          member.state == TaskState::kDone) {
-        continue;
-      }
-      TaskKey key = end.task;
-      key.task = TaskIndex(i);
-      ReleaseCapacity(world, key, *ref.spec, member);
-      member.state = TaskState::kDone;
-      member.order_pending = false;
-      ++ref.run->done;
-    }
+    MarkSucceeded(world, end.task, ref);
     return;
   }
+  MarkDirty(world, end.task.workflow, *ref.workflow);
   const bool new_failure =
       end.end == RunEnd::kFailed && task.failed_run != end.run;
   if (new_failure) {
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -406,6 +406,70 @@
   }
 }
 
+// What the tables have of a task whose earlier run ended as done on a worker
+// that they no longer place it on, and what becomes of its newest run.
+struct EarlierSuccessCase {
+  std::string name;
+  TaskState state;
+  RunNumber ended;
+  RunEnd end;
+  TaskState after;
+  bool stopped;
+};
+
+const std::vector<EarlierSuccessCase> kEarlierSuccessCases = {
+    {"waiting", TaskState::kWaiting, RunNumber(2), RunEnd::kDone,
+     TaskState::kDone, false},
+    {"waiting, the newest run given up", TaskState::kWaiting, kRun,
+     RunEnd::kDone, TaskState::kDone, false},
+    {"placed", TaskState::kPlaced, RunNumber(2), RunEnd::kDone,
+     TaskState::kDone, false},
+    {"starting", TaskState::kStarting, RunNumber(2), RunEnd::kDone,
+     TaskState::kDone, true},
+    {"running", TaskState::kRunning, RunNumber(2), RunEnd::kDone,
+     TaskState::kDone, true},
+    {"running, the earlier run stopped", TaskState::kRunning, RunNumber(2),
+     RunEnd::kStopped, TaskState::kRunning, false},
+};
+
+// Guards against a task that is started again after an earlier run of it, whose
+// start was carried out late, has ended as done (soak seed 63039).
+BOOST_AUTO_TEST_CASE(a_task_is_done_once_any_run_of_it_is) {
+  for (const EarlierSuccessCase& sample : kEarlierSuccessCases) {
+    BOOST_TEST_CONTEXT(sample.name) {
+      WorkflowWorld world = MakeWorld();
+      TaskWorker other = world.scheduling.workers.rows.front();
+      other.listing.id = WorkerId("w1");
+      other.tasks.clear();
+      world.scheduling.workers.insert(other.listing.id, other);
+      Workflow& workflow = *world.workflows.find(kTask.workflow);
+      workflow.runs[0].tasks[0].state = sample.state;
+      if (!HoldsCapacity(sample.state)) {
+        world.scheduling.workers.find(kWorker)->tasks.clear();
+      }
+      const OrderResult hold{.worker = other.listing.id,
+                             .fence = MakeFence(Epoch(1), 0),
+                             .outcome = OrderOutcome::kDone,
+                             .sent = kNow.now,
+                             .answered = kNow.now,
+                             .incarnation = WorkerIncarnation(1),
+                             .ended = {{.number = EndNumber(1),
+                                        .task = kTask,
+                                        .run = sample.ended,
+                                        .end = sample.end}}};
+      ApplyOrderResults(world, {.order_results = {hold}}, kNow);
+      const bool done = sample.after == TaskState::kDone;
+      BOOST_TEST(EnumName(GetTask(world).state) == EnumName(sample.after));
+      BOOST_TEST(workflow.runs[0].done == (done ? 1U : 0U));
+      // The end is not acknowledged before it is recorded.
+      BOOST_TEST(workflow.dirty == done);
+      BOOST_TEST(IsStopQueued(world) == sample.stopped);
+      BOOST_TEST(world.scheduling.workers.find(kWorker)->tasks.empty() ==
+                 (done || !HoldsCapacity(sample.state)));
+    }
+  }
+}
+
 // What a hold reports after the stop of an unconfirmed start was answered.
 struct UnconfirmedCase {
   std::string name;
