Count the failure of a run that was given up

Callers: a task may be started more often than its attempts allow. Whether a run is older than the newest counted one is known after a takeover, too, because the record tells whether the newest run is counted; a repeated report counts nothing.

--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -236,8 +236,14 @@
     if (entry.size() > 5) {
       task.checkpoint = entry.at(5).get<std::string>();
     }
-    if (entry.size() > 6 && entry.at(6).get<bool>()) {
-      task.failed_run = task.run;
+    // Earlier runs that failed are counted, and so is the newest one unless it
+    // is in progress.
+    const bool run_counted_as_failed =
+        !HoldsCapacity(task.state) ||
+        (entry.size() > 6 && entry.at(6).get<bool>());
+    if (task.failures > 0) {
+      task.failed_run =
+          run_counted_as_failed ? task.run : RunNumber(task.run.value - 1);
     }
   }
   return run;
--- a/chicorystep/systems/workflows/task_reports.cc
+++ b/chicorystep/systems/workflows/task_reports.cc
@@ -89,10 +89,26 @@
   MarkDirty(world, key.workflow, *ref.workflow);
 }
 
+// Counts a failed run, once for each run of a task or of its gang. Of runs that
+// are older than the newest counted one it is not known whether they count
+// already.
+void CountFailure(const TaskRef& ref, RunNumber run) {
+  if (run <= ref.task->failed_run) {
+    return;
+  }
+  const std::uint32_t failures = ref.task->failures + 1;
+  for (Task& member : ref.run->tasks) {
+    if (&member == ref.task || ref.spec->gang) {
+      member.failures = failures;
+      member.failed_run = run;
+    }
+  }
+}
+
 // Applies an end that the tables do not place on the worker which reports it:
 // of a run that was given up, or of one whose start was carried out late. The
-// task has nevertheless run if the end is a success, so it is not started again
-// and its newest run is stopped.
+// task has nevertheless run: after a success it is not started again, and its
+// newest run is stopped; a failure is one of its attempts.
 void ApplyUnplacedEnd(WorkflowWorld& world,
                       TaskWorker& worker,
                       const EndReport& end,
@@ -100,12 +116,16 @@
                       TimePoint now) {
   LogUnplacedEnd(worker, end, ref);
   worker.unplaced_end = end.number;
-  if (!ref || ref.task->state == TaskState::kDone || end.end != RunEnd::kDone ||
-      ref.spec->long_running) {
+  if (!ref || ref.task->state == TaskState::kDone || ref.spec->long_running) {
     return;
   }
-  StopRun(world, end.task, ref, now);
-  MarkSucceeded(world, end.task, ref);
+  if (end.end == RunEnd::kDone) {
+    StopRun(world, end.task, ref, now);
+    MarkSucceeded(world, end.task, ref);
+  } else if (end.end == RunEnd::kFailed) {
+    CountFailure(ref, end.run);
+    MarkDirty(world, end.task.workflow, *ref.workflow);
+  }
 }
 
 // Applies the end of a run.
@@ -147,24 +167,17 @@
     return;
   }
   MarkDirty(world, end.task.workflow, *ref.workflow);
-  const bool new_failure =
-      end.end == RunEnd::kFailed && task.failed_run != end.run;
-  if (new_failure) {
-    ++task.failures;
-    task.failed_run = end.run;
+  if (end.end == RunEnd::kFailed) {
+    CountFailure(ref, end.run);
   }
   ReturnToWaiting(world, end.task, ref, now);
   if (!ref.spec->gang) {
     return;
   }
-  for (Task& member : ref.run->tasks) {
-    if (!end.checkpoint.empty()) {
+  if (!end.checkpoint.empty()) {
+    for (Task& member : ref.run->tasks) {
       member.checkpoint = end.checkpoint;
     }
-    if (new_failure) {
-      member.failures = task.failures;
-      member.failed_run = task.failed_run;
-    }
   }
   StopStepRun(world, end.task.workflow, *ref.workflow, *ref.run, now);
 }
--- a/tests/task_reports_test.cc
+++ b/tests/task_reports_test.cc
@@ -564,20 +564,28 @@
 }
 
 // An event of the step: an end that a task's worker reports, the start of the
-// next run of all tasks, or a takeover by another holder.
+// next run of all tasks, a takeover by another holder, or that the runs of all
+// tasks are given up.
 struct StepEvent {
-  enum class Kind : std::uint8_t { kEnd, kNextRun, kTakeover };
+  enum class Kind : std::uint8_t { kEnd, kNextRun, kTakeover, kGivenUp };
   Kind kind = Kind::kEnd;
   std::uint32_t task = 0;
   RunEnd end = RunEnd::kFailed;
+  // How many runs of the task have been placed since the one that ends.
+  std::uint32_t later_runs = 0;
 };
 constexpr StepEvent kNextRun{.kind = StepEvent::Kind::kNextRun};
 constexpr StepEvent kTakeover{.kind = StepEvent::Kind::kTakeover};
+constexpr StepEvent kGivenUp{.kind = StepEvent::Kind::kGivenUp};
 
 StepEvent Ends(std::uint32_t task, RunEnd end = RunEnd::kFailed) {
   return StepEvent{.task = task, .end = end};
 }
 
+StepEvent FailsBeforeNewest(std::uint32_t task) {
+  return StepEvent{.task = task, .later_runs = 1};
+}
+
 // Events of a step of three tasks, and the failures of the first task
 // afterwards.
 struct AttemptCase {
@@ -616,6 +624,23 @@
      true,
      {Ends(0, RunEnd::kGangIncomplete), Ends(1, RunEnd::kGangIncomplete)},
      0},
+    {"a run fails after it was given up", false, {kGivenUp, Ends(0)}, 1},
+    {"a run fails beside the next one",
+     false,
+     {kGivenUp, kNextRun, FailsBeforeNewest(0), Ends(0)},
+     2},
+    {"a failure is reported again after a takeover",
+     false,
+     {Ends(0), kTakeover, Ends(0)},
+     1},
+    {"a failure is reported again during the next run",
+     false,
+     {Ends(0), kNextRun, kTakeover, FailsBeforeNewest(0)},
+     1},
+    {"members of a gang fail after they were given up",
+     true,
+     {kGivenUp, Ends(1), Ends(2)},
+     1},
     {"no member fails",
      true,
      {Ends(0, RunEnd::kGangBroken), Ends(1, RunEnd::kStopped)},
@@ -623,7 +648,8 @@
 };
 
 // Guards against a gang whose members all report one failed run and thereby use
-// up its attempts, so that its workflow is shown as failed after one run.
+// up its attempts, so that its workflow is shown as failed after one run, and
+// against failures of runs that were given up and that use up no attempt.
 BOOST_AUTO_TEST_CASE(a_failed_run_counts_as_one_attempt) {
   for (const AttemptCase& sample : kAttemptCases) {
     BOOST_TEST_CONTEXT(sample.name) {
@@ -641,20 +667,24 @@
           }
         } else if (event.kind == StepEvent::Kind::kTakeover) {
           TakeOver(world);
+        } else if (event.kind == StepEvent::Kind::kGivenUp) {
+          for (Task& task : tasks) {
+            task.state = TaskState::kWaiting;
+          }
         } else {
           TaskKey key = kTask;
           key.task = TaskIndex(event.task);
           ApplyOrderResults(
               world,
-              {.order_results = {{.worker =
-                                      WorkerId(fmt::format("w{}", event.task)),
-                                  .fence = MakeFence(Epoch(1), 0),
-                                  .outcome = OrderOutcome::kDone,
-                                  .incarnation = WorkerIncarnation(1),
-                                  .ended = {{.number = EndNumber(++ends),
-                                             .task = key,
-                                             .run = run,
-                                             .end = event.end}}}}},
+              {.order_results =
+                   {{.worker = WorkerId(fmt::format("w{}", event.task)),
+                     .fence = MakeFence(Epoch(1), 0),
+                     .outcome = OrderOutcome::kDone,
+                     .incarnation = WorkerIncarnation(1),
+                     .ended = {{.number = EndNumber(++ends),
+                                .task = key,
+                                .run = RunNumber(run.value - event.later_runs),
+                                .end = event.end}}}}},
               kNow);
         }
       }
