--- a/chicorystep/encoding/workflow_record.cc
+++ b/chicorystep/encoding/workflow_record.cc
@@ -236,8 +236,8 @@
     if (entry.size() > 5) {
       task.checkpoint = entry.at(5).get<std::string>();
     }
-    // Earlier runs that failed are counted, and so is the newest one unless it
-    // is in progress.
+    // The record tells whether the newest run is counted only while that is in
+    // progress. Afterwards it is taken to be, so that no failure counts twice.
     const bool run_counted_as_failed =
         !HoldsCapacity(task.state) ||
         (entry.size() > 6 && entry.at(6).get<bool>());
