Copy a request's body once on its way through an entry

Cause: a request that is being served was held about eight times, by the library, the message, the client twice, a growing answer and the response, and the account knew three. Change: the message refers to the library's buffer, the client sends what it is given, and the answer is received into a string of its size, which the response takes over.

--- a/chicorystep/traffic/caller_server.cc
+++ b/chicorystep/traffic/caller_server.cc
@@ -152,10 +152,11 @@
   return std::nullopt;
 }
 
-void WriteAnswer(httplib::Response& response, const AttemptAnswer& answer) {
+void WriteAnswer(httplib::Response& response, AttemptAnswer answer) {
   response.status = 200;
   response.set_header(kOutcomeHeader, std::string(EnumName(Execution::kRan)));
-  response.set_content(answer.body, answer.content_type);
+  response.set_header("Content-Type", answer.content_type);
+  response.body = std::move(answer.body);
 }
 
 Refusal MakeTimeoutRefusal() {
@@ -207,7 +208,7 @@
       if (end->refusal) {
         RefuseRequest(context, message, *end->refusal, response);
       } else {
-        WriteAnswer(response, answer);
+        WriteAnswer(response, std::move(answer));
       }
       return;
     }
--- a/chicorystep/traffic/executor_attempt.cc
+++ b/chicorystep/traffic/executor_attempt.cc
@@ -1,5 +1,6 @@
 #include "chicorystep/traffic/executor_attempt.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -65,8 +66,12 @@
   message.headers = impl::MakeHeaders(attempt, request);
   message.body = request.body;
   message.set_header("Content-Type", request.content_type);
-  message.response_handler = [&](const httplib::Response&) {
+  message.response_handler = [&](const httplib::Response& head) {
     receiver.headers_received = true;
+    const Bytes length(
+        ParseCount(head.get_header_value("Content-Length")).value_or(0));
+    receiver.body.reserve(
+        static_cast<std::size_t>(std::min(length, receiver.limit).value));
     return true;
   };
   message.content_receiver = [&](const char* data, std::size_t length,
@@ -75,17 +80,17 @@
     return std::cmp_less_equal(receiver.body.size(), receiver.limit.value);
   };
 
-  const httplib::Result response = client->send(message);
-  if (!response) {
-    return {.result = impl::ClassifyError(response.error(),
-                                          receiver.headers_received)};
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  if (!client->send(message, response, error)) {
+    return {.result = impl::ClassifyError(error, receiver.headers_received)};
   }
   AttemptAnswer answer{
-      .result = impl::ClassifyResponse(*response, request),
+      .result = impl::ClassifyResponse(response, request),
       .body = std::move(receiver.body),
-      .content_type = response->get_header_value("Content-Type")};
+      .content_type = response.get_header_value("Content-Type")};
   if (const auto busy =
-          ParseCount(response->get_header_value(kBusySlotsHeader))) {
+          ParseCount(response.get_header_value(kBusySlotsHeader))) {
     answer.reported_busy = Slots(*busy);
   }
   clients.Release(attempt.address, std::move(client));
--- a/chicorystep/traffic/executor_attempt.h
+++ b/chicorystep/traffic/executor_attempt.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "chicorystep/core/ids.h"
 #include "chicorystep/tables/requests.h"
@@ -10,12 +11,14 @@
 
 namespace chicorystep {
 
-// A caller's request as the traffic thread sends it to executors.
+// A caller's request as the traffic thread sends it to executors. Its body
+// stays with the caller's connection, as each copy counts in the memory that a
+// connection takes.
 struct RequestMessage {
   RequestId id;
   Workspace workspace;
   Kind kind;
-  std::string body;
+  std::string_view body;
   std::string content_type;
 };
 
